--- /dev/null
+++ b/route.go
@@ -0,0 +1,42 @@
+package stoatpaddle
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Backend is one of the services that a route sends new flows to.
+type Backend struct {
+	Service ServiceID
+	Weight  Weight
+}
+
+// Route says where new flows to one address go.
+type Route struct {
+	Listen   netip.AddrPort // what callers write into their packets
+	Backends []Backend
+}
+
+// Declaration is the configuration that operators wrote, whole.
+type Declaration struct {
+	Version Version // the operators' own number; grows in steps of any size
+	Routes  []Route
+	Caps    map[ServiceID]int // flows that one upstream of the service may hold
+	Idle    time.Duration     // a flow idle for longer may be forgotten
+}
+
+// Target is the number by which a datagram names one life of an upstream, so that whoever
+// has its address later ignores it.
+type Target uint64
+
+// Registration is what an upstream says about itself.
+type Registration struct {
+	ID         UpstreamID
+	Target     Target
+	Service    ServiceID
+	DataCentre DataCentreID
+	Addr       netip.AddrPort
+	Slots      int
+	Leaving    bool
+	Cold       time.Duration // how much longer it is slow after its start
+}
--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatdemo"
+	"github.com/stoatpaddle/stoatpaddle/stoatedge"
 	"github.com/stoatpaddle/stoatpaddle/stoatentry"
 	"github.com/stoatpaddle/stoatpaddle/stoatmeasure"
 	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
@@ -26,10 +27,28 @@
 	if err != nil {
 		return err
 	}
+	if set.Fabric == stoatsetting.FabricEcho {
+		e, err := stoatedge.Start(context.WithoutCancel(c.ctx), stoatedge.Config{Settings: set, Log: c.out})
+		if err != nil {
+			return err
+		}
+		return serve(c, e)
+	}
 	e, err := stoatentry.Start(context.WithoutCancel(c.ctx), stoatentry.Config{Settings: set, Log: c.err})
 	if err != nil {
 		return err
 	}
+	return serve(c, e)
+}
+
+// entry is a running entry, on whichever fabric.
+type entry interface {
+	Stop()
+	Wait()
+}
+
+// serve returns when the entry has ended; a signal asks it to stop.
+func serve(c *env, e entry) error {
 	stopped := context.AfterFunc(c.ctx, e.Stop)
 	defer stopped()
 	e.Wait()
--- /dev/null
+++ b/stoatecho/health.go
@@ -0,0 +1,149 @@
+package stoatecho
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+const (
+	// openingPatience is how long an opening may wait for its caller's next packet before
+	// new flows avoid the upstream: a caller answers in about 10 ms, and repeats its
+	// opening after 200 ms, which is as late as a request may be.
+	openingPatience = 60 * time.Millisecond
+	// answerPatience is the same for a request: twice the slowest usual one.
+	answerPatience = 500 * time.Millisecond
+	// ejectRepeats and ejectSilence are the evidence that an upstream is dead: packets of
+	// so many flows were repeated, and nothing came back on any flow for so long.
+	ejectRepeats = 2
+	ejectSilence = 300 * time.Millisecond
+	// ejectLeast and ejectMost bound how long it gets no flows; each time doubles it.
+	ejectLeast = time.Second
+	ejectMost  = 8 * time.Second
+	// latencyWeight is the share of the newest sample in the mean.
+	latencyWeight = 0.2
+	// latencyFloor keeps small differences from moving flows: below it all are alike.
+	latencyFloor = 50 * time.Millisecond
+)
+
+// health is what this entry saw of one upstream: callers' packets only, for the answers
+// go past it.
+type health struct {
+	flows    int           // open ones that this entry saw
+	busy     int           // requests without an answer
+	opening  int           // openings without their caller's next packet
+	sign     time.Time     // last proof of life: a caller acknowledged something new
+	openFrom time.Time     // since when an opening waits, without a sign since
+	busyFrom time.Time     // since when a request waits, without a sign since
+	latency  time.Duration // mean from a request to its answer
+	repeats  int           // repeated packets since the last sign
+	ejected  time.Time     // until when it gets no flows
+	ejection time.Duration // the last one
+	trial    bool          // it got one flow after an ejection and has not answered
+}
+
+// heard notes a proof of life.
+func (h *health) heard(now time.Time) {
+	h.sign = now
+	h.openFrom, h.busyFrom = now, now
+	h.repeats = 0
+	if h.trial || now.Before(h.ejected) {
+		h.trial, h.ejected = false, time.Time{}
+	}
+	h.ejection = 0
+}
+
+// silence is how long the upstream has owed an answer.
+func (h *health) silence(now time.Time) time.Duration {
+	var d time.Duration
+	if h.opening > 0 {
+		d = now.Sub(h.openFrom)
+	}
+	if h.busy > 0 {
+		d = max(d, now.Sub(h.busyFrom))
+	}
+	return d
+}
+
+// slowToAnswer tells whether new flows should rather go elsewhere for now.
+func (h *health) slowToAnswer(now time.Time) bool {
+	return h.opening > 0 && now.Sub(h.openFrom) > openingPatience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
+}
+
+func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejected) }
+
+// repeated notes that a caller repeated a packet, and tells whether that ejects the upstream.
+func (h *health) repeated(now time.Time) bool {
+	h.repeats++
+	if h.isEjected(now) || h.repeats < ejectRepeats || h.silence(now) < ejectSilence {
+		return false
+	}
+	h.ejection = min(ejectMost, max(ejectLeast, 2*h.ejection))
+	h.ejected = now.Add(h.ejection)
+	h.trial = false
+	return true
+}
+
+func (h *health) opened(now time.Time) {
+	if h.opening == 0 {
+		h.openFrom = now
+	}
+	h.opening++
+	if !h.ejected.IsZero() && !h.isEjected(now) {
+		h.trial = true
+	}
+}
+
+func (h *health) asked(now time.Time) {
+	if h.busy == 0 {
+		h.busyFrom = now
+	}
+	h.busy++
+}
+
+func (h *health) answered(took time.Duration) {
+	if h.latency == 0 {
+		h.latency = took
+		return
+	}
+	h.latency += time.Duration(latencyWeight * float64(took-h.latency))
+}
+
+const (
+	// idleLoad is what an open flow without a request counts: a caller on a long flow asks
+	// about once a second for 40 ms.
+	idleLoad = 0.04
+	// coldPenalty is how much longer a cold upstream takes, as its cost.
+	coldPenalty = 1.6
+	// slowPenalty keeps flows away from an upstream that owes an answer while others do not.
+	slowPenalty = 20
+)
+
+// cost is the expected wait at the upstream, in units of a request alone there.
+func (h *health) cost(now time.Time, u *stoatroute.Upstream) float64 {
+	slots := float64(max(1, u.Slots))
+	c := (float64(h.busy+h.opening+1) + idleLoad*float64(h.flows)) / slots
+	if h.latency > latencyFloor {
+		c *= float64(h.latency) / float64(latencyFloor)
+	}
+	if now.Before(u.Warm) {
+		c *= coldPenalty
+	}
+	if h.slowToAnswer(now) || h.trial {
+		c *= slowPenalty
+	}
+	return c
+}
+
+// healths holds the health of every upstream that this entry met.
+type healths map[stoatpaddle.UpstreamKey]*health
+
+func (m healths) of(k stoatpaddle.UpstreamKey) *health {
+	h := m[k]
+	if h == nil {
+		h = &health{}
+		m[k] = h
+	}
+	return h
+}
--- /dev/null
+++ b/stoatecho/track.go
@@ -0,0 +1,140 @@
+package stoatecho
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// track updates what is known of the flow and its upstream, and decides whether the flow
+// can go on.
+//
+// A request begins with data and ends when the caller acknowledges something new: an
+// upstream's answers do not pass here.
+func (e *Engine) track(now time.Time, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
+	a := Action{Verdict: Forward, Upstream: u}
+	f, h := e.flows[p.Tuple], e.health.of(u.Key)
+	if f == nil || f.key != u.Key {
+		e.forget(p.Tuple)
+		if f = e.adopt(now, u, p); f == nil {
+			return a
+		}
+	}
+	f.seen = now
+	if f.opening {
+		f.opening = false
+		h.opening--
+		h.flows++
+		h.heard(now)
+		f.ack = p.Ack
+	}
+	if !f.asked.IsZero() && p.Ack != f.ack {
+		h.busy--
+		h.answered(now.Sub(f.asked))
+		h.heard(now)
+		f.asked = time.Time{}
+	}
+	if p.Ends {
+		e.forget(p.Tuple)
+		return a
+	}
+	if p.Size > 0 {
+		e.data(now, h, f, p, &a)
+	}
+	return a
+}
+
+// adopt remembers a flow that another entry placed.
+func (e *Engine) adopt(now time.Time, u *stoatroute.Upstream, p *stoatpacket.Packet) *flow {
+	if len(e.flows) >= e.cfg.MaxFlows || p.Ends {
+		return nil
+	}
+	f := &flow{key: u.Key, seen: now, ack: p.Ack}
+	e.flows[p.Tuple] = f
+	e.health.of(u.Key).flows++
+	return f
+}
+
+// data takes in a packet that carries a request, or a part of one.
+func (e *Engine) data(now time.Time, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
+	if f.asked.IsZero() {
+		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
+		h.asked(now)
+		return
+	}
+	if int32(p.Seq-f.seq) > 0 {
+		f.seq, f.repeats = p.Seq, 0
+		return
+	}
+	f.repeats++
+	a.Repeats = f.repeats
+	a.Ejected = h.repeated(now)
+	if a.Ejected {
+		e.stats.Ejected++
+	}
+	// The upstream answers nobody, so nothing is lost by telling the caller now; on a flow
+	// whose upstream gave a sign since, the packet was lost and will be repeated.
+	if f.repeats >= stuckRepeats && h.isEjected(now) && !h.sign.After(f.asked) {
+		e.forget(p.Tuple)
+		a.Verdict, a.Reason = Reset, stoatpacket.DropStuck
+	}
+}
+
+// forget takes a flow out of the table and its upstream's counts.
+func (e *Engine) forget(t stoatpacket.Tuple) {
+	f := e.flows[t]
+	if f == nil {
+		return
+	}
+	h := e.health.of(f.key)
+	if f.opening {
+		h.opening--
+	} else {
+		h.flows--
+	}
+	if !f.asked.IsZero() {
+		h.busy--
+	}
+	delete(e.flows, t)
+}
+
+const sweepEvery = time.Second
+
+// sweep forgets flows that ended elsewhere, for their later packets reached other entries,
+// and cookies that nobody sends any more.
+func (e *Engine) sweep(now time.Time) {
+	if now.Sub(e.swept) < sweepEvery {
+		return
+	}
+	e.swept = now
+	for t, f := range e.flows {
+		if now.Sub(f.seen) > f.kept() {
+			e.forget(t)
+		}
+	}
+	for k, w := range e.unproven {
+		if now.Sub(w.since) > idleKept {
+			delete(e.unproven, k)
+		}
+	}
+}
+
+func (f *flow) kept() time.Duration {
+	switch {
+	case f.opening:
+		return openingKept
+	case !f.asked.IsZero():
+		return busyKept
+	}
+	return idleKept
+}
+
+// Retain forgets the health of upstreams that are not in the table any more.
+func (e *Engine) Retain(t *stoatroute.Table) {
+	for k, h := range e.health {
+		if t.Upstream(k) == nil && h.flows+h.opening+h.busy == 0 {
+			delete(e.health, k)
+		}
+	}
+}
--- /dev/null
+++ b/stoatedge/catalogue.go
@@ -0,0 +1,92 @@
+package stoatedge
+
+import "github.com/stoatpaddle/stoatpaddle/stoatevent"
+
+// The numbered events of an entry on an echo fabric.
+var (
+	EventStart = stoatevent.Register(stoatevent.Entry{
+		Number: 1401, Severity: stoatevent.Info, Since: "0.2",
+		Title: "entry starts",
+		Text:  "The sockets are open. The entry is not ready yet: it places flows once it has a configuration and a list of upstreams.",
+	})
+	EventReady = stoatevent.Register(stoatevent.Entry{
+		Number: 1402, Severity: stoatevent.Info, Since: "0.2",
+		Title: "entry serves",
+		Text:  "The entry has a configuration and a list of upstreams. Source says whether they came from the platform or from a neighbour.",
+	})
+	EventStopping = stoatevent.Register(stoatevent.Entry{
+		Number: 1403, Severity: stoatevent.Info, Since: "0.2",
+		Title: "planned stop begins",
+		Text:  "The entry is not ready any more and forwards what still reaches it. It ends when the fabric sends nothing, or at the deadline.",
+	})
+	EventStopped = stoatevent.Register(stoatevent.Entry{
+		Number: 1404, Severity: stoatevent.Info, Since: "0.2",
+		Title: "entry ends",
+		Text:  "The planned stop is complete. Quiet says for how long no packet had come.",
+	})
+	EventDeclared = stoatevent.Register(stoatevent.Entry{
+		Number: 1405, Severity: stoatevent.Info, Since: "0.2",
+		Title: "configuration in force",
+		Text:  "A new version is in force here. Revision is the platform's; source says who brought it.",
+	})
+	EventInvalid = stoatevent.Register(stoatevent.Entry{
+		Number: 1406, Severity: stoatevent.Fatal, Since: "0.2",
+		Title: "object cannot be used",
+		Text:  "An object on the platform is not what its kind requires; cause names the field. The last good one stays in force. Write it again.",
+	})
+	EventUpstream = stoatevent.Register(stoatevent.Entry{
+		Number: 1407, Severity: stoatevent.Info, Since: "0.2",
+		Title: "upstream changed standing",
+		Text:  "Serving takes new flows; leaving keeps its open ones; missing lapsed while the platform was away and goes on as before; gone has ended, and flows there are reset.",
+	})
+	EventPlatformLost = stoatevent.Register(stoatevent.Entry{
+		Number: 1408, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "platform does not answer",
+		Text:  "Two calls in a row got no answer. The entry goes on with what it has and asks again after random pauses of up to a second. Nothing needs doing here; look at the platform, and at the network if single entries report it.",
+	})
+	EventPlatformBack = stoatevent.Register(stoatevent.Entry{
+		Number: 1409, Severity: stoatevent.Info, Since: "0.2",
+		Title: "platform answers again",
+		Text:  "A call succeeded after an outage; away is its length. Upstreams that are missing now have 2.5 s to register again.",
+	})
+	EventEjected = stoatevent.Register(stoatevent.Entry{
+		Number: 1410, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "upstream gets no flows for a while",
+		Text:  "Callers repeated packets to it and nothing came back on any flow. It gets a single flow after the pause; an answer ends the ejection. If it repeats, look at the upstream, and at the network if entries of one data centre report it.",
+	})
+	EventReset = stoatevent.Register(stoatevent.Entry{
+		Number: 1411, Severity: stoatevent.Info, Since: "0.2",
+		Title: "flow reset",
+		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it), gone (its upstream has ended), stuck (its upstream answers nobody), young (no configuration yet).",
+	})
+	EventDropped = stoatevent.Register(stoatevent.Entry{
+		Number: 1412, Severity: stoatevent.Info, Since: "0.2",
+		Title: "packet dropped",
+		Text:  "The packet was not forwarded and the caller not told; reason says why: forged (a cookie of a service that the route never had), unproven (a cookie that this entry cannot judge until the platform answers), young, and the ways in which a datagram can be malformed.",
+	})
+	EventOpened = stoatevent.Register(stoatevent.Entry{
+		Number: 1413, Severity: stoatevent.Info, Since: "0.2",
+		Title: "flow placed",
+		Text:  "The opening packet went to the upstream. Copies counts the opening packets sent before; moved says that the one before went elsewhere and got no answer. Cost is the expected wait there, in requests.",
+	})
+	EventReload = stoatevent.Register(stoatevent.Entry{
+		Number: 1414, Severity: stoatevent.Info, Since: "0.2",
+		Title: "settings read again",
+		Text:  "Changes of the log level and of bounds are in force. Others need a start of the entry; kept names them.",
+	})
+	EventReloadRefused = stoatevent.Register(stoatevent.Entry{
+		Number: 1415, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "settings refused",
+		Text:  "The settings file cannot be read or has faults. The settings before stay in force. Run check on the file.",
+	})
+	EventLeftOut = stoatevent.Register(stoatevent.Entry{
+		Number: 1416, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "log lines left out",
+		Text:  "More lines came than the bound for their event allows, or the writer could not keep up. The counts are per event since the last such line; metrics have them too. State changes are never left out by the bound.",
+	})
+	EventNeighbour = stoatevent.Register(stoatevent.Entry{
+		Number: 1417, Severity: stoatevent.Info, Since: "0.2",
+		Title: "neighbour asked",
+		Text:  "The platform did not answer, so another entry was asked what is in force. What it tells is taken in unless something later is known.",
+	})
+)
--- /dev/null
+++ b/stoatedge/edge.go
@@ -0,0 +1,174 @@
+package stoatedge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/asynkron/protoactor-go/actor"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
+)
+
+// Config configures an Edge.
+type Config struct {
+	Settings stoatsetting.Settings
+	Log      io.Writer
+}
+
+// Edge is one running entry on an echo fabric.
+type Edge struct {
+	set       stoatsetting.Settings
+	log       *eventLog
+	store     *platform.Store
+	engine    *stoatecho.Engine
+	engineMu  sync.Mutex // between the traffic goroutine and metrics
+	table     atomic.Pointer[stoatroute.Table]
+	holding   atomic.Pointer[stoatroute.Holding]
+	system    *actor.ActorSystem
+	pid       *actor.PID
+	cancels   [topicCount]callCancel
+	metrics   *metrics.Set
+	counts    counters
+	conn      *net.UDPConn
+	callers   uint16 // the port at which the fabric takes packets for callers
+	servers   []*http.Server
+	stop      stopState
+	group     *errgroup.Group
+	ctx       context.Context
+	cancel    context.CancelFunc
+	closeOnce sync.Once
+}
+
+// Start opens the sockets and begins to work.
+func Start(ctx context.Context, cfg Config) (*Edge, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	now := clock()
+	seed := uint64(now.UnixNano()) ^ addrSeed(cfg.Settings.Tunnel)
+	e := &Edge{
+		set: cfg.Settings, group: group, ctx: ctx, cancel: cancel,
+		log:     newEventLog(cfg.Log, cfg.Settings),
+		store:   platform.NewStore(cfg.Settings.Platform),
+		engine:  stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Start: now, Seed: seed}),
+		callers: cfg.Settings.Tunnel.Port(),
+		system:  newSystem(),
+	}
+	e.table.Store(&stoatroute.Table{})
+	e.metrics = e.newMetrics()
+	if err := e.open(); err != nil {
+		e.Kill()
+		return nil, err
+	}
+	k := newKeeper(keeperConfig{Apply: e.set.Apply, Return: e.set.Return, Life: e.set.Life, Seed: seed})
+	e.pid = e.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return &control{edge: e, keeper: k} }))
+	e.log.emit(now, EventStart, stoatevent.F("tunnel", e.set.Tunnel.String()), stoatevent.F("centre", string(e.set.DataCentre)),
+		stoatevent.F("platform", e.set.Platform.String()), stoatevent.F("apply", e.set.Apply.String()))
+	e.serve()
+	e.post(started{})
+	return e, nil
+}
+
+// addrSeed keeps entries that start in the same nanosecond from choosing alike.
+func addrSeed(a netip.AddrPort) uint64 {
+	v := a.Addr().As16()
+	seed := uint64(a.Port())
+	for _, b := range v {
+		seed = seed*31 + uint64(b)
+	}
+	return seed
+}
+
+func (e *Edge) open() error {
+	var err error
+	if e.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.set.Tunnel)); err != nil {
+		return err
+	}
+	// Half a second of traffic at the busiest entry; what the kernel does not grant is not needed.
+	_ = e.conn.SetReadBuffer(receiveBuffer)
+	if err = e.listen(e.set.Ready, http.HandlerFunc(e.readiness)); err != nil {
+		return err
+	}
+	return e.listen(e.set.Admin, e.admin())
+}
+
+const (
+	receiveBuffer = 1 << 20
+	headerTimeout = 5 * time.Second
+)
+
+func (e *Edge) listen(addr netip.AddrPort, h http.Handler) error {
+	ln, err := net.Listen("tcp4", addr.String())
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	e.servers = append(e.servers, srv)
+	e.group.Go(func() error {
+		_ = srv.Serve(ln)
+		return nil
+	})
+	return nil
+}
+
+// readiness answers the fabric: an entry that cannot place flows, or is about to end, is
+// not ready.
+func (e *Edge) readiness(w http.ResponseWriter, _ *http.Request) {
+	if e.stop.asked() || !e.table.Load().Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Kill ends the entry at once, as a crash would.
+func (e *Edge) Kill() {
+	e.cancel()
+	e.closeOnce.Do(func() {
+		if e.conn != nil {
+			_ = e.conn.Close()
+		}
+		for _, s := range e.servers {
+			_ = s.Close()
+		}
+		if e.pid != nil {
+			_ = e.system.Root.StopFuture(e.pid).Wait()
+		}
+		_ = e.group.Wait()
+		e.system.Shutdown()
+		e.log.close()
+	})
+}
+
+// Wait returns when the entry has ended and released its sockets.
+func (e *Edge) Wait() {
+	<-e.ctx.Done()
+	e.Kill()
+}
+
+// Table returns what traffic reads now.
+func (e *Edge) Table() *stoatroute.Table { return e.table.Load() }
+
+// Stats returns what became of flows so far.
+func (e *Edge) Stats() stoatecho.Stats {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	return e.engine.Stats()
+}
+
+// Dropped returns the number of packets dropped for the reason before a decision.
+func (e *Edge) Dropped(r stoatpacket.DropReason) int64 { return e.counts.malformed[r].Load() }
+
+func (e *Edge) post(ev any) { e.system.Root.Send(e.pid, ev) }
--- /dev/null
+++ b/stoatedge/keeper.go
@@ -0,0 +1,319 @@
+package stoatedge
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// topic is one kind of object that an entry follows.
+type topic int
+
+// The topics.
+const (
+	declarations topic = iota
+	upstreams
+	topicCount
+)
+
+func (t topic) String() string { return [...]string{"configuration", "upstreams"}[t] }
+
+// change is one object that an answer brought, decoded.
+type change struct {
+	revision     stoatpaddle.Version
+	name         string
+	gone         bool
+	declaration  *stoatpaddle.Declaration
+	registration *stoatpaddle.Registration
+	fault        error // why it cannot be used
+}
+
+// The events of the keeper.
+type (
+	// started is the first event.
+	started struct{}
+	// ticked comes every tickEvery.
+	ticked struct{}
+	// ended reports the end of a call.
+	ended struct {
+		topic   topic
+		call    stoatfeed.Call
+		sent    time.Time
+		result  stoatfeed.Result
+		changes []change
+		cause   error
+	}
+	// told carries what a neighbour has in force; age is how long ago that was proven.
+	told struct {
+		from    string
+		changes []change
+		age     time.Duration
+		cause   error
+	}
+	// doubted tells that traffic met a cookie which is not known here.
+	doubted struct{}
+)
+
+// The effects of the keeper.
+type (
+	// ask does a call; it ends in ended.
+	ask struct {
+		topic topic
+		call  stoatfeed.Call
+	}
+	// interrupt gives up the waiting call of a topic; it ends in ended.
+	interrupt struct{ topic topic }
+	// askNeighbour asks another entry what is in force; it ends in told.
+	askNeighbour struct{}
+	// publish makes a table the one that traffic reads.
+	publish struct{ table *stoatroute.Table }
+	// logged writes a numbered event.
+	logged struct {
+		entry  *stoatevent.Entry
+		fields []stoatevent.Field
+	}
+)
+
+const (
+	tickEvery = 100 * time.Millisecond
+	// settle is how long the watch of upstreams may take to bring what the other feed's
+	// proof shows to exist, before it is asked.
+	settle = 150 * time.Millisecond
+	// neighbourEvery is how often a neighbour is asked while the platform does not answer.
+	neighbourEvery = time.Second
+)
+
+// proof is an exact answer of the configuration's feed that the upstreams' has to match:
+// the platform counts revisions over all kinds.
+type proof struct {
+	sent time.Time
+	rev  stoatpaddle.Version
+	at   time.Time // when it came
+}
+
+// keeper decides what is believed about routes and upstreams. One goroutine uses it.
+type keeper struct {
+	book    *stoatroute.Book
+	feeds   [topicCount]*stoatfeed.Feed
+	waiting [topicCount]bool // a watch is under way that waits for a change
+	listed  map[stoatpaddle.UpstreamID]bool
+	open    *proof // not matched yet
+	asked   time.Time
+	ready   bool
+	version stoatpaddle.Version
+	table   *stoatroute.Table
+	out     []any
+}
+
+type keeperConfig struct {
+	Apply  time.Duration
+	Return time.Duration
+	Life   time.Duration
+	Seed   uint64
+}
+
+func newKeeper(cfg keeperConfig) *keeper {
+	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
+	k := &keeper{book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life})}
+	k.feeds[declarations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd})
+	k.feeds[upstreams] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
+	return k
+}
+
+// step takes one event in and returns what to do.
+func (k *keeper) step(now time.Time, ev any) []any {
+	k.out = nil
+	switch x := ev.(type) {
+	case started:
+		k.ask(declarations)
+		k.ask(upstreams)
+	case ticked:
+		k.tick(now)
+	case ended:
+		k.ended(now, x)
+	case told:
+		k.told(now, x)
+	case doubted:
+		k.doubt(upstreams)
+	}
+	k.publish()
+	return k.out
+}
+
+func (k *keeper) do(effect any) { k.out = append(k.out, effect) }
+
+func (k *keeper) log(e *stoatevent.Entry, fields ...stoatevent.Field) {
+	k.do(logged{entry: e, fields: fields})
+}
+
+func (k *keeper) ask(t topic) {
+	c := k.feeds[t].Next()
+	k.waiting[t] = !c.List && c.Wait > time.Millisecond
+	k.do(ask{topic: t, call: c})
+}
+
+// doubt has a topic asked at once, exactly.
+func (k *keeper) doubt(t topic) {
+	k.feeds[t].Doubt()
+	k.nudge(t)
+}
+
+func (k *keeper) nudge(t topic) {
+	if k.waiting[t] {
+		k.waiting[t] = false
+		k.do(interrupt{topic: t})
+	}
+}
+
+func (k *keeper) tick(now time.Time) {
+	for _, id := range k.book.Expire(now) {
+		k.standing(id, "did not come back")
+	}
+	if k.open != nil && now.Sub(k.open.at) > settle {
+		k.doubt(upstreams)
+	}
+	failing := k.failing()
+	if !failing.IsZero() && now.Sub(failing) > settle && now.Sub(k.asked) >= neighbourEvery {
+		k.asked = now
+		k.do(askNeighbour{})
+	}
+}
+
+// failing tells since when one of the feeds got no answer.
+func (k *keeper) failing() time.Time {
+	for _, f := range k.feeds {
+		if !f.Failing().IsZero() {
+			return f.Failing()
+		}
+	}
+	return time.Time{}
+}
+
+func (k *keeper) ended(now time.Time, x ended) {
+	k.waiting[x.topic] = false
+	f := k.feeds[x.topic]
+	failing := f.Failing()
+	v := f.Done(now, x.call, x.result)
+	if v.Lost {
+		cause := "refused by rate"
+		if x.cause != nil {
+			cause = x.cause.Error()
+		}
+		k.log(EventPlatformLost, stoatevent.F("topic", x.topic.String()), stoatevent.F("cause", cause))
+	}
+	if v.Back {
+		k.log(EventPlatformBack, stoatevent.F("topic", x.topic.String()), stoatevent.F("away", now.Sub(failing).String()))
+	}
+	if x.result.Outcome == stoatfeed.Failed && x.topic == upstreams {
+		k.book.Hold(now)
+	}
+	if v.Apply {
+		k.apply(now, x.topic, x.changes, "platform")
+		k.complete(now, x, v)
+		k.prove(now, x, v)
+	}
+	k.ask(x.topic)
+}
+
+// complete compares a finished list of upstreams with what was known.
+func (k *keeper) complete(now time.Time, x ended, v stoatfeed.Verdict) {
+	if x.topic != upstreams || !x.call.List {
+		return
+	}
+	if x.call.After == "" || k.listed == nil {
+		k.listed = map[stoatpaddle.UpstreamID]bool{}
+	}
+	for _, c := range x.changes {
+		k.listed[stoatpaddle.UpstreamID(c.name)] = true
+	}
+	if !v.Complete {
+		return
+	}
+	for _, id := range k.book.Listed(now, k.listed, v.Away) {
+		k.standing(id, "not in the list")
+	}
+	k.listed = nil
+}
+
+// prove notes until when the upstreams are proven up to date: by an exact answer about
+// them, or by a replica's that is as new as an exact one about the configuration.
+func (k *keeper) prove(now time.Time, x ended, v stoatfeed.Verdict) {
+	switch {
+	case x.topic == upstreams && v.Proof:
+		k.book.Prove(x.sent)
+		if k.open != nil && x.sent.After(k.open.sent) {
+			k.open = nil
+		}
+	case x.topic == declarations && v.Proof:
+		k.open = &proof{sent: x.sent, rev: x.result.AsOf, at: now}
+	}
+	if k.open != nil && k.feeds[upstreams].Revision() >= k.open.rev {
+		k.book.Prove(k.open.sent)
+		k.open = nil
+	}
+}
+
+func (k *keeper) apply(now time.Time, t topic, changes []change, source string) {
+	for i := range changes {
+		c := &changes[i]
+		switch {
+		case c.fault != nil:
+			k.log(EventInvalid, stoatevent.F("object", c.name), stoatevent.F("revision", c.revision.String()), stoatevent.F("cause", c.fault.Error()))
+		case c.declaration != nil:
+			if k.book.Declare(*c.declaration, c.revision) {
+				k.log(EventDeclared, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
+					stoatevent.F("routes", strconv.Itoa(len(c.declaration.Routes))), stoatevent.F("source", source))
+			}
+		case c.gone && t == upstreams:
+			if k.book.Remove(now, stoatpaddle.UpstreamID(c.name), c.revision) {
+				k.standing(stoatpaddle.UpstreamID(c.name), "registration ended")
+			}
+		case c.registration != nil:
+			if k.book.Register(now, *c.registration, c.revision) {
+				k.standing(c.registration.ID, source)
+			}
+		}
+	}
+}
+
+// standing logs what an upstream's standing is now, and why.
+func (k *keeper) standing(id stoatpaddle.UpstreamID, why string) {
+	u, _ := k.book.Registered(id)
+	k.log(EventUpstream, stoatevent.F("upstream", string(id)), stoatevent.F("service", string(u.Service)),
+		stoatevent.F("centre", string(u.DataCentre)), stoatevent.F("addr", u.Addr.String()),
+		stoatevent.F("standing", u.Standing.String()), stoatevent.F("why", why))
+}
+
+// told takes in what a neighbour has in force. Versions decide what is later, so that a
+// neighbour which is behind can take nothing back.
+func (k *keeper) told(now time.Time, x told) {
+	if x.cause != nil {
+		k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("cause", x.cause.Error()))
+		return
+	}
+	if k.failing().IsZero() {
+		return
+	}
+	k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", x.age.String()), stoatevent.F("objects", strconv.Itoa(len(x.changes))))
+	k.apply(now, upstreams, x.changes, x.from)
+	k.book.Neighbour()
+}
+
+func (k *keeper) publish() {
+	t := k.book.Table()
+	if t == k.table {
+		return
+	}
+	k.table = t
+	k.do(publish{table: t})
+	if t.Ready() && !k.ready {
+		k.ready = true
+		_, n := t.Counts()
+		k.log(EventReady, stoatevent.F("version", t.Version.String()), stoatevent.F("upstreams", strconv.Itoa(n[stoatroute.Serving])))
+	}
+}
--- /dev/null
+++ b/stoatedge/metrics.go
@@ -0,0 +1,73 @@
+package stoatedge
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+)
+
+// counters counts what the goroutines do.
+type counters struct {
+	malformed [stoatpacket.DropCount]atomic.Int64
+	doubted   time.Time // used by the traffic goroutine only
+	set       *metrics.Set
+}
+
+// called counts one call to the platform.
+func (c *counters) called(x ask, o stoatfeed.Outcome, took time.Duration) {
+	kind := "watch"
+	switch {
+	case x.call.List:
+		kind = "list"
+	case x.call.Stale:
+		kind = "replica"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("stoatpaddle_platform_calls_total{topic=%q,kind=%q,outcome=%q}", x.topic, kind, o)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf("stoatpaddle_platform_call_seconds{topic=%q,kind=%q}", x.topic, kind)).Update(took.Seconds())
+}
+
+// newMetrics names what /metrics shows.
+func (e *Edge) newMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	e.counts.set = set
+	stat := func(name string, value func(s stoatecho.Stats) int64) {
+		set.NewGauge(name, func() float64 { return float64(value(e.Stats())) })
+	}
+	stat("stoatpaddle_flow_opened_total", func(s stoatecho.Stats) int64 { return s.Opened })
+	stat("stoatpaddle_flow_moved_total", func(s stoatecho.Stats) int64 { return s.Moved })
+	stat("stoatpaddle_flow_refused_total", func(s stoatecho.Stats) int64 { return s.Refused })
+	stat("stoatpaddle_flow_open", func(s stoatecho.Stats) int64 { return int64(s.Flows) })
+	stat("stoatpaddle_upstream_ejected_total", func(s stoatecho.Stats) int64 { return s.Ejected })
+	stat("stoatpaddle_packet_forwarded_total", func(s stoatecho.Stats) int64 { return s.Forwarded })
+	for r := stoatpacket.DropShort; r < stoatpacket.DropCount; r++ {
+		set.NewGauge(fmt.Sprintf("stoatpaddle_packet_dropped_total{reason=%q}", r), func() float64 {
+			return float64(e.Stats().Drops[r] + e.counts.malformed[r].Load())
+		})
+		stat(fmt.Sprintf("stoatpaddle_flow_reset_total{reason=%q}", r), func(s stoatecho.Stats) int64 { return s.Resets[r] })
+	}
+	set.NewGauge("stoatpaddle_config_version", func() float64 { return float64(e.table.Load().Version) })
+	set.NewGauge("stoatpaddle_view_age_seconds", func() float64 {
+		t := e.table.Load()
+		if t.Proven.IsZero() {
+			return -1
+		}
+		return clock().Sub(t.Proven).Seconds()
+	})
+	set.NewGauge("stoatpaddle_log_lost_total", func() float64 { return float64(e.log.pipe.Lost()) })
+	return set
+}
+
+func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	for _, left := range e.log.sampler.Total() {
+		e.metrics.GetOrCreateCounter(fmt.Sprintf("stoatpaddle_log_left_out_total{event=%q}", left.Number)).Set(uint64(left.Count))
+	}
+	e.metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/stoatedge/run_traffic.go
@@ -0,0 +1,145 @@
+package stoatedge
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+func (e *Edge) serve() {
+	e.group.Go(e.traffic)
+	e.group.Go(e.tick)
+}
+
+// traffic moves packets, one at a time: an entry has a part of one core, and a second
+// goroutine would only wait for the engine.
+func (e *Edge) traffic() error {
+	buf := make([]byte, platform.TargetSize+platform.HeaderSize+platform.MaxData+1)
+	reset := make([]byte, platform.HeaderSize)
+	var p stoatpacket.Packet
+	var retained *stoatroute.Table
+	for {
+		n, err := e.conn.Read(buf[platform.TargetSize:])
+		if err != nil {
+			if e.ctx.Err() != nil {
+				return nil
+			}
+			continue
+		}
+		now := clock()
+		e.stop.packet(now)
+		data := buf[platform.TargetSize : platform.TargetSize+n]
+		if reason := platform.ReadPacket(data, &p); reason != stoatpacket.DropNone {
+			e.counts.malformed[reason].Add(1)
+			e.logDrop(now, &p, reason)
+			continue
+		}
+		t := e.table.Load()
+		e.engineMu.Lock()
+		a := e.engine.Handle(now, t, &p)
+		if t != retained {
+			e.engine.Retain(t)
+			retained = t
+		}
+		e.engineMu.Unlock()
+		e.carryOut(now, t, a, &p, buf[:platform.TargetSize+n], reset)
+	}
+}
+
+// carryOut sends what was decided. A datagram that cannot be sent is lost like any other.
+func (e *Edge) carryOut(now time.Time, t *stoatroute.Table, a stoatecho.Action, p *stoatpacket.Packet, buf, reset []byte) {
+	switch a.Verdict {
+	case stoatecho.Forward:
+		platform.PutTarget(buf, a.Upstream.Target)
+		if p.Opens {
+			platform.PutCookie(buf[platform.TargetSize:], a.Upstream.Key)
+		}
+		_, _ = e.conn.WriteToUDPAddrPort(buf, a.Upstream.Addr)
+		if a.Opened {
+			e.logFlow(now, EventOpened, t, a, p, stoatevent.F("copies", strconv.Itoa(p.Copies)), stoatevent.F("moved", strconv.FormatBool(a.Moved)))
+		}
+	case stoatecho.Reset:
+		platform.PutReset(reset, p)
+		_, _ = e.conn.WriteToUDPAddrPort(reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
+		e.logFlow(now, EventReset, t, a, p, stoatevent.F("reason", a.Reason.String()), stoatevent.F("opens", strconv.FormatBool(p.Opens)))
+	case stoatecho.Drop:
+		e.logDrop(now, p, a.Reason)
+		if a.Reason == stoatpacket.DropUnproven {
+			e.doubt(now)
+		}
+	}
+	if a.Ejected {
+		e.logFlow(now, EventEjected, t, a, p)
+	}
+}
+
+// logFlow writes a line about one flow: its id, what decided, how old that was.
+func (e *Edge) logFlow(now time.Time, entry *stoatevent.Entry, t *stoatroute.Table, a stoatecho.Action, p *stoatpacket.Packet, more ...stoatevent.Field) {
+	if !e.log.admit(now, entry) {
+		return
+	}
+	fields := append(more, stoatevent.F("flow", p.Tuple.Src.String()+">"+p.Tuple.Dst.String()))
+	if a.Upstream != nil {
+		fields = append(fields, stoatevent.F("upstream", string(a.Upstream.ID)), stoatevent.F("standing", a.Upstream.Standing.String()))
+	}
+	if a.Repeats > 0 {
+		fields = append(fields, stoatevent.F("repeats", strconv.Itoa(a.Repeats)))
+	}
+	fields = append(fields, stoatevent.F("version", t.Version.String()), stoatevent.F("proven", ageOf(now, t.Proven)))
+	e.log.write(entry, fields...)
+}
+
+func ageOf(now, then time.Time) string {
+	if then.IsZero() {
+		return "never"
+	}
+	return now.Sub(then).Round(time.Millisecond).String()
+}
+
+func (e *Edge) logDrop(now time.Time, p *stoatpacket.Packet, reason stoatpacket.DropReason) {
+	if !e.log.admit(now, EventDropped) {
+		return
+	}
+	e.log.write(EventDropped, stoatevent.F("reason", reason.String()),
+		stoatevent.F("flow", p.Tuple.Src.String()+">"+p.Tuple.Dst.String()), stoatevent.F("cookie", strconv.FormatUint(uint64(p.Cookie), 16)))
+}
+
+// doubtEvery bounds how often unknown cookies make an entry ask: a flood of forged ones
+// must not use up the platform's rates.
+const doubtEvery = 500 * time.Millisecond
+
+func (e *Edge) doubt(now time.Time) {
+	if now.Sub(e.counts.doubted) < doubtEvery {
+		return
+	}
+	e.counts.doubted = now
+	e.post(doubted{})
+}
+
+// tick drives what happens without packets: the keeper's ticks, the planned stop, and the
+// account of log lines that were left out.
+func (e *Edge) tick() error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		now := clock()
+		e.post(ticked{})
+		e.log.account(now)
+		if quiet, done := e.stop.done(now); done {
+			e.log.emit(now, EventStopped, stoatevent.F("quiet", quiet.String()))
+			e.cancel()
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/stoatfeed/feed.go
@@ -0,0 +1,209 @@
+package stoatfeed
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// Config configures a Feed.
+type Config struct {
+	// Bound is how soon a change has to be in force. Half of it is what a watch waits: the
+	// operators' store goes silent on a watch without a word, and a change that such a
+	// watch hid is found by the next one, which has to be asked and answered in time.
+	Bound time.Duration
+	// Stale lets watches be answered from a replica: it costs a tenth and counts toward no
+	// rate. Only for a feed that Prove checks against another feed's proof.
+	Stale bool
+	Rand  *rand.Rand // of the pauses
+}
+
+const (
+	// waitShare and hangShare split Bound: a watch waits for a half, and one that has not
+	// answered a quarter later is given up, which leaves a quarter to ask again.
+	waitShare = 2
+	hangShare = 4
+	// listTimeout bounds a page: 500 objects at 4 ms, and up to 60 times that when slow.
+	listTimeout = 1500 * time.Millisecond
+	// pauseLeast and pauseMost bound the pause after a failure. Each refused call is paid
+	// for; a second more of an old view after an outage is well within the bounds.
+	pauseLeast = 60 * time.Millisecond
+	pauseMost  = time.Second
+	// awayAfter is the least outage in which a registration can lapse: three heartbeats of
+	// a third of a second.
+	awayAfter = time.Second
+)
+
+// Call is one question to the platform.
+type Call struct {
+	List    bool
+	After   string // list: go on after this name
+	From    stoatpaddle.Version
+	Wait    time.Duration // watch: for the first change
+	Timeout time.Duration
+	Stale   bool
+	Pause   time.Duration // before the call
+}
+
+// Outcome is how a call ended.
+type Outcome uint8
+
+// The outcomes of a call.
+const (
+	Answered    Outcome = iota
+	Forgotten           // the platform has no history from that revision on
+	Refused             // by rate
+	Failed              // no usable answer
+	Interrupted         // given up here, to ask anew
+)
+
+// String returns the label used in logs and metrics.
+func (o Outcome) String() string {
+	return [...]string{"answered", "forgotten", "refused", "failed", "interrupted"}[o]
+}
+
+// Result is the end of a call.
+type Result struct {
+	Outcome Outcome
+	AsOf    stoatpaddle.Version
+	More    bool // list: there are further pages
+	Last    string
+	Changes int // watch: how many came
+}
+
+// Verdict tells what an answer is worth.
+type Verdict struct {
+	Apply    bool // its objects may be taken in
+	Complete bool // a list is complete with it
+	Away     bool // the list follows an outage in which registrations may have lapsed
+	Proof    bool // whatever was in force when the call was sent is known now
+	Lost     bool // the platform does not answer any more; said once
+	Back     bool // it answers again; said once
+}
+
+// Feed follows one kind of object.
+type Feed struct {
+	cfg      Config
+	rev      stoatpaddle.Version // everything up to it is known
+	listed   bool
+	after    string              // of the list that is under way
+	listFrom stoatpaddle.Version // of its first page
+	failures int
+	failing  time.Time // since when; zero: not
+	away     bool      // the next complete list follows an outage
+	lost     bool
+	exact    bool // the next call must not be answered by a replica
+}
+
+// New returns a Feed that has heard nothing.
+func New(cfg Config) *Feed { return &Feed{cfg: cfg} }
+
+// Revision returns the revision up to which everything is known.
+func (f *Feed) Revision() stoatpaddle.Version { return f.rev }
+
+// Failing tells since when the platform has not answered; zero: it answers.
+func (f *Feed) Failing() time.Time { return f.failing }
+
+// Next returns the call to do now.
+func (f *Feed) Next() Call {
+	c := Call{Timeout: listTimeout, Pause: f.pause()}
+	if !f.listed {
+		c.List, c.After = true, f.after
+		return c
+	}
+	c.From = f.rev
+	c.Wait = f.cfg.Bound / waitShare
+	c.Timeout = c.Wait + f.cfg.Bound/hangShare
+	c.Stale = f.cfg.Stale && !f.exact
+	if f.exact || f.failures > 0 {
+		// It is wanted now, not when something changes.
+		c.Wait = time.Millisecond
+	}
+	return c
+}
+
+// pause is random: nine entries that ask again in one moment would be refused by rate.
+func (f *Feed) pause() time.Duration {
+	if f.failures == 0 {
+		return 0
+	}
+	most := pauseMost
+	if f.failures < 5 {
+		most = min(pauseMost, pauseLeast<<f.failures)
+	}
+	return pauseLeast/2 + time.Duration(f.cfg.Rand.Int64N(int64(most)))
+}
+
+// Done takes the end of a call in.
+func (f *Feed) Done(now time.Time, c Call, r Result) Verdict {
+	switch r.Outcome {
+	case Forgotten:
+		f.relist()
+		return Verdict{}
+	case Refused, Failed:
+		return f.failed(now)
+	case Interrupted:
+		return Verdict{}
+	case Answered:
+	}
+	v := Verdict{Back: f.lost}
+	if !f.failing.IsZero() && now.Sub(f.failing) >= awayAfter {
+		// What a watch brings after an outage cannot tell a lapse from an end; a list can.
+		f.away = true
+		if !c.List {
+			f.relist()
+		}
+	}
+	f.failures, f.failing, f.lost = 0, time.Time{}, false
+	if c.List {
+		return f.page(v, c, r)
+	}
+	if r.AsOf < f.rev {
+		// A replica that is behind this entry: nothing in it is news.
+		f.exact = true
+		return v
+	}
+	f.rev = r.AsOf
+	v.Apply, v.Proof = true, !c.Stale
+	if !c.Stale {
+		f.exact = false
+	}
+	return v
+}
+
+func (f *Feed) relist() { f.listed, f.after, f.listFrom = false, "", 0 }
+
+func (f *Feed) failed(now time.Time) Verdict {
+	f.failures++
+	if f.failing.IsZero() {
+		f.failing = now
+	}
+	// One failure is a connection that broke; two are an outage.
+	if f.failures < 2 || f.lost {
+		return Verdict{}
+	}
+	f.lost = true
+	return Verdict{Lost: true}
+}
+
+func (f *Feed) page(v Verdict, c Call, r Result) Verdict {
+	v.Apply = true
+	if c.After == "" {
+		f.listFrom = r.AsOf
+	}
+	if r.More {
+		f.after = r.Last
+		return v
+	}
+	// Pages are read one after the other: what changed meanwhile is in the watch from the
+	// first page's revision on.
+	v.Complete, v.Proof, v.Away = true, true, f.away
+	f.rev = max(f.rev, f.listFrom)
+	f.listed, f.after, f.away, f.exact = true, "", false, false
+	return v
+}
+
+// Doubt asks for an exact answer next: another feed has proof of a later revision than
+// this one has heard of, or traffic met something that is not known here.
+func (f *Feed) Doubt() { f.exact = true }
--- a/stoatpacket/packet.go
+++ b/stoatpacket/packet.go
@@ -27,11 +27,20 @@
 	DropHops
 	DropForeignRelay
 	DropElsewhere // of a flow that entries beyond a cut may know
+	DropLength    // a length that is not the datagram's
+	DropFlags     // flags that no caller sends
+	DropForged    // a cookie of a service that the route never had
+	DropUnproven  // a cookie that this entry cannot judge yet
+	DropYoung     // this entry has no configuration yet
+	DropGone      // the flow's upstream is gone
+	DropStuck     // the flow's upstream answers nobody
+	DropNoRoute   // no route has the address
 	DropCount     // number of reasons
 )
 
 var dropNames = [DropCount]string{
 	"none", "short", "notip", "fragment", "protocol", "service", "limit", "upstream", "hops", "foreign", "elsewhere",
+	"length", "flags", "forged", "unproven", "young", "gone", "stuck", "route",
 }
 
 // String returns the metric label of the reason.
@@ -54,6 +63,10 @@
 	Seq   uint32 // TCP sequence number
 	Ack   uint32 // TCP acknowledgment number
 	Size  int    // TCP payload, bytes
+
+	// On a fabric whose packets bring back what an entry wrote into them:
+	Cookie stoatpaddle.UpstreamKey // the flow's upstream; 0 while it opens
+	Copies int                     // of an opening packet: how many were sent before
 }
 
 // Parser reads packets without allocating; one goroutine uses it at a time.
--- /dev/null
+++ b/stoatroute/book.go
@@ -0,0 +1,255 @@
+package stoatroute
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// Config configures a Book; zero values take the defaults.
+type Config struct {
+	// Return is how long after the platform's return a registration that lapsed meanwhile
+	// may take to come back.
+	Return time.Duration
+	// Keep is how long an upstream that is gone stays known, and a route the services it
+	// had: as long as a flow lives.
+	Keep time.Duration
+}
+
+const (
+	// defaultReturn is the two seconds that the platform's operators name, and a little for
+	// the news to arrive.
+	defaultReturn = 2500 * time.Millisecond
+	defaultKeep   = 60 * time.Second
+)
+
+// entry is what the book has on one upstream.
+type entry struct {
+	up       Upstream
+	revision stoatpaddle.Version
+	until    time.Time // Missing: when it counts as gone; Gone: when it is forgotten
+}
+
+// Book gathers what the platform says. One goroutine uses it.
+type Book struct {
+	cfg      Config
+	decl     stoatpaddle.Declaration
+	revision stoatpaddle.Version // of the declaration
+	routes   map[netip.AddrPort]*Route
+	ups      map[stoatpaddle.UpstreamID]*entry
+	proven   time.Time
+	declared bool
+	listed   bool
+	table    *Table
+	dirty    bool
+}
+
+// NewBook returns an empty Book.
+func NewBook(cfg Config) *Book {
+	if cfg.Return == 0 {
+		cfg.Return = defaultReturn
+	}
+	if cfg.Keep == 0 {
+		cfg.Keep = defaultKeep
+	}
+	return &Book{
+		cfg: cfg, routes: map[netip.AddrPort]*Route{}, ups: map[stoatpaddle.UpstreamID]*entry{}, dirty: true,
+	}
+}
+
+// KeyOf returns the cookie that names the upstream; 0 names none. Targets of 32 bits map one
+// to one; a hash would let two of 43,000 upstreams share a cookie one time in five.
+func KeyOf(t stoatpaddle.Target) stoatpaddle.UpstreamKey {
+	const half = 32
+	if k := stoatpaddle.UpstreamKey(t) ^ stoatpaddle.UpstreamKey(t>>half); k != 0 {
+		return k
+	}
+	return 1
+}
+
+// Declare adopts a declaration and tells whether it is news. One that was written earlier
+// than the one in force is ignored, whoever brings it: what is in force never reverts.
+func (b *Book) Declare(d stoatpaddle.Declaration, revision stoatpaddle.Version) bool {
+	if b.declared && (revision <= b.revision || d.Version <= b.decl.Version) {
+		return false
+	}
+	routes := make(map[netip.AddrPort]*Route, len(d.Routes))
+	for _, r := range d.Routes {
+		n := &Route{Listen: r.Listen, Backends: r.Backends, had: map[stoatpaddle.ServiceID]bool{}}
+		// A route that moved to another service keeps the open flows at the one before.
+		if old := b.routes[r.Listen]; old != nil {
+			for s := range old.had {
+				n.had[s] = true
+			}
+		}
+		for _, s := range r.Backends {
+			n.had[s.Service] = true
+		}
+		routes[r.Listen] = n
+	}
+	b.decl, b.revision, b.routes, b.declared, b.dirty = d, revision, routes, true, true
+	return true
+}
+
+// Register takes in what an upstream says about itself and tells whether its standing is news.
+func (b *Book) Register(now time.Time, r stoatpaddle.Registration, revision stoatpaddle.Version) bool {
+	e := b.ups[r.ID]
+	switch {
+	case e == nil:
+		e = &entry{up: Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold)}}
+		b.ups[r.ID] = e
+	case revision < e.revision || revision == e.revision && e.up.Standing < Missing:
+		return false
+	}
+	was := e.up.Standing
+	fresh := e.revision == 0
+	e.up.Registration, e.revision = r, revision
+	e.up.Standing = Serving
+	if r.Leaving {
+		e.up.Standing = Leaving
+	}
+	b.dirty = true
+	return fresh || was != e.up.Standing
+}
+
+// Remove takes in that a registration ended while the platform was in touch.
+func (b *Book) Remove(now time.Time, id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
+	e := b.ups[id]
+	if e == nil || revision < e.revision || e.up.Standing == Gone {
+		return false
+	}
+	b.end(now, e)
+	return true
+}
+
+func (b *Book) end(now time.Time, e *entry) {
+	e.up.Standing, e.until = Gone, now.Add(b.cfg.Keep)
+	b.dirty = true
+}
+
+// Listed takes in which registrations a complete list held. Those that it lacks have ended,
+// unless the platform had been away: then they have Config.Return to come back, for an
+// upstream whose registration lapsed with the platform may serve all the while.
+func (b *Book) Listed(now time.Time, names map[stoatpaddle.UpstreamID]bool, away bool) []stoatpaddle.UpstreamID {
+	b.listed, b.dirty = true, true
+	var lost []stoatpaddle.UpstreamID
+	for id, e := range b.ups {
+		if names[id] || e.up.Standing >= Missing {
+			continue
+		}
+		lost = append(lost, id)
+		if away {
+			e.up.Standing, e.until = Missing, now.Add(b.cfg.Return)
+			continue
+		}
+		b.end(now, e)
+	}
+	slices.Sort(lost)
+	return lost
+}
+
+// Prove notes that the upstreams were up to date when a question was sent at that time.
+func (b *Book) Prove(sent time.Time) {
+	if sent.After(b.proven) {
+		b.proven, b.dirty = sent, true
+	}
+}
+
+// Hold gives every missing registration its full time to come back from now on: the
+// platform went away again before they could.
+func (b *Book) Hold(now time.Time) {
+	for _, e := range b.ups {
+		if e.up.Standing == Missing {
+			e.until = now.Add(b.cfg.Return)
+		}
+	}
+}
+
+// Expire ends what is missing for too long and forgets what ended long ago.
+func (b *Book) Expire(now time.Time) []stoatpaddle.UpstreamID {
+	var ended []stoatpaddle.UpstreamID
+	for id, e := range b.ups {
+		switch {
+		case e.up.Standing < Missing || now.Before(e.until):
+		case e.up.Standing == Missing:
+			b.end(now, e)
+			ended = append(ended, id)
+		default:
+			delete(b.ups, id)
+			b.dirty = true
+		}
+	}
+	slices.Sort(ended)
+	return ended
+}
+
+// Registered returns what the book has on an upstream.
+func (b *Book) Registered(id stoatpaddle.UpstreamID) (Upstream, bool) {
+	e := b.ups[id]
+	if e == nil {
+		return Upstream{}, false
+	}
+	return e.up, true
+}
+
+// Table returns the present snapshot.
+func (b *Book) Table() *Table {
+	if !b.dirty {
+		return b.table
+	}
+	t := &Table{
+		Version: b.decl.Version, Proven: b.proven, Idle: b.decl.Idle, Declared: b.declared, Listed: b.listed,
+		routes: b.routes, byKey: make(map[stoatpaddle.UpstreamKey]*Upstream, len(b.ups)),
+		services: map[stoatpaddle.ServiceID][]*Upstream{},
+	}
+	for _, e := range b.ups {
+		u := e.up
+		u.Cap = b.decl.Caps[u.Service]
+		t.byKey[u.Key] = &u
+		if u.Opens() {
+			t.services[u.Service] = append(t.services[u.Service], &u)
+		}
+	}
+	for _, list := range t.services {
+		slices.SortFunc(list, func(x, y *Upstream) int { return cmp.Compare(x.Key, y.Key) })
+	}
+	b.table, b.dirty = t, false
+	return t
+}
+
+// Neighbour takes in that another entry, told all
+// it has. That is enough to serve, but no proof here: its answer may have been long under way.
+func (b *Book) Neighbour() {
+	if !b.listed && b.declared && len(b.ups) > 0 {
+		b.listed, b.dirty = true, true
+	}
+}
+
+// Holding is everything that the book has in force, for a neighbour.
+type Holding struct {
+	Declaration stoatpaddle.Declaration
+	Declared    bool
+	Revision    stoatpaddle.Version // of the declaration
+	Upstreams   []Held
+}
+
+// Held is one registration in force.
+type Held struct {
+	Registration stoatpaddle.Registration
+	Revision     stoatpaddle.Version
+}
+
+// Holding returns everything in force; what is gone is left out.
+func (b *Book) Holding() Holding {
+	h := Holding{Declaration: b.decl, Declared: b.declared, Revision: b.revision}
+	for _, e := range b.ups {
+		if e.up.Standing != Gone {
+			h.Upstreams = append(h.Upstreams, Held{Registration: e.up.Registration, Revision: e.revision})
+		}
+	}
+	slices.SortFunc(h.Upstreams, func(x, y Held) int { return cmp.Compare(x.Registration.ID, y.Registration.ID) })
+	return h
+}
--- /dev/null
+++ b/stoatroute/table.go
@@ -0,0 +1,81 @@
+package stoatroute
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// Standing is what is known about an upstream's registration.
+type Standing uint8
+
+// The standings of an upstream.
+const (
+	Serving Standing = iota
+	Leaving          // takes no new flows; its open ones go on
+	Missing          // its registration may have lapsed while the platform was away; goes on as before
+	Gone             // proven to have ended; its flows cannot live
+)
+
+// String returns the name used in logs.
+func (s Standing) String() string { return [...]string{"serving", "leaving", "missing", "gone"}[s] }
+
+// Upstream is one life of a server. It never changes after the table that has it was made.
+type Upstream struct {
+	stoatpaddle.Registration
+	Key      stoatpaddle.UpstreamKey
+	Standing Standing
+	Cap      int       // flows it may hold; 0: not limited
+	Warm     time.Time // when its slow start ends
+}
+
+// Opens tells whether the upstream may take new flows.
+func (u *Upstream) Opens() bool {
+	return u.Standing == Serving || u.Standing == Missing && !u.Leaving
+}
+
+// Route is where flows to one address go.
+type Route struct {
+	Listen   netip.AddrPort
+	Backends []stoatpaddle.Backend
+	had      map[stoatpaddle.ServiceID]bool // services that it ever had here
+}
+
+// Had tells whether the route has or had the service: flows that opened there go on.
+func (r *Route) Had(s stoatpaddle.ServiceID) bool { return r.had[s] }
+
+// Table is a snapshot that traffic reads; it never changes.
+type Table struct {
+	Version stoatpaddle.Version // of the declaration
+	// Proven is when the question was sent whose answer last proved the upstreams up to
+	// date: whatever is not in the table did not exist then.
+	Proven   time.Time
+	Idle     time.Duration
+	Declared bool // there is a declaration
+	Listed   bool // the upstreams were listed at least once
+
+	routes   map[netip.AddrPort]*Route
+	byKey    map[stoatpaddle.UpstreamKey]*Upstream
+	services map[stoatpaddle.ServiceID][]*Upstream
+}
+
+// Route returns the route for an address, or nil.
+func (t *Table) Route(listen netip.AddrPort) *Route { return t.routes[listen] }
+
+// Upstream returns the upstream that a cookie names, also one that is gone, or nil.
+func (t *Table) Upstream(key stoatpaddle.UpstreamKey) *Upstream { return t.byKey[key] }
+
+// Service returns the upstreams that may take new flows of the service, ascending by key.
+func (t *Table) Service(id stoatpaddle.ServiceID) []*Upstream { return t.services[id] }
+
+// Ready tells whether the table is enough to place flows.
+func (t *Table) Ready() bool { return t.Declared && t.Listed }
+
+// Counts returns the number of routes and of upstreams by standing.
+func (t *Table) Counts() (routes int, upstreams [4]int) {
+	for _, u := range t.byKey {
+		upstreams[u.Standing]++
+	}
+	return len(t.routes), upstreams
+}
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -21,12 +21,28 @@
 	Egress     netip.AddrPort   // the fabric's way to callers, for resets, UDP
 	Platform   netip.AddrPort   // the platform's object API, HTTP
 	Seeds      []netip.AddrPort // peers to ask when the platform does not answer
+	Fabric     Fabric           // what the fabric does for the entries
+	Ready      netip.AddrPort   // the fabric's readiness checks, HTTP; echo fabric only
+	Apply      time.Duration    // how soon a change has to be in force; echo fabric only
+	Life       time.Duration    // how long a flow lives at most; echo fabric only
+	Return     time.Duration    // how long a lapsed registration may take to come back; echo fabric only
 	Dead       time.Duration    // of silence, until a peer counts as dead
 	Level      string
 	Stop       time.Duration // a planned stop takes no longer
 	Settle     time.Duration // how long earlier owners are asked after a change
 }
 
+// Fabric tells how flows keep to their upstream.
+type Fabric string
+
+// The kinds of fabric.
+const (
+	// FabricTunnel gives nothing back: entries find a flow's upstream by owners and copies.
+	FabricTunnel Fabric = "tunnel"
+	// FabricEcho brings back with each packet what an entry wrote into the one before.
+	FabricEcho Fabric = "echo"
+)
+
 // The defaults, documented in testdata/entry.ini.
 const (
 	defaultCluster  = "main"
@@ -40,6 +56,10 @@
 	defaultDead     = 2 * time.Second
 	defaultStop     = 60 * time.Second
 	defaultSettle   = 60 * time.Second
+	defaultReady    = "127.0.0.1:6085"
+	defaultApply    = 3 * time.Second
+	defaultLife     = 60 * time.Second
+	defaultReturn   = 2500 * time.Millisecond
 )
 
 // Parse reads the settings, or returns *stoatpaddle.FaultsError with every fault.
@@ -57,6 +77,11 @@
 		Admin:      listen.AddrPort("admin", defaultAdmin),
 		Call:       listen.AddrPort("call", defaultCall),
 		Egress:     r.Section("fabric").AddrPort("egress", defaultEgress),
+		Fabric:     Fabric(r.Section("fabric").Choice("kind", string(FabricTunnel), string(FabricEcho))),
+		Ready:      listen.AddrPort("ready", defaultReady),
+		Apply:      r.Section("platform").Duration("apply", defaultApply),
+		Return:     r.Section("platform").Duration("return", defaultReturn),
+		Life:       r.Section("flow").Duration("life", defaultLife),
 		Platform:   r.Section("platform").AddrPort("address", defaultPlatform),
 		Seeds:      r.Section("peer").AddrPorts("seeds"),
 		Dead:       r.Section("peer").Duration("dead", defaultDead),
@@ -84,6 +109,7 @@
 		{"peer", false, s.Peer},
 		{"admin", false, s.Admin},
 		{"call", false, s.Call},
+		{"ready", false, s.Ready},
 	}
 	for i, a := range list {
 		for _, b := range list[:i] {
