--- a/route.go
+++ b/route.go
@@ -13,8 +13,9 @@
 
 // Route says where new flows to one address go.
 type Route struct {
-	Listen   netip.AddrPort // what callers write into their packets
-	Backends []Backend
+	Listen     netip.AddrPort // what callers write into their packets
+	Backends   []Backend
+	Idempotent bool // its requests may run twice
 }
 
 // Declaration is the configuration that operators wrote, whole.
--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -7,24 +7,22 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
-const (
-	// spillLoad is the load for its slots that the best upstream of the own data centre must
-	// have, as this entry sees it, before another data centre is considered, and spillGain
-	// how much less the best there must have: bytes between data centres are dear, and
-	// without the gap flows would swing back and forth.
-	spillLoad = 1.5
-	spillGain = 3.0
-)
+// spillGain is how much less of its slots the best upstream of another data centre must
+// have taken than the best here before it gets a flow: bytes between data centres are
+// dear, a flow there breaks when they lose each other, and without the gain flows would
+// swing back and forth.
+const spillGain = 2.0
 
 // pick is the best upstream of a group and its cost.
 type pick struct {
 	up   *stoatroute.Upstream
+	h    *health
 	cost float64
 }
 
-func (p *pick) offer(u *stoatroute.Upstream, cost float64) {
+func (p *pick) offer(u *stoatroute.Upstream, h *health, cost float64) {
 	if p.up == nil || cost < p.cost {
-		p.up, p.cost = u, cost
+		p.up, p.h, p.cost = u, h, cost
 	}
 }
 
@@ -44,11 +42,11 @@
 		cost := h.cost(now, u) * (1 + jitter*e.rnd.Float64())
 		switch {
 		case h.isEjected(now) || u.Key == except:
-			last.offer(u, cost)
+			last.offer(u, h, cost)
 		case u.DataCentre == e.cfg.DataCentre:
-			own.offer(u, cost)
+			own.offer(u, h, cost)
 		default:
-			other.offer(u, cost)
+			other.offer(u, h, cost)
 		}
 	}
 	switch {
@@ -56,12 +54,26 @@
 		return last.up
 	case own.up == nil:
 		return other.up
-	case other.up != nil && own.cost > spillLoad && other.cost*spillGain < own.cost:
+	case other.up != nil && spills(now, &own, &other):
 		return other.up
 	}
 	return own.up
 }
 
+// spills tells whether a flow goes to another data centre although the own one could take
+// it: when the best upstream here owes an answer and the best there does not, or when this
+// entry alone has filled the best one here, and left much of the best one there.
+func spills(now time.Time, own, other *pick) bool {
+	if other.h.slowToAnswer(now) {
+		return false
+	}
+	if own.h.slowToAnswer(now) {
+		return true
+	}
+	here, there := own.h.load(own.up), other.h.load(other.up)
+	return here >= 1 && there*spillGain <= here
+}
+
 // jitter spreads equal costs.
 const jitter = 0.05
 
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -21,18 +21,11 @@
 	// defaultMaxFlows bounds the memory: 200 bytes a flow. A flow that is not remembered is
 	// served like any other; it is only not counted.
 	defaultMaxFlows = 1 << 16
-	// young is how long after its start an entry without a configuration stays silent
-	// towards an opening: its copy 200 ms later may be served. Then it refuses at once.
+	// young is how long after its start an entry without a table holds packets: the table
+	// comes within 50 ms if the platform or a neighbour answers. Then it refuses at once.
 	young = time.Second
-	// stuckRepeats is how often a packet must be repeated before a flow at an upstream that
-	// answers nobody is reset: the caller comes back at once and is placed elsewhere.
-	stuckRepeats = 2
-	// openingKept, busyKept and idleKept are how long a flow is remembered of which no packet
-	// comes: a caller gives an opening up after 1.4 s, and repeats a request every 1.6 s at
-	// least. Its packets may reach other entries, and then it must not count here.
-	openingKept = 2 * time.Second
-	busyKept    = 4 * time.Second
-	idleKept    = 20 * time.Second
+	// idleKept is how long a flow is remembered of which no packet comes.
+	idleKept = 20 * time.Second
 )
 
 // Verdict tells what to do with a packet.
@@ -43,6 +36,7 @@
 	Drop    Verdict = iota
 	Forward         // to Upstream, with its cookie
 	Reset           // answer the caller with a reset
+	Wait            // hold the packet until there is a table
 )
 
 // Action is the decision about one packet.
@@ -52,8 +46,10 @@
 	Reason   stoatpacket.DropReason
 	Opened   bool // a flow was placed
 	Moved    bool // its opening went elsewhere before and got no answer
-	Ejected  bool // the packet was the evidence on which Upstream gets no flows for a while
 	Repeats  int  // how often the packet's flow repeated itself, where known
+	// Ejected is the upstream that gets no flows for a while, on the packet's evidence, or nil.
+	Ejected *stoatroute.Upstream
+	Silence time.Duration // of Ejected
 }
 
 // Unproven is how long cookies are waited for that no answer has settled.
@@ -89,6 +85,8 @@
 	rnd      *rand.Rand
 	stats    Stats
 	swept    time.Time
+	openings expectations
+	answers  expectations
 }
 
 // New returns an Engine.
@@ -113,6 +111,7 @@
 // Handle decides about one packet.
 func (e *Engine) Handle(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
 	e.sweep(now)
+	e.expire(now)
 	a := e.decide(now, t, p)
 	switch a.Verdict {
 	case Forward:
@@ -127,10 +126,7 @@
 
 func (e *Engine) decide(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
 	if !t.Ready() {
-		if p.Opens && now.Sub(e.cfg.Start) > young {
-			return Action{Verdict: Reset, Reason: stoatpacket.DropYoung}
-		}
-		return Action{Reason: stoatpacket.DropYoung}
+		return e.early(now, p)
 	}
 	r := t.Route(p.Tuple.Dst)
 	if r == nil {
@@ -147,37 +143,70 @@
 	return e.follow(now, t, r, p)
 }
 
+// early handles a packet that comes before there is a table. Only an opening is refused:
+// whether an open flow can live is not known.
+func (e *Engine) early(now time.Time, p *stoatpacket.Packet) Action {
+	switch {
+	case now.Sub(e.cfg.Start) <= young:
+		return Action{Verdict: Wait, Reason: stoatpacket.DropYoung}
+	case p.Opens:
+		return Action{Verdict: Reset, Reason: stoatpacket.DropYoung}
+	}
+	return Action{Reason: stoatpacket.DropYoung}
+}
+
 // open places a new flow, or a copy of its opening.
 func (e *Engine) open(now time.Time, t *stoatroute.Table, r *stoatroute.Route, p *stoatpacket.Packet) Action {
-	f := e.flows[p.Tuple]
+	a := Action{Verdict: Forward, Opened: true}
 	var except stoatpaddle.UpstreamKey
-	moved, ejected := false, false
-	if f != nil && f.opening && p.Copies > 0 {
-		u, h := t.Upstream(f.key), e.health.of(f.key)
-		ejected = h.repeated(now)
-		// A sign since then says that the packet was lost, not the upstream. At another one
-		// the flow would be open twice, and the caller's packets would bring either cookie.
-		if u != nil && u.Opens() && h.sign.After(f.seen) && !h.isEjected(now) {
+	if f := e.flows[p.Tuple]; f != nil && f.opening && p.Copies > 0 {
+		u := t.Upstream(f.key)
+		if e.sameAgain(now, u, f, &a) {
 			return Action{Verdict: Forward, Upstream: u}
 		}
-		except, moved = f.key, true
+		except, a.Moved = f.key, true
 	}
 	e.forget(p.Tuple)
-	u := e.choose(now, t, r, except)
-	if u == nil {
+	a.Upstream = e.choose(now, t, r, except)
+	if a.Upstream == nil {
 		e.stats.Refused++
-		return Action{Verdict: Reset, Reason: stoatpacket.DropNoUpstream}
+		return Action{Verdict: Reset, Reason: stoatpacket.DropNoUpstream, Ejected: a.Ejected, Silence: a.Silence}
 	}
-	moved = moved && u.Key != except
-	if moved {
+	a.Moved = a.Moved && a.Upstream.Key != except
+	if a.Moved {
 		e.stats.Moved++
 	}
 	e.stats.Opened++
-	e.health.of(u.Key).opened(now)
 	if len(e.flows) < e.cfg.MaxFlows {
-		e.flows[p.Tuple] = &flow{key: u.Key, seen: now, opening: true}
+		e.health.of(a.Upstream.Key).opened(now)
+		e.flows[p.Tuple] = &flow{key: a.Upstream.Key, seen: now, opening: true}
+		e.openings.add(p.Tuple, now)
+	}
+	return a
+}
+
+// sameAgain tells whether the copy of an opening goes where the one before went. A sign of
+// life since then says that the packet was lost, not the upstream: at another one the flow
+// would be open twice, and the caller's packets would bring either cookie.
+func (e *Engine) sameAgain(now time.Time, u *stoatroute.Upstream, f *flow, a *Action) bool {
+	if u == nil || !u.Opens() {
+		return false
+	}
+	if now.Sub(f.seen) < repeatLeast {
+		return true
+	}
+	h := e.health.of(f.key)
+	e.suspect(now, u, h, a)
+	return h.sign.After(f.seen) && !h.isEjected(now)
+}
+
+// suspect takes a repeated packet as evidence against its upstream.
+func (e *Engine) suspect(now time.Time, u *stoatroute.Upstream, h *health, a *Action) {
+	silence := h.silence(now)
+	if h.repeated(now) {
+		a.Ejected, a.Silence = u, silence
+		e.stats.Ejected++
 	}
-	return Action{Verdict: Forward, Upstream: u, Opened: true, Moved: moved, Ejected: ejected}
 }
 
 // follow forwards a packet of an open flow to the upstream that its cookie names.
@@ -190,7 +219,7 @@
 	if !r.Had(u.Service) {
 		return Action{Reason: stoatpacket.DropForged}
 	}
-	a := e.track(now, u, p)
+	a := e.track(now, r, u, p)
 	if p.Reset {
 		return a
 	}
--- /dev/null
+++ b/stoatecho/expect.go
@@ -0,0 +1,84 @@
+package stoatecho
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+)
+
+const (
+	// openingExpected and answerExpected are how long a flow may owe a packet before it
+	// stops counting. A caller that still waited would have repeated itself, after 200 ms:
+	// so the fabric gives its packets to another entry now. Without this bound, the flows of
+	// half a data centre count as load here for seconds each time an entry joins or leaves,
+	// and new flows flee to other data centres.
+	openingExpected = 300 * time.Millisecond
+	answerExpected  = time.Second
+)
+
+// expected is a packet that a flow owes since a time.
+type expected struct {
+	tuple stoatpacket.Tuple
+	since time.Time
+}
+
+// expectations are what flows owe, oldest first.
+type expectations struct {
+	list []expected
+	head int
+}
+
+func (x *expectations) add(t stoatpacket.Tuple, since time.Time) {
+	x.list = append(x.list, expected{tuple: t, since: since})
+}
+
+// due takes out the oldest expectation if it is older than bound.
+func (x *expectations) due(now time.Time, bound time.Duration) (expected, bool) {
+	if x.head == len(x.list) {
+		x.list, x.head = x.list[:0], 0
+		return expected{}, false
+	}
+	e := x.list[x.head]
+	if now.Sub(e.since) < bound {
+		return expected{}, false
+	}
+	x.head++
+	if x.head >= compactAt && 2*x.head >= len(x.list) {
+		x.list = append(x.list[:0], x.list[x.head:]...)
+		x.head = 0
+	}
+	return e, true
+}
+
+// compactAt is how many taken expectations may stand before the list is moved up.
+const compactAt = 256
+
+// expire stops counting what flows owe for too long.
+func (e *Engine) expire(now time.Time) {
+	for {
+		x, due := e.openings.due(now, openingExpected)
+		if !due {
+			break
+		}
+		if f := e.flows[x.tuple]; f != nil && f.opening && f.seen.Equal(x.since) {
+			e.forget(x.tuple)
+		}
+	}
+	for {
+		x, due := e.answers.due(now, answerExpected)
+		if !due {
+			return
+		}
+		f := e.flows[x.tuple]
+		if f == nil || f.asked.IsZero() {
+			continue
+		}
+		if quiet := now.Sub(f.seen); quiet < answerExpected {
+			// It goes on, as an upload or with repeats: look again a while after its last packet.
+			e.answers.add(x.tuple, now)
+			continue
+		}
+		e.health.of(f.key).busy--
+		f.asked = time.Time{}
+	}
+}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -14,8 +14,11 @@
 	openingPatience = 60 * time.Millisecond
 	// answerPatience is the same for a request: twice the slowest usual one.
 	answerPatience = 500 * time.Millisecond
-	// ejectRepeats and ejectSilence are the evidence that an upstream is dead: packets of
-	// so many flows were repeated, and nothing came back on any flow for so long.
+	// repeatLeast is the least time between a packet and its copy that counts as a repeat:
+	// callers repeat after 200 ms.
+	repeatLeast = 150 * time.Millisecond
+	// ejectRepeats and ejectSilence are the evidence that an upstream is dead: so many
+	// packets were repeated, and nothing came back on any flow for so long.
 	ejectRepeats = 2
 	ejectSilence = 300 * time.Millisecond
 	// ejectLeast and ejectMost bound how long it gets no flows; each time doubles it.
@@ -38,20 +41,15 @@
 	busyFrom time.Time     // since when a request waits, without a sign since
 	latency  time.Duration // mean from a request to its answer
 	repeats  int           // repeated packets since the last sign
-	ejected  time.Time     // until when it gets no flows
+	ejected  time.Time     // until when it gets no flows; zero: a sign came since
 	ejection time.Duration // the last one
-	trial    bool          // it got one flow after an ejection and has not answered
+	trial    bool          // it got a flow after an ejection and has not answered
 }
 
 // heard notes a proof of life.
 func (h *health) heard(now time.Time) {
-	h.sign = now
-	h.openFrom, h.busyFrom = now, now
-	h.repeats = 0
-	if h.trial || now.Before(h.ejected) {
-		h.trial, h.ejected = false, time.Time{}
-	}
-	h.ejection = 0
+	h.sign, h.openFrom, h.busyFrom = now, now, now
+	h.repeats, h.trial, h.ejected, h.ejection = 0, false, time.Time{}, 0
 }
 
 // silence is how long the upstream has owed an answer.
@@ -68,7 +66,7 @@
 
 // slowToAnswer tells whether new flows should rather go elsewhere for now.
 func (h *health) slowToAnswer(now time.Time) bool {
-	return h.opening > 0 && now.Sub(h.openFrom) > openingPatience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
+	return h.trial || h.opening > 0 && now.Sub(h.openFrom) > openingPatience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
 }
 
 func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejected) }
@@ -90,9 +88,7 @@
 		h.openFrom = now
 	}
 	h.opening++
-	if !h.ejected.IsZero() && !h.isEjected(now) {
-		h.trial = true
-	}
+	h.trial = !h.ejected.IsZero() && !h.isEjected(now)
 }
 
 func (h *health) asked(now time.Time) {
@@ -110,6 +106,11 @@
 	h.latency += time.Duration(latencyWeight * float64(took-h.latency))
 }
 
+// load is the part of the upstream's slots that this entry has taken.
+func (h *health) load(u *stoatroute.Upstream) float64 {
+	return float64(h.busy+h.opening) / float64(max(1, u.Slots))
+}
+
 const (
 	// idleLoad is what an open flow without a request counts: a caller on a long flow asks
 	// about once a second for 40 ms.
@@ -122,15 +123,14 @@
 
 // cost is the expected wait at the upstream, in units of a request alone there.
 func (h *health) cost(now time.Time, u *stoatroute.Upstream) float64 {
-	slots := float64(max(1, u.Slots))
-	c := (float64(h.busy+h.opening+1) + idleLoad*float64(h.flows)) / slots
+	c := h.load(u) + (1+idleLoad*float64(h.flows))/float64(max(1, u.Slots))
 	if h.latency > latencyFloor {
 		c *= float64(h.latency) / float64(latencyFloor)
 	}
 	if now.Before(u.Warm) {
 		c *= coldPenalty
 	}
-	if h.slowToAnswer(now) || h.trial {
+	if h.slowToAnswer(now) {
 		c *= slowPenalty
 	}
 	return c
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -12,7 +12,7 @@
 //
 // A request begins with data and ends when the caller acknowledges something new: an
 // upstream's answers do not pass here.
-func (e *Engine) track(now time.Time, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
+func (e *Engine) track(now time.Time, r *stoatroute.Route, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
 	a := Action{Verdict: Forward, Upstream: u}
 	f, h := e.flows[p.Tuple], e.health.of(u.Key)
 	if f == nil || f.key != u.Key {
@@ -21,6 +21,7 @@
 			return a
 		}
 	}
+	before := f.seen
 	f.seen = now
 	if f.opening {
 		f.opening = false
@@ -40,7 +41,8 @@
 		return a
 	}
 	if p.Size > 0 {
-		e.data(now, h, f, p, &a)
+		e.data(now, before, h, f, p, &a)
+		e.leaveStuck(now, r, h, f, p, &a)
 	}
 	return a
 }
@@ -56,29 +58,36 @@
 	return f
 }
 
-// data takes in a packet that carries a request, or a part of one.
-func (e *Engine) data(now time.Time, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
+// data takes in a packet that carries a request, or a part of one; before is when the
+// flow's last packet came.
+func (e *Engine) data(now, before time.Time, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
 	if f.asked.IsZero() {
 		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
 		h.asked(now)
+		e.answers.add(p.Tuple, now)
 		return
 	}
 	if int32(p.Seq-f.seq) > 0 {
 		f.seq, f.repeats = p.Seq, 0
 		return
 	}
+	if now.Sub(before) < repeatLeast {
+		return
+	}
 	f.repeats++
 	a.Repeats = f.repeats
-	a.Ejected = h.repeated(now)
-	if a.Ejected {
-		e.stats.Ejected++
-	}
-	// The upstream answers nobody, so nothing is lost by telling the caller now; on a flow
-	// whose upstream gave a sign since, the packet was lost and will be repeated.
-	if f.repeats >= stuckRepeats && h.isEjected(now) && !h.sign.After(f.asked) {
-		e.forget(p.Tuple)
-		a.Verdict, a.Reason = Reset, stoatpacket.DropStuck
+	e.suspect(now, a.Upstream, h, a)
+}
+
+// leaveStuck resets a flow whose upstream answers nobody, so that its caller comes back at
+// once and is placed elsewhere. Only where a request may run twice: the caller of another
+// may not ask again, so its only hope is that the upstream comes back.
+func (e *Engine) leaveStuck(now time.Time, r *stoatroute.Route, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
+	if !r.Idempotent || !h.isEjected(now) || h.sign.After(f.asked) {
+		return
 	}
+	e.forget(p.Tuple)
+	a.Verdict, a.Reason = Reset, stoatpacket.DropStuck
 }
 
 // forget takes a flow out of the table and its upstream's counts.
@@ -109,7 +118,7 @@
 	}
 	e.swept = now
 	for t, f := range e.flows {
-		if now.Sub(f.seen) > f.kept() {
+		if now.Sub(f.seen) > idleKept {
 			e.forget(t)
 		}
 	}
@@ -120,16 +129,6 @@
 	}
 }
 
-func (f *flow) kept() time.Duration {
-	switch {
-	case f.opening:
-		return openingKept
-	case !f.asked.IsZero():
-		return busyKept
-	}
-	return idleKept
-}
-
 // Retain forgets the health of upstreams that are not in the table any more.
 func (e *Engine) Retain(t *stoatroute.Table) {
 	for k, h := range e.health {
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -34,7 +34,8 @@
 	log       *eventLog
 	store     *platform.Store
 	engine    *stoatecho.Engine
-	engineMu  sync.Mutex // between the traffic goroutine and metrics
+	engineMu  sync.Mutex // of engine and hold
+	hold      stoatecho.Hold
 	table     atomic.Pointer[stoatroute.Table]
 	holding   atomic.Pointer[stoatroute.Holding]
 	system    *actor.ActorSystem
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -68,8 +68,8 @@
 	}
 	// interrupt gives up the waiting call of a topic; it ends in ended.
 	interrupt struct{ topic topic }
-	// askNeighbour asks another entry what is in force; it ends in told.
-	askNeighbour struct{}
+	// askNeighbours asks other entries what is in force; each answer ends in told.
+	askNeighbours struct{}
 	// publish makes a table the one that traffic reads.
 	publish struct{ table *stoatroute.Table }
 	// logged writes a numbered event.
@@ -84,8 +84,11 @@
 	// settle is how long the watch of upstreams may take to bring what the other feed's
 	// proof shows to exist, before it is asked.
 	settle = 150 * time.Millisecond
-	// neighbourEvery is how often a neighbour is asked while the platform does not answer.
+	// neighbourEvery is how often neighbours are asked while the platform does not answer,
+	// and neighbourFirst how often while there is nothing to serve by: an entry that starts
+	// behind a cut finds out about the cut only when its calls time out.
 	neighbourEvery = time.Second
+	neighbourFirst = 300 * time.Millisecond
 )
 
 // proof is an exact answer of the configuration's feed that the upstreams' has to match:
@@ -94,6 +97,8 @@
 	sent time.Time
 	rev  stoatpaddle.Version
 	at   time.Time // when it came
+	// hurried is set once the upstreams' replica was asked for it.
+	hurried bool
 }
 
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
@@ -103,7 +108,8 @@
 	waiting [topicCount]bool // a watch is under way that waits for a change
 	listed  map[stoatpaddle.UpstreamID]bool
 	open    *proof // not matched yet
-	asked   time.Time
+	start   time.Time
+	asked   time.Time // when neighbours were
 	ready   bool
 	version stoatpaddle.Version
 	table   *stoatroute.Table
@@ -130,6 +136,7 @@
 	k.out = nil
 	switch x := ev.(type) {
 	case started:
+		k.start = now
 		k.ask(declarations)
 		k.ask(upstreams)
 	case ticked:
@@ -174,16 +181,25 @@
 	for _, id := range k.book.Expire(now) {
 		k.standing(id, "did not come back")
 	}
-	if k.open != nil && now.Sub(k.open.at) > settle {
-		k.doubt(upstreams)
+	if k.open != nil && !k.open.hurried && now.Sub(k.open.at) > settle {
+		k.open.hurried = true
+		k.feeds[upstreams].Hurry()
+		k.nudge(upstreams)
 	}
-	failing := k.failing()
-	if !failing.IsZero() && now.Sub(failing) > settle && now.Sub(k.asked) >= neighbourEvery {
+	if k.wantsNeighbours(now) {
 		k.asked = now
-		k.do(askNeighbour{})
+		k.do(askNeighbours{})
 	}
 }
 
+func (k *keeper) wantsNeighbours(now time.Time) bool {
+	if !k.ready {
+		return now.Sub(k.start) > settle && now.Sub(k.asked) >= neighbourFirst
+	}
+	failing := k.failing()
+	return !failing.IsZero() && now.Sub(failing) > settle && now.Sub(k.asked) >= neighbourEvery
+}
+
 // failing tells since when one of the feeds got no answer.
 func (k *keeper) failing() time.Time {
 	for _, f := range k.feeds {
@@ -252,9 +268,14 @@
 	case x.topic == declarations && v.Proof:
 		k.open = &proof{sent: x.sent, rev: x.result.AsOf, at: now}
 	}
-	if k.open != nil && k.feeds[upstreams].Revision() >= k.open.rev {
+	switch {
+	case k.open == nil:
+	case k.feeds[upstreams].Revision() >= k.open.rev:
 		k.book.Prove(k.open.sent)
 		k.open = nil
+	case x.topic == upstreams && k.open.hurried:
+		// The replica is behind what the platform has said already.
+		k.feeds[upstreams].Doubt()
 	}
 }
 
@@ -296,7 +317,7 @@
 		k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("cause", x.cause.Error()))
 		return
 	}
-	if k.failing().IsZero() {
+	if k.failing().IsZero() && k.ready {
 		return
 	}
 	k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", x.age.String()), stoatevent.F("objects", strconv.Itoa(len(x.changes))))
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -34,15 +34,15 @@
 		if cancel := c.cancel.Load(); cancel != nil {
 			(*cancel)()
 		}
-	case askNeighbour:
-		e.group.Go(func() error {
-			e.askNeighbour()
-			return nil
-		})
+	case askNeighbours:
+		e.askNeighbours()
 	case publish:
 		h := k.book.Holding()
 		e.holding.Store(&h)
 		e.table.Store(x.table)
+		if x.table.Ready() {
+			e.release(clock())
+		}
 	case logged:
 		e.log.emit(clock(), x.entry, x.fields...)
 	}
--- a/stoatedge/run_neighbour.go
+++ b/stoatedge/run_neighbour.go
@@ -39,6 +39,7 @@
 type wireRoute struct {
 	Listen   string        `json:"listen"`
 	Backends []wireBackend `json:"backends"`
+	Repeat   bool          `json:"repeat"` // its requests may run twice
 }
 
 type wireBackend struct {
@@ -66,7 +67,7 @@
 		w.Declaration.Caps[string(s)] = n
 	}
 	for _, r := range h.Declaration.Routes {
-		out := wireRoute{Listen: r.Listen.String()}
+		out := wireRoute{Listen: r.Listen.String(), Repeat: r.Idempotent}
 		for _, b := range r.Backends {
 			out.Backends = append(out.Backends, wireBackend{Service: string(b.Service), Weight: uint32(b.Weight)})
 		}
@@ -98,7 +99,7 @@
 			if err != nil {
 				return nil, &stoatpaddle.DecodeError{What: "a neighbour's route", Cause: err}
 			}
-			route := stoatpaddle.Route{Listen: listen}
+			route := stoatpaddle.Route{Listen: listen, Idempotent: r.Repeat}
 			for _, b := range r.Backends {
 				route.Backends = append(route.Backends, stoatpaddle.Backend{Service: stoatpaddle.ServiceID(b.Service), Weight: stoatpaddle.Weight(b.Weight)})
 			}
@@ -142,26 +143,26 @@
 	_ = json.NewEncoder(w).Encode(encodeHolding(h, age))
 }
 
-// askNeighbour asks the entries that the settings name, one after the other, until one
-// tells what it has.
-func (e *Edge) askNeighbour() {
+// askNeighbours asks the entries that the settings name, all at once: behind a cut those of
+// other data centres do not answer.
+func (e *Edge) askNeighbours() {
 	for _, seed := range e.set.Seeds {
 		if seed == e.set.Admin {
 			continue
 		}
-		w, err := e.fetchHolding(seed)
-		if e.ctx.Err() != nil {
-			return
-		}
-		x := told{from: seed.String(), cause: err}
-		if err == nil {
-			x.age = time.Duration(w.AgeMS) * time.Millisecond
-			x.changes, x.cause = decodeHolding(w)
-		}
-		e.post(x)
-		if x.cause == nil {
-			return
-		}
+		e.group.Go(func() error {
+			w, err := e.fetchHolding(seed)
+			if e.ctx.Err() != nil {
+				return nil
+			}
+			x := told{from: seed.String(), cause: err}
+			if err == nil {
+				x.age = time.Duration(w.AgeMS) * time.Millisecond
+				x.changes, x.cause = decodeHolding(w)
+			}
+			e.post(x)
+			return nil
+		})
 	}
 }
 
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -17,15 +17,26 @@
 	e.group.Go(e.tick)
 }
 
+// mover is what one goroutine needs to carry decisions out; nothing in it is shared.
+type mover struct {
+	buf   []byte // TargetSize bytes of room, then the packet
+	reset []byte
+}
+
+func newMover() *mover {
+	return &mover{
+		buf:   make([]byte, platform.TargetSize+platform.HeaderSize+platform.MaxData+1),
+		reset: make([]byte, platform.HeaderSize),
+	}
+}
+
 // traffic moves packets, one at a time: an entry has a part of one core, and a second
 // goroutine would only wait for the engine.
 func (e *Edge) traffic() error {
-	buf := make([]byte, platform.TargetSize+platform.HeaderSize+platform.MaxData+1)
-	reset := make([]byte, platform.HeaderSize)
+	m := newMover()
 	var p stoatpacket.Packet
-	var retained *stoatroute.Table
 	for {
-		n, err := e.conn.Read(buf[platform.TargetSize:])
+		n, err := e.conn.Read(m.buf[platform.TargetSize:])
 		if err != nil {
 			if e.ctx.Err() != nil {
 				return nil
@@ -34,26 +45,58 @@
 		}
 		now := clock()
 		e.stop.packet(now)
-		data := buf[platform.TargetSize : platform.TargetSize+n]
-		if reason := platform.ReadPacket(data, &p); reason != stoatpacket.DropNone {
+		if reason := platform.ReadPacket(m.buf[platform.TargetSize:platform.TargetSize+n], &p); reason != stoatpacket.DropNone {
 			e.counts.malformed[reason].Add(1)
 			e.logDrop(now, &p, reason)
 			continue
 		}
-		t := e.table.Load()
-		e.engineMu.Lock()
-		a := e.engine.Handle(now, t, &p)
-		if t != retained {
-			e.engine.Retain(t)
-			retained = t
-		}
-		e.engineMu.Unlock()
-		e.carryOut(now, t, a, &p, buf[:platform.TargetSize+n], reset)
+		e.handle(now, m, n, &p)
+	}
+}
+
+// handle decides about the packet in m and carries the decision out.
+func (e *Edge) handle(now time.Time, m *mover, n int, p *stoatpacket.Packet) {
+	e.engineMu.Lock()
+	t := e.table.Load()
+	a := e.engine.Handle(now, t, p)
+	if a.Verdict == stoatecho.Wait && !e.hold.Add(now, p, m.buf[platform.TargetSize:platform.TargetSize+n]) {
+		a.Verdict = stoatecho.Drop
+	}
+	e.engineMu.Unlock()
+	e.carryOut(now, t, a, p, m, n)
+}
+
+// release handles the packets that waited for the first table.
+func (e *Edge) release(now time.Time) {
+	e.engineMu.Lock()
+	held := e.hold.Take()
+	e.engine.Retain(e.table.Load())
+	e.engineMu.Unlock()
+	e.replay(now, held)
+}
+
+// giveUp refuses what has waited for too long.
+func (e *Edge) giveUp(now time.Time) {
+	e.engineMu.Lock()
+	held := e.hold.Overdue(now)
+	e.engineMu.Unlock()
+	e.replay(now, held)
+}
+
+func (e *Edge) replay(now time.Time, held []stoatecho.Held) {
+	if len(held) == 0 {
+		return
+	}
+	m := newMover()
+	for i := range held {
+		n := copy(m.buf[platform.TargetSize:], held[i].Data)
+		e.handle(now, m, n, &held[i].Packet)
 	}
 }
 
 // carryOut sends what was decided. A datagram that cannot be sent is lost like any other.
-func (e *Edge) carryOut(now time.Time, t *stoatroute.Table, a stoatecho.Action, p *stoatpacket.Packet, buf, reset []byte) {
+func (e *Edge) carryOut(now time.Time, t *stoatroute.Table, a stoatecho.Action, p *stoatpacket.Packet, m *mover, n int) {
+	buf := m.buf[:platform.TargetSize+n]
 	switch a.Verdict {
 	case stoatecho.Forward:
 		platform.PutTarget(buf, a.Upstream.Target)
@@ -65,8 +108,8 @@
 			e.logFlow(now, EventOpened, t, a, p, stoatevent.F("copies", strconv.Itoa(p.Copies)), stoatevent.F("moved", strconv.FormatBool(a.Moved)))
 		}
 	case stoatecho.Reset:
-		platform.PutReset(reset, p)
-		_, _ = e.conn.WriteToUDPAddrPort(reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
+		platform.PutReset(m.reset, p)
+		_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
 		e.logFlow(now, EventReset, t, a, p, stoatevent.F("reason", a.Reason.String()), stoatevent.F("opens", strconv.FormatBool(p.Opens)))
 	case stoatecho.Drop:
 		e.logDrop(now, p, a.Reason)
@@ -74,8 +117,9 @@
 			e.doubt(now)
 		}
 	}
-	if a.Ejected {
-		e.logFlow(now, EventEjected, t, a, p)
+	if a.Ejected != nil {
+		e.logFlow(now, EventEjected, t, a, p, stoatevent.F("ejected", string(a.Ejected.ID)),
+			stoatevent.F("centre", string(a.Ejected.DataCentre)), stoatevent.F("silence", a.Silence.String()))
 	}
 }
 
@@ -135,6 +179,7 @@
 		}
 		now := clock()
 		e.post(ticked{})
+		e.giveUp(now)
 		e.log.account(now)
 		if quiet, done := e.stop.done(now); done {
 			e.log.emit(now, EventStopped, stoatevent.F("quiet", quiet.String()))
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -9,9 +9,9 @@
 
 // Config configures a Feed.
 type Config struct {
-	// Bound is how soon a change has to be in force. Half of it is what a watch waits: the
-	// operators' store goes silent on a watch without a word, and a change that such a
-	// watch hid is found by the next one, which has to be asked and answered in time.
+	// Bound is how soon a change has to be in force. A watch can go silent without a word;
+	// a change that it hid is found by the next one, which has to be asked and answered
+	// within the bound.
 	Bound time.Duration
 	// Stale lets watches be answered from a replica: it costs a tenth and counts toward no
 	// rate. Only for a feed that Prove checks against another feed's proof.
@@ -20,10 +20,10 @@
 }
 
 const (
-	// waitShare and hangShare split Bound: a watch waits for a half, and one that has not
-	// answered a quarter later is given up, which leaves a quarter to ask again.
-	waitShare = 2
-	hangShare = 4
+	// waitShare and hangShare split Bound: a watch waits for 0.65 of it, one that has not
+	// answered 0.15 later is given up, and the rest is left to ask again. Each watch is paid for.
+	waitShare = 0.65
+	hangShare = 0.15
 	// listTimeout bounds a page: 500 objects at 4 ms, and up to 60 times that when slow.
 	listTimeout = 1500 * time.Millisecond
 	// pauseLeast and pauseMost bound the pause after a failure. Each refused call is paid
@@ -94,6 +94,7 @@
 	away     bool      // the next complete list follows an outage
 	lost     bool
 	exact    bool // the next call must not be answered by a replica
+	hurry    bool // the next call must not wait for a change
 }
 
 // New returns a Feed that has heard nothing.
@@ -113,16 +114,20 @@
 		return c
 	}
 	c.From = f.rev
-	c.Wait = f.cfg.Bound / waitShare
-	c.Timeout = c.Wait + f.cfg.Bound/hangShare
+	c.Wait = share(f.cfg.Bound, waitShare)
+	c.Timeout = c.Wait + share(f.cfg.Bound, hangShare)
 	c.Stale = f.cfg.Stale && !f.exact
-	if f.exact || f.failures > 0 {
+	if f.exact || f.hurry || f.failures > 0 {
 		// It is wanted now, not when something changes.
 		c.Wait = time.Millisecond
 	}
 	return c
 }
 
+func share(d time.Duration, part float64) time.Duration {
+	return (time.Duration(float64(d) * part)).Truncate(time.Millisecond)
+}
+
 // pause is random: nine entries that ask again in one moment would be refused by rate.
 func (f *Feed) pause() time.Duration {
 	if f.failures == 0 {
@@ -148,14 +153,17 @@
 	case Answered:
 	}
 	v := Verdict{Back: f.lost}
-	if !f.failing.IsZero() && now.Sub(f.failing) >= awayAfter {
-		// What a watch brings after an outage cannot tell a lapse from an end; a list can.
+	outage := !f.failing.IsZero() && now.Sub(f.failing) >= awayAfter
+	f.failures, f.failing, f.lost, f.hurry = 0, time.Time{}, false, false
+	if outage {
 		f.away = true
-		if !c.List {
-			f.relist()
-		}
 	}
-	f.failures, f.failing, f.lost = 0, time.Time{}, false
+	if outage && !c.List {
+		// What ended meanwhile may have lapsed only, and a watch cannot tell: a list can,
+		// since what lapsed is given time to come back.
+		f.relist()
+		return v
+	}
 	if c.List {
 		return f.page(v, c, r)
 	}
@@ -204,6 +212,10 @@
 	return v
 }
 
-// Doubt asks for an exact answer next: another feed has proof of a later revision than
-// this one has heard of, or traffic met something that is not known here.
+// Hurry has the next call answered at once: another feed has proof of a later revision
+// than this one has heard of.
+func (f *Feed) Hurry() { f.hurry = true }
+
+// Doubt has the next call answered at once and not by a replica: the replica is behind, or
+// traffic met something that is not known here.
 func (f *Feed) Doubt() { f.exact = true }
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -78,7 +78,7 @@
 	}
 	routes := make(map[netip.AddrPort]*Route, len(d.Routes))
 	for _, r := range d.Routes {
-		n := &Route{Listen: r.Listen, Backends: r.Backends, had: map[stoatpaddle.ServiceID]bool{}}
+		n := &Route{Route: r, had: map[stoatpaddle.ServiceID]bool{}}
 		// A route that moved to another service keeps the open flows at the one before.
 		if old := b.routes[r.Listen]; old != nil {
 			for s := range old.had {
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -37,9 +37,8 @@
 
 // Route is where flows to one address go.
 type Route struct {
-	Listen   netip.AddrPort
-	Backends []stoatpaddle.Backend
-	had      map[stoatpaddle.ServiceID]bool // services that it ever had here
+	stoatpaddle.Route
+	had map[stoatpaddle.ServiceID]bool // services that it ever had here
 }
 
 // Had tells whether the route has or had the service: flows that opened there go on.
