--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -1,9 +1,15 @@
 package stoatcommand
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatdemo"
@@ -32,7 +38,20 @@
 		if err != nil {
 			return err
 		}
-		return serve(c, e)
+		hangup := make(chan os.Signal, 1)
+		signal.Notify(hangup, syscall.SIGHUP)
+		defer signal.Stop(hangup)
+		var g errgroup.Group
+		watch := &settingsWatch{file: a.Config, text: data, reload: e.Reload}
+		ctx, done := context.WithCancel(context.Background())
+		g.Go(func() error {
+			watch.run(ctx, hangup)
+			return nil
+		})
+		err = serve(c, e)
+		done()
+		_ = g.Wait()
+		return err
 	}
 	e, err := stoatentry.Start(context.WithoutCancel(c.ctx), stoatentry.Config{Settings: set, Log: c.err})
 	if err != nil {
@@ -41,6 +60,45 @@
 	return serve(c, e)
 }
 
+// settingsWatch notices changes of the settings file, with or without a signal.
+type settingsWatch struct {
+	file   string
+	text   []byte
+	reload func(set stoatsetting.Settings, err error)
+}
+
+// settingsEvery is how often the file is read again: what it holds changes rarely, and a
+// signal tells of most changes.
+const settingsEvery = 5 * time.Second
+
+func (w *settingsWatch) run(ctx context.Context, hangup <-chan os.Signal) {
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-t.C:
+		}
+		w.check()
+	}
+}
+
+// check reads the file and hands it over if its text changed.
+func (w *settingsWatch) check() {
+	text, err := os.ReadFile(w.file)
+	if err != nil {
+		w.reload(stoatsetting.Settings{}, err)
+		return
+	}
+	if bytes.Equal(text, w.text) {
+		return
+	}
+	w.text = text
+	w.reload(stoatsetting.Parse(w.file, text))
+}
+
 // entry is a running entry, on whichever fabric.
 type entry interface {
 	Stop()
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -31,6 +31,7 @@
 // Edge is one running entry on an echo fabric.
 type Edge struct {
 	set       stoatsetting.Settings
+	reloadMu  sync.Mutex // of set
 	log       *eventLog
 	store     *platform.Store
 	engine    *stoatecho.Engine
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -57,6 +57,8 @@
 	}
 	// doubted tells that traffic met a cookie which is not known here.
 	doubted struct{}
+	// rebound carries changed bounds.
+	rebound struct{ apply, back, life time.Duration }
 )
 
 // The effects of the keeper.
@@ -147,6 +149,11 @@
 		k.told(now, x)
 	case doubted:
 		k.doubt(upstreams)
+	case rebound:
+		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life})
+		for _, f := range k.feeds {
+			f.SetBound(x.apply)
+		}
 	}
 	k.publish()
 	return k.out
--- a/stoatedge/run_neighbour.go
+++ b/stoatedge/run_neighbour.go
@@ -146,8 +146,9 @@
 // askNeighbours asks the entries that the settings name, all at once: behind a cut those of
 // other data centres do not answer.
 func (e *Edge) askNeighbours() {
-	for _, seed := range e.set.Seeds {
-		if seed == e.set.Admin {
+	set := e.settings()
+	for _, seed := range set.Seeds {
+		if seed == set.Admin {
 			continue
 		}
 		e.group.Go(func() error {
--- a/stoatedge/stop.go
+++ b/stoatedge/stop.go
@@ -62,7 +62,8 @@
 // Stop begins the planned stop; Wait returns when it is complete.
 func (e *Edge) Stop() {
 	now := clock() // house: the signal comes now
-	if e.stop.begin(now, e.set.Stop) {
-		e.log.emit(now, EventStopping, stoatevent.F("deadline", e.set.Stop.String()))
+	deadline := e.settings().Stop
+	if e.stop.begin(now, deadline) {
+		e.log.emit(now, EventStopping, stoatevent.F("deadline", deadline.String()))
 	}
 }
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -100,6 +100,9 @@
 // New returns a Feed that has heard nothing.
 func New(cfg Config) *Feed { return &Feed{cfg: cfg} }
 
+// SetBound changes the bound for the calls to come.
+func (f *Feed) SetBound(d time.Duration) { f.cfg.Bound = d }
+
 // Revision returns the revision up to which everything is known.
 func (f *Feed) Revision() stoatpaddle.Version { return f.rev }
 
@@ -125,7 +128,7 @@
 }
 
 func share(d time.Duration, part float64) time.Duration {
-	return (time.Duration(float64(d) * part)).Truncate(time.Millisecond)
+	return time.Duration(float64(d) * part).Truncate(time.Millisecond)
 }
 
 // pause is random: nine entries that ask again in one moment would be refused by rate.
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -49,17 +49,24 @@
 
 // NewBook returns an empty Book.
 func NewBook(cfg Config) *Book {
-	if cfg.Return == 0 {
-		cfg.Return = defaultReturn
+	return &Book{
+		cfg: cfg.filled(), routes: map[netip.AddrPort]*Route{}, ups: map[stoatpaddle.UpstreamID]*entry{}, dirty: true,
 	}
-	if cfg.Keep == 0 {
-		cfg.Keep = defaultKeep
+}
+
+func (c Config) filled() Config {
+	if c.Return == 0 {
+		c.Return = defaultReturn
 	}
-	return &Book{
-		cfg: cfg, routes: map[netip.AddrPort]*Route{}, ups: map[stoatpaddle.UpstreamID]*entry{}, dirty: true,
+	if c.Keep == 0 {
+		c.Keep = defaultKeep
 	}
+	return c
 }
 
+// SetBounds changes the bounds for what is taken in from now on.
+func (b *Book) SetBounds(cfg Config) { b.cfg = cfg.filled() }
+
 // KeyOf returns the cookie that names the upstream; 0 names none. Targets of 32 bits map one
 // to one; a hash would let two of 43,000 upstreams share a cookie one time in five.
 func KeyOf(t stoatpaddle.Target) stoatpaddle.UpstreamKey {
