--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -84,6 +84,11 @@
 		Title: "log lines left out",
 		Text:  "More lines came than the bound for their event allows, or the writer could not keep up. The counts are per event since the last such line; metrics have them too. State changes are never left out by the bound.",
 	})
+	EventPaused = stoatevent.Register(stoatevent.Entry{
+		Number: 1418, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "entry was paused",
+		Text:  "The process did not run for as long as gap says. The packets that waited in its socket were discarded: their flows had gone to other entries by then. If it repeats, the machine is short of processor time.",
+	})
 	EventNeighbour = stoatevent.Register(stoatevent.Entry{
 		Number: 1417, Severity: stoatevent.Info, Since: "0.2",
 		Title: "neighbour asked",
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -48,6 +48,7 @@
 	callers   uint16 // the port at which the fabric takes packets for callers
 	servers   []*http.Server
 	stop      stopState
+	pause     pauseWatch
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -68,6 +69,7 @@
 		callers: cfg.Settings.Tunnel.Port(),
 		system:  newSystem(),
 	}
+	e.pause.start = now
 	e.table.Store(&stoatroute.Table{})
 	e.metrics = e.newMetrics()
 	if err := e.open(); err != nil {
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -108,6 +108,7 @@
 	book    *stoatroute.Book
 	feeds   [topicCount]*stoatfeed.Feed
 	waiting [topicCount]bool // a watch is under way that waits for a change
+	parked  bool             // upstreams are not asked for until the other topic is answered
 	listed  map[stoatpaddle.UpstreamID]bool
 	open    *proof // not matched yet
 	start   time.Time
@@ -240,9 +241,25 @@
 		k.complete(now, x, v)
 		k.prove(now, x, v)
 	}
-	k.ask(x.topic)
+	k.next(x.topic)
 }
 
+// next asks about a topic again. While the platform answers neither, one question at a
+// time finds out that it is back: each is paid for.
+func (k *keeper) next(t topic) {
+	if t == upstreams && k.lost(upstreams) && k.lost(declarations) {
+		k.parked = true
+		return
+	}
+	k.ask(t)
+	if k.parked && !k.lost(declarations) {
+		k.parked = false
+		k.ask(upstreams)
+	}
+}
+
+func (k *keeper) lost(t topic) bool { return k.feeds[t].Lost() }
+
 // complete compares a finished list of upstreams with what was known.
 func (k *keeper) complete(now time.Time, x ended, v stoatfeed.Verdict) {
 	if x.topic != upstreams || !x.call.List {
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -45,6 +45,10 @@
 		}
 		now := clock()
 		e.stop.packet(now)
+		if gap := e.pause.paused(now); gap > 0 {
+			e.discard(now, gap, m)
+			continue
+		}
 		if reason := platform.ReadPacket(m.buf[platform.TargetSize:platform.TargetSize+n], &p); reason != stoatpacket.DropNone {
 			e.counts.malformed[reason].Add(1)
 			e.logDrop(now, &p, reason)
@@ -54,6 +58,25 @@
 	}
 }
 
+// discardWait is how long the socket must be empty: whatever came while the process stood
+// still is read without waiting.
+const discardWait = time.Millisecond
+
+// discard drops the packets that waited while the process stood still.
+func (e *Edge) discard(now time.Time, gap time.Duration, m *mover) {
+	e.pause.tick(now)
+	n := 1
+	for e.conn.SetReadDeadline(clock().Add(discardWait)) == nil {
+		if _, err := e.conn.Read(m.buf); err != nil {
+			break
+		}
+		n++
+	}
+	_ = e.conn.SetReadDeadline(time.Time{})
+	e.counts.malformed[stoatpacket.DropPaused].Add(int64(n))
+	e.log.emit(now, EventPaused, stoatevent.F("gap", gap.String()), stoatevent.F("packets", strconv.Itoa(n)))
+}
+
 // handle decides about the packet in m and carries the decision out.
 func (e *Edge) handle(now time.Time, m *mover, n int, p *stoatpacket.Packet) {
 	e.engineMu.Lock()
@@ -178,6 +201,7 @@
 		case <-t.C:
 		}
 		now := clock()
+		e.pause.tick(now)
 		e.post(ticked{})
 		e.giveUp(now)
 		e.log.account(now)
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -106,6 +106,9 @@
 // Revision returns the revision up to which everything is known.
 func (f *Feed) Revision() stoatpaddle.Version { return f.rev }
 
+// Lost tells whether the platform counts as not answering.
+func (f *Feed) Lost() bool { return f.lost }
+
 // Failing tells since when the platform has not answered; zero: it answers.
 func (f *Feed) Failing() time.Time { return f.failing }
 
