--- a/route.go
+++ b/route.go
@@ -40,4 +40,5 @@
 	Slots      int
 	Leaving    bool
 	Cold       time.Duration // how much longer it is slow after its start
+	Born       Version       // the platform's revision at which it registered
 }
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -250,13 +250,3 @@
 
 // maxUnproven bounds the cookies that are waited for: a flood of forged ones must not fill the memory.
 const maxUnproven = 4096
-
-// Doubts tells whether a cookie waits for an answer that was asked for after t.Proven.
-func (e *Engine) Doubts(t *stoatroute.Table) bool {
-	for _, w := range e.unproven {
-		if w.since.After(t.Proven) {
-			return true
-		}
-	}
-	return false
-}
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -84,6 +84,11 @@
 		Title: "log lines left out",
 		Text:  "More lines came than the bound for their event allows, or the writer could not keep up. The counts are per event since the last such line; metrics have them too. State changes are never left out by the bound.",
 	})
+	EventClash = stoatevent.Register(stoatevent.Entry{
+		Number: 1419, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "two upstreams share a cookie",
+		Text:  "The 32 bits that packets carry cannot tell the upstream from the holder, which registered first and keeps its flows. The upstream gets none. Start it again, so that it gets another id.",
+	})
 	EventPaused = stoatevent.Register(stoatevent.Entry{
 		Number: 1418, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "entry was paused",
--- /dev/null
+++ b/stoatedge/edge_test.go
@@ -0,0 +1,317 @@
+package stoatedge_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatedge"
+	"github.com/stoatpaddle/stoatpaddle/stoatfake"
+	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
+)
+
+// patience bounds how long a test waits for what must come; nothing depends on how soon.
+const patience = 20 * time.Second
+
+// rig is a store, two upstreams and a caller on loopback addresses of their own.
+type rig struct {
+	t        *testing.T
+	store    *stoatfake.Platform
+	addr     netip.AddrPort
+	caller   *net.UDPConn
+	port     uint16
+	upstream [2]*net.UDPConn
+}
+
+const (
+	flagSYN = 16
+	flagACK = 64
+	flagRST = 32
+)
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, store: stoatfake.NewPlatform()}
+	srv := httptest.NewServer(r.store)
+	t.Cleanup(srv.Close)
+	r.addr = netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+	// The fabric takes packets for callers at the port at which entries listen.
+	r.caller = r.listen("127.0.0.3:0")
+	r.port = r.caller.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	for i := range r.upstream {
+		r.upstream[i] = r.listen("127.0.0.1:0")
+		r.register(i, "ready")
+	}
+	r.configure(1, "app")
+	return r
+}
+
+func (r *rig) listen(addr string) *net.UDPConn {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(addr)))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+var names = [2]string{"i-00000011", "i-00000022"}
+
+func (r *rig) register(i int, state string) {
+	r.store.Write(platform.KindUpstream, names[i], map[string]any{
+		"service": "app", "address": r.upstream[i].LocalAddr().String(), "zone": "here", "slots": 3, "state": state,
+	})
+}
+
+func (r *rig) configure(version int, service string) {
+	r.store.Write(platform.KindConfig, platform.NameConfig, map[string]any{
+		"version": version, "routes": []map[string]any{{"name": "r", "host": "198.18.0.1", "path_prefix": "/443/", "type": "idempotent", "service": service}},
+		"services": []map[string]any{{"name": "app", "max_conns": 2000}}, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+}
+
+// log is a writer that tests may read while the entry writes.
+type log struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *log) has(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.buf.String(), s)
+}
+
+// start starts an entry on the host address.
+func (r *rig) start(host string, seeds ...netip.AddrPort) (*stoatedge.Edge, stoatsetting.Settings, *log) {
+	r.t.Helper()
+	free := func() netip.AddrPort {
+		a, err := stoatfake.FreeAddr()
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		return a
+	}
+	set := stoatsetting.Settings{
+		Instance: "edge-" + stoatpaddle.InstanceID(host), DataCentre: "here", Level: "info", Platform: r.addr, Seeds: seeds,
+		Tunnel: netip.AddrPortFrom(netip.MustParseAddr(host), r.port), Ready: free(), Admin: free(),
+		Apply: 600 * time.Millisecond, Return: 500 * time.Millisecond, Life: time.Minute, Stop: 4 * time.Second,
+	}
+	l := &log{}
+	e, err := stoatedge.Start(context.Background(), stoatedge.Config{Settings: set, Log: l})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(e.Kill)
+	return e, set, l
+}
+
+func (r *rig) wait(what string, ok func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatal("waited in vain: " + what)
+		}
+	}
+}
+
+func isReady(set stoatsetting.Settings) bool {
+	res, err := http.Get("http://" + set.Ready.String() + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// packet builds a caller's packet to the route, or to another port.
+func packet(flags byte, sport, dport uint16, cookie uint32) []byte {
+	b := make([]byte, platform.HeaderSize)
+	le := binary.LittleEndian
+	b[0] = flags
+	le.PutUint32(b[1:], cookie)
+	le.PutUint16(b[5:], dport)
+	le.PutUint16(b[7:], sport)
+	copy(b[9:], []byte{1, 0, 18, 198})
+	copy(b[13:], []byte{3, 0, 0, 127})
+	le.PutUint32(b[23:], 4242)
+	if flags == flagSYN {
+		le.PutUint32(b[23:], 0)
+	}
+	return b
+}
+
+func (r *rig) send(set stoatsetting.Settings, b []byte) {
+	r.t.Helper()
+	if _, err := r.caller.WriteToUDPAddrPort(b, set.Tunnel); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// receive returns the next datagram.
+func (r *rig) receive(conn *net.UDPConn) []byte {
+	r.t.Helper()
+	buf := make([]byte, 2000)
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	n, err := conn.Read(buf)
+	if err != nil {
+		r.t.Fatal("no datagram:", err)
+	}
+	return buf[:n]
+}
+
+// arrives returns which upstream got the next datagram, its target and its cookie.
+func (r *rig) arrives() (int, uint64, uint32) {
+	r.t.Helper()
+	buf := make([]byte, 2000)
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		for i, conn := range r.upstream {
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+			if n, err := conn.Read(buf); err == nil && n >= platform.TargetSize+platform.HeaderSize {
+				return i, binary.BigEndian.Uint64(buf), binary.LittleEndian.Uint32(buf[9:])
+			}
+		}
+	}
+	r.t.Fatal("nothing arrives")
+	return 0, 0, 0
+}
+
+// A flow from its opening to the end of its upstream: the opening carries the target and a
+// cookie; a later packet reaches the same upstream through another entry, which never saw
+// the flow; when the upstream has ended, the caller is told with a reset.
+func TestFlowOverTwoEntries(t *testing.T) {
+	r := newRig(t)
+	a, setA, _ := r.start("127.0.0.11")
+	_, setB, _ := r.start("127.0.0.12")
+	r.wait("both serve", func() bool { return isReady(setA) && isReady(setB) })
+	r.send(setA, packet(flagSYN, 40001, 443, 0))
+	i, target, cookie := r.arrives()
+	if target != []uint64{0x11, 0x22}[i] || cookie == 0 {
+		t.Fatalf("target %x cookie %x at upstream %d", target, cookie, i)
+	}
+	r.send(setB, packet(flagACK, 40001, 443, cookie))
+	if j, _, again := r.arrives(); j != i || again != cookie {
+		t.Error("the flow went to", j)
+	}
+	r.store.Remove(platform.KindUpstream, names[i])
+	r.wait("the end of the upstream is known", func() bool { return len(a.Table().Service("app")) == 1 })
+	r.send(setA, packet(flagACK, 40001, 443, cookie))
+	reset := r.receive(r.caller)
+	if reset[0] != flagRST || binary.LittleEndian.Uint32(reset[19:]) != 4242 || binary.LittleEndian.Uint16(reset[5:]) != 40001 {
+		t.Errorf("% x", reset)
+	}
+}
+
+// What nobody may open is refused at once; what no caller sends is counted and dropped.
+func TestRefusals(t *testing.T) {
+	r := newRig(t)
+	e, set, l := r.start("127.0.0.11")
+	r.wait("it serves", func() bool { return isReady(set) })
+	r.send(set, packet(flagSYN, 40001, 9, 0))
+	if reset := r.receive(r.caller); reset[0] != flagRST {
+		t.Errorf("% x", reset)
+	}
+	r.send(set, []byte{1, 2, 3})
+	r.send(set, packet(flagSYN|flagACK, 40001, 443, 0))
+	r.wait("both are counted", func() bool {
+		res, err := http.Get("http://" + set.Admin.String() + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = res.Body.Close() }()
+		text, _ := io.ReadAll(res.Body)
+		return strings.Contains(string(text), `stoatpaddle_packet_dropped_total{reason="short"} 1`) &&
+			strings.Contains(string(text), `stoatpaddle_packet_dropped_total{reason="flags"} 1`) &&
+			strings.Contains(string(text), `stoatpaddle_flow_reset_total{reason="route"} 1`)
+	})
+	r.wait("the refusal is logged", func() bool { return l.has(`"event":"SP1411"`) && l.has(`"reason":"route"`) })
+	if n := e.Stats().Opened; n != 0 {
+		t.Error(n)
+	}
+}
+
+// The store is down. An entry that starts then serves what its neighbour tells, and goes on
+// when the store is back.
+func TestStartWithoutTheStore(t *testing.T) {
+	r := newRig(t)
+	_, setA, _ := r.start("127.0.0.11")
+	r.wait("the first serves", func() bool { return isReady(setA) })
+	r.store.Set(stoatfake.Trouble{Down: true})
+	b, setB, l := r.start("127.0.0.12", setA.Admin)
+	r.wait("the second serves", func() bool { return isReady(setB) })
+	if !l.has(`"event":"SP1417"`) {
+		t.Error("no line tells of the neighbour")
+	}
+	r.send(setB, packet(flagSYN, 40001, 443, 0))
+	r.arrives()
+	r.store.Set(stoatfake.Trouble{})
+	r.configure(2, "app")
+	r.wait("the second follows the store", func() bool { return b.Table().Version == 2 && !b.Table().Proven.IsZero() })
+}
+
+// The store forgets its history while both watches wait, and everything changed in the gap.
+func TestForgottenHistory(t *testing.T) {
+	r := newRig(t)
+	e, set, _ := r.start("127.0.0.11")
+	r.wait("it serves", func() bool { return isReady(set) })
+	r.store.Set(stoatfake.Trouble{SilentWatch: true})
+	r.configure(2, "app")
+	r.register(0, "draining")
+	r.store.Forget()
+	r.store.Set(stoatfake.Trouble{})
+	r.wait("both are known", func() bool { return e.Table().Version == 2 && len(e.Table().Service("app")) == 1 })
+}
+
+// A replica lags behind for good. What the store itself says is in force all the same.
+func TestLaggingReplica(t *testing.T) {
+	r := newRig(t)
+	e, set, _ := r.start("127.0.0.11")
+	r.wait("it serves", func() bool { return isReady(set) })
+	r.store.Set(stoatfake.Trouble{Lagging: true})
+	r.register(0, "draining")
+	r.wait("the leaving one is known", func() bool { return len(e.Table().Service("app")) == 1 })
+}
+
+// A planned stop: not ready at once, forwards what still comes, then ends by itself.
+func TestStop(t *testing.T) {
+	r := newRig(t)
+	e, set, l := r.start("127.0.0.11")
+	r.wait("it serves", func() bool { return isReady(set) })
+	e.Stop()
+	if isReady(set) {
+		t.Error("ready while it stops")
+	}
+	r.send(set, packet(flagSYN, 40001, 443, 0))
+	r.arrives()
+	e.Wait()
+	if !l.has(`"event":"SP1403"`) || !l.has(`"event":"SP1404"`) {
+		t.Error("the stop is not logged")
+	}
+}
+
+// The settings change: a faulty file is refused with its fault, a good one is in force.
+func TestReload(t *testing.T) {
+	r := newRig(t)
+	e, set, l := r.start("127.0.0.11")
+	_, err := stoatsetting.Parse("entry.ini", []byte("[instance]\nid = a\ncentre = b\n[platform]\napply = soon\n"))
+	e.Reload(stoatsetting.Settings{}, err)
+	set.Apply = time.Second
+	e.Reload(set, nil)
+	r.wait("both are logged", func() bool { return l.has(`"event":"SP1415"`) && l.has("soon") && l.has(`"applied":"platform.apply"`) })
+}
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -321,6 +321,7 @@
 		case c.registration != nil:
 			if k.book.Register(now, *c.registration, c.revision) {
 				k.standing(c.registration.ID, source)
+				k.clash(c.registration.ID)
 			}
 		}
 	}
@@ -334,6 +335,13 @@
 		stoatevent.F("standing", u.Standing.String()), stoatevent.F("why", why))
 }
 
+// clash reports an upstream that cannot get flows because another has its cookie.
+func (k *keeper) clash(id stoatpaddle.UpstreamID) {
+	if other, ok := k.book.Clash(id); ok {
+		k.log(EventClash, stoatevent.F("upstream", string(id)), stoatevent.F("holder", string(other)))
+	}
+}
+
 // told takes in what a neighbour has in force. Versions decide what is later, so that a
 // neighbour which is behind can take nothing back.
 func (k *keeper) told(now time.Time, x told) {
--- /dev/null
+++ b/stoatedge/keeper_test.go
@@ -0,0 +1,276 @@
+package stoatedge
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+const ms = time.Millisecond
+
+// session drives a keeper: what it asks for stands in calls until it is answered.
+type session struct {
+	t      *testing.T
+	k      *keeper
+	now    time.Time
+	calls  [topicCount]*stoatfeed.Call
+	sent   [topicCount]time.Time
+	table  *stoatroute.Table
+	events map[stoatevent.Number]int
+	asked  int // neighbours
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, now: time.Unix(1000, 0), events: map[stoatevent.Number]int{}}
+	s.k = newKeeper(keeperConfig{Apply: 3 * time.Second, Return: 2 * time.Second, Life: time.Minute, Seed: 1})
+	s.step(started{})
+	return s
+}
+
+func (s *session) step(ev any) {
+	for _, effect := range s.k.step(s.now, ev) {
+		switch x := effect.(type) {
+		case ask:
+			if s.calls[x.topic] != nil {
+				s.t.Errorf("%s is asked twice at once", x.topic)
+			}
+			s.calls[x.topic], s.sent[x.topic] = &x.call, s.now
+		case interrupt:
+			if s.calls[x.topic] != nil {
+				s.end(x.topic, stoatfeed.Result{Outcome: stoatfeed.Interrupted})
+			}
+		case publish:
+			s.table = x.table
+		case logged:
+			s.events[x.entry.Number]++
+		case askNeighbours:
+			s.asked++
+		}
+	}
+}
+
+func (s *session) end(t topic, r stoatfeed.Result, changes ...change) {
+	s.t.Helper()
+	c := s.calls[t]
+	if c == nil {
+		s.t.Fatalf("%s is not asked", t)
+	}
+	s.calls[t] = nil
+	s.step(ended{topic: t, call: *c, sent: s.sent[t], result: r, changes: changes})
+}
+
+func (s *session) answer(t topic, asOf stoatpaddle.Version, changes ...change) {
+	s.t.Helper()
+	s.end(t, stoatfeed.Result{AsOf: asOf, Changes: len(changes)}, changes...)
+}
+
+func (s *session) fail(t topic) {
+	s.t.Helper()
+	s.end(t, stoatfeed.Result{Outcome: stoatfeed.Failed})
+}
+
+// pass lets time pass, with ticks.
+func (s *session) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(tickEvery)
+		s.step(ticked{})
+	}
+}
+
+var listen = netip.MustParseAddrPort("198.18.0.1:443")
+
+func declared(version, revision stoatpaddle.Version) change {
+	return change{name: "main", revision: revision, declaration: &stoatpaddle.Declaration{
+		Version: version, Routes: []stoatpaddle.Route{{Listen: listen, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}}}},
+	}}
+}
+
+func registered(id stoatpaddle.UpstreamID, target stoatpaddle.Target, revision stoatpaddle.Version) change {
+	return change{name: string(id), revision: revision, registration: &stoatpaddle.Registration{
+		ID: id, Target: target, Service: "app", DataCentre: "here", Slots: 3, Born: revision,
+	}}
+}
+
+func ended1(id string, revision stoatpaddle.Version) change {
+	return change{name: id, revision: revision, gone: true}
+}
+
+// running returns a session that serves version 1 and two upstreams, as of revision 10.
+func running(t *testing.T) *session {
+	s := newSession(t)
+	s.answer(declarations, 10, declared(1, 5))
+	s.answer(upstreams, 10, registered("i-1", 1, 6), registered("i-2", 2, 7))
+	if !s.table.Ready() || len(s.table.Service("app")) != 2 {
+		t.Fatal("not ready")
+	}
+	return s
+}
+
+// An entry starts: it serves once it has both, and says so once.
+func TestStart(t *testing.T) {
+	s := newSession(t)
+	s.answer(upstreams, 10, registered("i-1", 1, 6))
+	if s.table.Ready() {
+		t.Error("ready without a configuration")
+	}
+	s.answer(declarations, 10, declared(1, 5))
+	if !s.table.Ready() || s.events[EventReady.Number] != 1 {
+		t.Error(s.table.Ready(), s.events)
+	}
+	if s.calls[declarations].Stale || !s.calls[upstreams].Stale {
+		t.Error("the exact feed asks a replica, or the other does not")
+	}
+}
+
+// The platform is away. Afterwards the watch of upstreams would say that both ended: their
+// registrations lapsed meanwhile. Neither may be taken for gone; one comes back, the other
+// does not and is gone two seconds later.
+func TestOutageWithLapse(t *testing.T) {
+	s := running(t)
+	for range 3 {
+		s.fail(upstreams)
+		s.fail(declarations)
+		s.pass(time.Second)
+	}
+	if s.events[EventPlatformLost.Number] != 2 || s.calls[upstreams] != nil || s.calls[declarations] == nil {
+		t.Error("each outage is said once a topic, and one question finds its end:", s.events, s.calls)
+	}
+	s.answer(declarations, 30)
+	s.answer(upstreams, 30, ended1("i-1", 20), ended1("i-2", 21))
+	if len(s.table.Service("app")) != 2 {
+		t.Fatal("a lapse was taken for an end")
+	}
+	if !s.calls[upstreams].List {
+		t.Fatal("no list after an outage")
+	}
+	s.answer(upstreams, 30)
+	if len(s.table.Service("app")) != 2 {
+		t.Fatal("a lapse was taken for an end, in the list")
+	}
+	s.pass(time.Second)
+	s.answer(upstreams, 32, registered("i-1", 1, 32))
+	s.pass(1500 * ms)
+	if list := s.table.Service("app"); len(list) != 1 || list[0].ID != "i-1" {
+		t.Error(len(list))
+	}
+	if u := s.table.Upstream(stoatroute.KeyOf(2)); u.Standing != stoatroute.Gone {
+		t.Error(u.Standing)
+	}
+}
+
+// The replica that the upstreams' watch asks is seconds behind: the platform has said a
+// later revision to the other watch. The replica is asked at once, then the platform itself,
+// so that a leaving upstream is known of within the bound.
+func TestLaggingReplicaIsFoundOut(t *testing.T) {
+	s := running(t)
+	s.pass(time.Second)
+	s.answer(declarations, 15) // i-1 was marked as leaving at 12
+	s.pass(200 * ms)
+	c := s.calls[upstreams]
+	if c == nil || !c.Stale || c.Wait > ms {
+		t.Fatalf("the replica is not hurried: %+v", c)
+	}
+	s.answer(upstreams, 10)
+	if c = s.calls[upstreams]; c == nil || c.Stale || c.Wait > ms {
+		t.Fatalf("the platform itself is not asked: %+v", c)
+	}
+	leaving := registered("i-1", 1, 12)
+	leaving.registration.Leaving = true
+	s.answer(upstreams, 15, leaving)
+	if list := s.table.Service("app"); len(list) != 1 || list[0].ID != "i-2" {
+		t.Error("the leaving one still takes flows")
+	}
+	if c = s.calls[upstreams]; !c.Stale || c.Wait < time.Second {
+		t.Errorf("%+v", c)
+	}
+}
+
+// A quiet hour: the replica keeps up, and no call but the two watches is paid for.
+func TestQuietTimeCostsTwoWatches(t *testing.T) {
+	s := running(t)
+	calls := 0
+	for range 20 {
+		s.pass(s.calls[declarations].Wait)
+		s.answer(upstreams, 10)
+		s.answer(declarations, 10)
+		calls += 2
+		if s.calls[upstreams].Wait < time.Second || s.calls[declarations].Wait < time.Second {
+			t.Fatalf("%+v %+v", s.calls[upstreams], s.calls[declarations])
+		}
+	}
+	if age := s.now.Sub(s.table.Proven); age > 4*time.Second {
+		t.Error("the upstreams were proven", age, "ago")
+	}
+}
+
+// A cookie is not known here: the upstreams are asked at once, and not at a replica. What
+// proves the upstream gone is an answer to a question sent after the packet came.
+func TestDoubt(t *testing.T) {
+	s := running(t)
+	s.pass(time.Second)
+	s.step(doubted{})
+	if c := s.calls[upstreams]; c.Stale || c.Wait > ms {
+		t.Fatalf("%+v", c)
+	}
+	at := s.now
+	s.now = s.now.Add(10 * ms)
+	s.answer(upstreams, 11)
+	if !s.table.Proven.Equal(at) {
+		t.Error(s.table.Proven.Sub(at))
+	}
+}
+
+// An entry starts behind a cut. It has nothing to serve by, so neighbours are asked soon and
+// again; what one tells makes it serve. The platform's own word replaces it later.
+func TestNeighbourAtTheStart(t *testing.T) {
+	s := newSession(t)
+	s.pass(300 * ms)
+	if s.asked == 0 {
+		t.Fatal("no neighbour is asked")
+	}
+	s.step(told{from: "10.0.0.1:1", cause: &stoatpaddle.UnavailableError{Op: "x"}})
+	s.step(told{from: "10.0.0.2:1", changes: []change{declared(3, 5), registered("i-1", 1, 6)}})
+	if !s.table.Ready() || s.table.Version != 3 || !s.table.Proven.IsZero() {
+		t.Error(s.table.Ready(), s.table.Version, s.table.Proven)
+	}
+	asked := s.asked
+	s.fail(declarations)
+	s.fail(upstreams)
+	s.pass(2 * time.Second)
+	if s.asked < asked+1 || s.asked > asked+3 {
+		t.Error("asked", s.asked-asked, "times in 2 s")
+	}
+}
+
+// A neighbour that is cut off tells old news while this entry is in touch: nothing changes.
+func TestNeighbourThatIsBehind(t *testing.T) {
+	s := running(t)
+	s.step(told{from: "10.0.0.2:1", changes: []change{declared(0, 1), registered("i-9", 9, 1)}})
+	if s.table.Version != 1 || len(s.table.Service("app")) != 2 {
+		t.Error(s.table.Version, len(s.table.Service("app")))
+	}
+}
+
+// Somebody writes an object that does not parse: the last good one stays, an event says why.
+func TestFaultyObject(t *testing.T) {
+	s := running(t)
+	s.answer(declarations, 12, change{name: "main", revision: 12, fault: &stoatpaddle.DecodeError{What: "configuration"}})
+	if s.table.Version != 1 || s.events[EventInvalid.Number] != 1 {
+		t.Error(s.table.Version, s.events)
+	}
+}
+
+// Changed bounds are in force for the next call.
+func TestRebound(t *testing.T) {
+	s := running(t)
+	s.step(rebound{apply: time.Second, back: time.Second, life: time.Minute})
+	s.answer(declarations, 10)
+	if w := s.calls[declarations].Wait; w != 650*ms {
+		t.Error(w)
+	}
+}
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -69,7 +69,7 @@
 	if x.call.List {
 		q.After = x.call.After
 	} else {
-		q.Watch, q.Wait = uint64(x.call.From), x.call.Wait
+		q.Watch, q.From, q.Wait = true, uint64(x.call.From), x.call.Wait
 	}
 	sent := clock()
 	answer, err := e.store.Read(ctx, q)
@@ -125,6 +125,7 @@
 	if t == upstreams {
 		r, err := platform.Registration(o.Meta.Name, o.Spec)
 		if c.fault = err; err == nil {
+			r.Born = stoatpaddle.Version(o.Meta.CreateRev)
 			c.registration = &r
 		}
 		return c
--- a/stoatedge/run_neighbour.go
+++ b/stoatedge/run_neighbour.go
@@ -56,6 +56,7 @@
 	Slots    int    `json:"slots"`
 	Leaving  bool   `json:"leaving"`
 	Revision uint64 `json:"revision"`
+	Born     uint64 `json:"born"`
 }
 
 func encodeHolding(h *stoatroute.Holding, age time.Duration) wireHolding {
@@ -77,7 +78,7 @@
 		r := u.Registration
 		w.Upstreams = append(w.Upstreams, wireHeld{
 			ID: string(r.ID), Target: uint64(r.Target), Service: string(r.Service), Centre: string(r.DataCentre),
-			Addr: r.Addr.String(), Slots: r.Slots, Leaving: r.Leaving, Revision: uint64(u.Revision),
+			Addr: r.Addr.String(), Slots: r.Slots, Leaving: r.Leaving, Revision: uint64(u.Revision), Born: uint64(r.Born),
 		})
 	}
 	return w
@@ -114,7 +115,7 @@
 		}
 		out = append(out, change{name: u.ID, revision: stoatpaddle.Version(u.Revision), registration: &stoatpaddle.Registration{
 			ID: stoatpaddle.UpstreamID(u.ID), Target: stoatpaddle.Target(u.Target), Service: stoatpaddle.ServiceID(u.Service),
-			DataCentre: stoatpaddle.DataCentreID(u.Centre), Addr: addr, Slots: u.Slots, Leaving: u.Leaving,
+			DataCentre: stoatpaddle.DataCentreID(u.Centre), Addr: addr, Slots: u.Slots, Leaving: u.Leaving, Born: stoatpaddle.Version(u.Born),
 		}})
 	}
 	return out, nil
--- a/stoatfake/platform.go
+++ b/stoatfake/platform.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatplatform"
 )
 
@@ -20,20 +21,33 @@
 	Down        bool          // answers nothing
 	Slow        time.Duration // before each answer
 	LoseWrites  int           // so many writes take effect and get no answer
-	StaleList   bool          // lists what stood when this was set
+	Lagging     bool          // replicas show what stood when this was set
 	SilentWatch bool          // watches never tell anything
 	Writes      int           // a second; more are refused; 0: no limit
 	Reads       int           // a second; more are refused; a waiting watch is one
 }
 
-// Platform is a stand-in for the platform's object API; it is an http.Handler.
+// pageItems is how many objects a page of a list holds.
+const pageItems = 500
+
+type key struct{ kind, name string }
+
+// change is one revision of the history.
+type change struct {
+	key key
+	ev  platform.Event
+}
+
+// Platform is a stand-in for the users' object store, written from their published
+// protocol; it is an http.Handler.
 type Platform struct {
 	mu       sync.Mutex
 	trouble  Trouble
-	stale    []stoatpaddle.Object
-	staleRev stoatpaddle.Version
-	objects  map[stoatpaddle.Ref]stoatpaddle.Object
-	revision stoatpaddle.Version
+	objects  map[key]platform.Object
+	history  []change
+	revision uint64
+	from     uint64 // the history after this revision is kept
+	lag      uint64 // the revision that replicas show, while they lag
 	changed  chan struct{}
 	second   int64
 	writes   int
@@ -43,15 +57,26 @@
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{objects: map[stoatpaddle.Ref]stoatpaddle.Object{}, changed: make(chan struct{})}
+	return &Platform{objects: map[key]platform.Object{}, changed: make(chan struct{})}
 }
 
 // Set replaces the trouble.
 func (p *Platform) Set(t Trouble) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.trouble = t
-	p.stale, p.staleRev = p.after(0), p.revision
+	p.trouble, p.lag = t, p.revision
+	p.wake()
+}
+
+// Forget drops the history: watches from before now are answered with 410.
+func (p *Platform) Forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history, p.from = nil, p.revision
+	p.wake()
+}
+
+func (p *Platform) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -63,29 +88,70 @@
 	return p.calls
 }
 
-// Objects returns everything that stands.
-func (p *Platform) Objects() []stoatpaddle.Object {
+// Write writes an object as an operator or an upstream would, whatever stands there.
+func (p *Platform) Write(kind, name string, spec any) uint64 {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.after(0)
+	return p.put(key{kind, name}, data).Meta.Revision
 }
 
-// after returns the objects written after a revision, oldest first.
-func (p *Platform) after(from stoatpaddle.Version) []stoatpaddle.Object {
+// Remove deletes an object.
+func (p *Platform) Remove(kind, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := key{kind, name}
+	o, ok := p.objects[k]
+	if !ok {
+		return
+	}
+	delete(p.objects, k)
+	p.revision++
+	o.Meta.Revision = p.revision
+	p.note(k, platform.Event{Object: o, Deleted: true})
+}
+
+// Objects returns the system's own objects, in the order of their last change.
+func (p *Platform) Objects() []stoatpaddle.Object {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var out []stoatpaddle.Object
-	for _, o := range p.objects {
-		if o.Version > from {
-			out = append(out, o)
+	for k, o := range p.objects {
+		if own, err := stoatplatform.FromObject(o); k.kind == stoatplatform.Kind && err == nil {
+			out = append(out, own)
 		}
 	}
 	slices.SortFunc(out, func(a, b stoatpaddle.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return out
 }
 
+func (p *Platform) put(k key, spec json.RawMessage) platform.Object {
+	o, ok := p.objects[k]
+	if ok && string(o.Spec) == string(spec) {
+		return o
+	}
+	p.revision++
+	if !ok {
+		o.Meta = platform.Meta{Name: k.name, CreateRev: p.revision, Finalizers: []string{}}
+	}
+	o.Meta.Revision, o.Spec = p.revision, spec
+	p.objects[k] = o
+	p.note(k, platform.Event{Object: o})
+	return o
+}
+
+func (p *Platform) note(k key, ev platform.Event) {
+	p.history = append(p.history, change{key: k, ev: ev})
+	p.wake()
+}
+
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	write := r.Method != http.MethodGet
-	t, allowed := p.admit(write)
+	t, allowed := p.admit(write, r.URL.Query().Get("allow_stale") == "1")
 	if t.Slow > 0 {
 		time.Sleep(t.Slow)
 	}
@@ -94,23 +160,23 @@
 		return
 	}
 	if !allowed {
-		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
 	switch {
-	case r.URL.Path == stoatplatform.PathWatch:
-		p.watch(w, r)
-	case r.URL.Path == stoatplatform.PathObjects:
-		p.list(w, t)
 	case write:
-		p.write(w, r)
+		p.write(w, r, key{kind, name})
+	case name != "":
+		p.get(w, key{kind, name})
+	case r.URL.Query().Has("watch"):
+		p.watch(w, r, kind)
 	default:
-		p.get(w, r)
+		p.list(w, r, kind)
 	}
 }
 
-func (p *Platform) admit(write bool) (Trouble, bool) {
+func (p *Platform) admit(write, replica bool) (Trouble, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
@@ -121,6 +187,9 @@
 	if write {
 		count, limit = &p.writes, p.trouble.Writes
 	}
+	if replica {
+		return p.trouble, true
+	}
 	*count++
 	return p.trouble, limit == 0 || *count <= limit
 }
@@ -134,97 +203,114 @@
 	}
 }
 
-func refOf(r *http.Request) stoatpaddle.Ref {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, stoatplatform.PathObjects+"/"), "/")
-	return stoatpaddle.Ref{Kind: stoatpaddle.ObjectKind(kind), Name: name}
-}
-
-func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) get(w http.ResponseWriter, k key) {
 	p.mu.Lock()
-	o, ok := p.objects[refOf(r)]
+	o, ok := p.objects[k]
 	p.mu.Unlock()
-	if !ok || o.Gone {
+	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(w, http.StatusOK, stoatplatform.ToItem(o))
+	answer(w, http.StatusOK, o)
 }
 
-func (p *Platform) list(w http.ResponseWriter, t Trouble) {
+// list answers one page. A lagging replica is not modelled for lists: nothing asks one.
+func (p *Platform) list(w http.ResponseWriter, r *http.Request, kind string) {
+	after := r.URL.Query().Get("after")
+	a := platform.Answer{Items: []platform.Object{}}
 	p.mu.Lock()
-	objects, rev := p.after(0), p.revision
-	if t.StaleList {
-		objects, rev = p.stale, p.staleRev
+	for k, o := range p.objects {
+		if k.kind == kind && k.name > after {
+			a.Items = append(a.Items, o)
+		}
 	}
+	a.AsOf = p.revision
 	p.mu.Unlock()
-	answer(w, http.StatusOK, items(objects, rev))
-}
-
-func items(objects []stoatpaddle.Object, rev stoatpaddle.Version) stoatplatform.Items {
-	out := stoatplatform.Items{Revision: uint64(rev), Items: []stoatplatform.Item{}}
-	for _, o := range objects {
-		out.Items = append(out.Items, stoatplatform.ToItem(o))
+	slices.SortFunc(a.Items, func(x, y platform.Object) int { return cmp.Compare(x.Meta.Name, y.Meta.Name) })
+	if len(a.Items) > pageItems {
+		a.Items, a.More = a.Items[:pageItems], true
 	}
-	return out
+	answer(w, http.StatusOK, a)
 }
 
-func (p *Platform) write(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(r.Body)
-	if err != nil {
-		hangUp(w)
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, k key) {
+	var sent platform.Object
+	if body, err := io.ReadAll(r.Body); err != nil || json.Unmarshal(body, &sent) != nil {
+		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	ref := refOf(r)
+	if r.Method == http.MethodPost {
+		k.name = sent.Meta.Name
+	}
 	p.mu.Lock()
-	current, ok := p.objects[ref]
-	standing := ok && !current.Gone
-	if !matches(r, current.Version, standing) {
+	current, standing := p.objects[k]
+	if status := refusal(r.Method, sent, current, standing); status != 0 {
 		p.mu.Unlock()
-		answer(w, http.StatusPreconditionFailed, stoatplatform.ToItem(current))
+		answer(w, status, current)
 		return
 	}
-	p.revision++
-	o := stoatpaddle.Object{
-		Ref: ref, Version: p.revision, Token: stoatpaddle.Token(r.Header.Get(stoatplatform.HeaderToken)),
-		Gone: r.Method == http.MethodDelete, Value: value,
-	}
-	p.objects[ref] = o
+	o := p.put(k, sent.Spec)
 	lose := p.trouble.LoseWrites > 0
 	if lose {
 		p.trouble.LoseWrites--
 	}
-	close(p.changed)
-	p.changed = make(chan struct{})
 	p.mu.Unlock()
 	if lose {
 		hangUp(w)
 		return
 	}
-	answer(w, http.StatusOK, stoatplatform.ToItem(o))
+	answer(w, http.StatusOK, o)
 }
 
-func matches(r *http.Request, version stoatpaddle.Version, standing bool) bool {
-	if r.Header.Get("If-None-Match") == "*" {
-		return !standing
+// refusal returns the status of a write whose condition does not hold, or 0.
+func refusal(method string, sent, current platform.Object, standing bool) int {
+	switch {
+	case method == http.MethodPost && standing:
+		return http.StatusConflict
+	case method == http.MethodPut && !standing:
+		return http.StatusNotFound
+	case method == http.MethodPut && sent.Meta.Revision != 0 && sent.Meta.Revision != current.Meta.Revision:
+		return http.StatusConflict
+	case method != http.MethodPost && method != http.MethodPut:
+		return http.StatusMethodNotAllowed
 	}
-	return standing && r.Header.Get("If-Match") == strconv.Quote(version.String())
+	return 0
 }
 
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
-	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
-	timer := time.NewTimer(wait)
+// since returns the changes of a kind after a revision, as far as the asker may see.
+func (p *Platform) since(kind string, from, seen uint64) []platform.Event {
+	events := []platform.Event{}
+	for _, c := range p.history {
+		if rev := c.ev.Object.Meta.Revision; c.key.kind == kind && rev > from && rev <= seen {
+			events = append(events, c.ev)
+		}
+	}
+	return events
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	replica := r.URL.Query().Get("allow_stale") == "1"
+	timer := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 	defer timer.Stop()
 	for {
 		p.mu.Lock()
-		t, objects, rev, changed := p.trouble, p.after(stoatpaddle.Version(from)), p.revision, p.changed
+		t, seen, changed, kept := p.trouble, p.revision, p.changed, p.from
+		if t.Lagging && replica {
+			seen = min(seen, p.lag)
+		}
+		events := p.since(kind, from, seen)
 		p.mu.Unlock()
-		if t.Down {
+		switch {
+		case t.Down:
 			hangUp(w)
 			return
-		}
-		if len(objects) > 0 && !t.SilentWatch {
-			answer(w, http.StatusOK, items(objects, rev))
+		case from < kept:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 && !t.SilentWatch:
+			answer(w, http.StatusOK, platform.Answer{Events: events, AsOf: seen})
 			return
 		}
 		select {
@@ -233,7 +319,7 @@
 			return
 		case <-timer.C:
 			if !t.SilentWatch {
-				answer(w, http.StatusOK, items(nil, rev))
+				answer(w, http.StatusOK, platform.Answer{Events: events, AsOf: seen})
 				return
 			}
 			<-r.Context().Done()
--- /dev/null
+++ b/stoatfeed/feed_test.go
@@ -0,0 +1,158 @@
+package stoatfeed_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+)
+
+var start = time.Unix(1000, 0)
+
+const bound = 3 * time.Second
+
+func newFeed(stale bool) *stoatfeed.Feed {
+	return stoatfeed.New(stoatfeed.Config{Bound: bound, Stale: stale, Rand: rand.New(rand.NewPCG(1, 1))})
+}
+
+// listed returns a feed that has its first list.
+func listed(t *testing.T, stale bool) *stoatfeed.Feed {
+	t.Helper()
+	f := newFeed(stale)
+	c := f.Next()
+	if !c.List || c.Stale {
+		t.Fatalf("%+v", c)
+	}
+	if v := f.Done(start, c, stoatfeed.Result{AsOf: 10}); !v.Complete || !v.Proof || v.Away {
+		t.Fatalf("%+v", v)
+	}
+	return f
+}
+
+// A list of two pages, and a change between them: the watch starts where the first page
+// was read, or the change would never be seen.
+func TestPages(t *testing.T) {
+	f := newFeed(false)
+	c := f.Next()
+	if v := f.Done(start, c, stoatfeed.Result{AsOf: 10, More: true, Last: "m"}); v.Complete || !v.Apply || v.Proof {
+		t.Errorf("%+v", v)
+	}
+	c = f.Next()
+	if !c.List || c.After != "m" {
+		t.Errorf("%+v", c)
+	}
+	if v := f.Done(start, c, stoatfeed.Result{AsOf: 14}); !v.Complete || f.Revision() != 10 {
+		t.Errorf("%+v %d", v, f.Revision())
+	}
+}
+
+// A watch goes silent for good. The next one must be asked, and may take as long as a usual
+// answer does, before the change that the first hid has to be in force.
+func TestSilentWatchIsGivenUpInTime(t *testing.T) {
+	c := listed(t, false).Next()
+	if c.List || c.From != 10 || c.Timeout <= c.Wait || c.Timeout > bound*85/100 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// The platform drops its history while a watch waits: what changed in the gap is found only
+// by a list, at once.
+func TestForgottenHistory(t *testing.T) {
+	f := listed(t, false)
+	if v := f.Done(start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Forgotten}); v.Apply || v.Lost {
+		t.Errorf("%+v", v)
+	}
+	if c := f.Next(); !c.List || c.Pause != 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// The platform is away for two seconds. Upstreams' registrations lapse meanwhile, so that
+// a watch afterwards would tell of their end. Only a list follows, marked as after an
+// outage; the outage is said once, and its end once.
+func TestOutage(t *testing.T) {
+	f := listed(t, true)
+	now := start
+	lost := 0
+	for range 5 {
+		if f.Done(now, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Failed}).Lost {
+			lost++
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	if lost != 1 || !f.Lost() || !f.Failing().Equal(start) {
+		t.Error(lost, f.Lost(), f.Failing())
+	}
+	if c := f.Next(); c.Pause <= 0 || c.Pause > 1100*time.Millisecond || c.Wait > time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+	v := f.Done(now, f.Next(), stoatfeed.Result{AsOf: 20, Changes: 3})
+	if v.Apply || !v.Back || f.Lost() {
+		t.Errorf("%+v", v)
+	}
+	c := f.Next()
+	if v = f.Done(now, c, stoatfeed.Result{AsOf: 20}); !c.List || !v.Complete || !v.Away || v.Back {
+		t.Errorf("%+v %+v", c, v)
+	}
+}
+
+// One call fails because its connection went silent. That is no outage: nothing can lapse
+// in a moment, and a list of everything is not needed.
+func TestOneFailure(t *testing.T) {
+	f := listed(t, true)
+	if v := f.Done(start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Failed}); v.Lost {
+		t.Errorf("%+v", v)
+	}
+	v := f.Done(start.Add(200*time.Millisecond), f.Next(), stoatfeed.Result{AsOf: 11})
+	if !v.Apply || v.Back || f.Next().List {
+		t.Errorf("%+v", v)
+	}
+}
+
+// A replica is seconds behind. Its answer says nothing new and proves nothing; the next
+// question goes to the platform itself, and the one after to a replica again.
+func TestLaggingReplica(t *testing.T) {
+	f := listed(t, true)
+	c := f.Next()
+	if v := f.Done(start, c, stoatfeed.Result{AsOf: 7}); !c.Stale || v.Apply || v.Proof || f.Revision() != 10 {
+		t.Errorf("%+v", v)
+	}
+	if c = f.Next(); c.Stale || c.Wait > time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+	if v := f.Done(start, c, stoatfeed.Result{AsOf: 12}); !v.Apply || !v.Proof {
+		t.Errorf("%+v", v)
+	}
+	if c = f.Next(); !c.Stale {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Another feed has proof of a later revision: the replica is asked at once, and the watch
+// that was given up for it is no failure.
+func TestHurry(t *testing.T) {
+	f := listed(t, true)
+	f.Hurry()
+	if v := f.Done(start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Interrupted}); v != (stoatfeed.Verdict{}) || !f.Failing().IsZero() {
+		t.Errorf("%+v", v)
+	}
+	if c := f.Next(); !c.Stale || c.Wait > time.Millisecond || c.Pause != 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// A platform that has just returned must not be asked by every entry in one moment.
+func TestPausesAreSpread(t *testing.T) {
+	seen := map[time.Duration]bool{}
+	for seed := range uint64(50) {
+		f := stoatfeed.New(stoatfeed.Config{Bound: bound, Rand: rand.New(rand.NewPCG(seed, 1))})
+		for range 6 {
+			f.Done(start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Refused})
+		}
+		seen[f.Next().Pause.Truncate(100*time.Millisecond)] = true
+	}
+	if len(seen) < 8 {
+		t.Error(len(seen), "distinct tenths of a second")
+	}
+}
--- a/stoatplatform/client.go
+++ b/stoatplatform/client.go
@@ -1,17 +1,15 @@
 package stoatplatform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
+	"errors"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
 )
 
 // Config configures a Client.
@@ -20,19 +18,12 @@
 	Timeout time.Duration // of a call that does not wait; default 2 s
 }
 
-const (
-	defaultTimeout = 2 * time.Second
-	// maxBody bounds an answer: a listing of every object the system keeps.
-	maxBody = 64 << 20
-	// defaultAfter is the pause when a refusal by rate names none.
-	defaultAfter = time.Second
-)
+const defaultTimeout = 2 * time.Second
 
-// Client implements stoatpaddle.Platform.
+// Client implements stoatpaddle.Platform with the calls of the users' object store.
 type Client struct {
-	base    string
 	timeout time.Duration
-	http    *http.Client
+	store   *platform.Store
 }
 
 var _ stoatpaddle.Platform = (*Client)(nil)
@@ -42,144 +33,153 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	return &Client{
-		base:    "http://" + cfg.Addr.String(),
-		timeout: cfg.Timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-	}
-}
-
-// StatusError reports an answer that the object API does not define.
-type StatusError struct {
-	Status int
-	Body   string
-}
-
-// Error tells the status and the start of the body.
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("unexpected status %d: %.80s", e.Status, e.Body)
+	return &Client{timeout: cfg.Timeout, store: platform.NewStore(cfg.Addr)}
 }
 
 // Get implements stoatpaddle.Platform.
 func (c *Client) Get(ctx context.Context, ref stoatpaddle.Ref) (stoatpaddle.Object, error) {
-	status, body, err := c.call(ctx, c.timeout, http.MethodGet, path(ref), nil, nil)
+	status, body, err := c.call(ctx, http.MethodGet, target(ref), nil)
 	if err != nil {
 		return stoatpaddle.Object{}, err
 	}
-	return readObject(ref, status, body)
+	o, err := readObject(ref, status, body)
+	if err == nil && o.Gone {
+		return stoatpaddle.Object{}, &stoatpaddle.NotFoundError{Ref: ref}
+	}
+	return o, err
 }
 
-// List implements stoatpaddle.Platform.
+// List implements stoatpaddle.Platform. The revision is that of the first page: what
+// changed while the others were read is in the watch from there.
 func (c *Client) List(ctx context.Context) (stoatpaddle.Listing, error) {
-	return c.listing(ctx, c.timeout, PathObjects)
-}
-
-// Watch implements stoatpaddle.Platform.
+	var l stoatpaddle.Listing
+	q := platform.Query{Kind: Kind}
+	for {
+		a, err := c.read(ctx, c.timeout, q)
+		if err != nil {
+			return stoatpaddle.Listing{}, err
+		}
+		if q.After == "" {
+			l.Revision = stoatpaddle.Version(a.AsOf)
+		}
+		for _, item := range a.Items {
+			o, err := FromObject(item)
+			if err != nil {
+				return stoatpaddle.Listing{}, err
+			}
+			l.Objects = append(l.Objects, o)
+			q.After = item.Meta.Name
+		}
+		if !a.More || len(a.Items) == 0 {
+			return l, nil
+		}
+	}
+}
+
+// Watch implements stoatpaddle.Platform. A history that is gone is *stoatpaddle.UnavailableError
+// around *platform.HistoryError: the caller lists again.
 func (c *Client) Watch(ctx context.Context, from stoatpaddle.Version, wait time.Duration) (stoatpaddle.Listing, error) {
 	// The bound is a little more than the wait: a watch that went silent is abandoned
 	// instead of hiding every later change.
-	url := fmt.Sprintf("%s?from=%s&wait=%s", PathWatch, from, wait)
-	return c.listing(ctx, wait+c.timeout, url)
-}
-
-func (c *Client) listing(ctx context.Context, bound time.Duration, url string) (stoatpaddle.Listing, error) {
-	status, body, err := c.call(ctx, bound, http.MethodGet, url, nil, nil)
+	a, err := c.read(ctx, wait+c.timeout, platform.Query{Kind: Kind, Watch: true, From: uint64(from), Wait: wait})
 	if err != nil {
 		return stoatpaddle.Listing{}, err
 	}
-	if status != http.StatusOK {
-		return stoatpaddle.Listing{}, unexpected(url, status, body)
+	l := stoatpaddle.Listing{Revision: stoatpaddle.Version(a.AsOf)}
+	for _, ev := range a.Events {
+		o, err := FromObject(ev.Object)
+		if err != nil {
+			return stoatpaddle.Listing{}, err
+		}
+		// Nothing of the system deletes for good; an operator's hand may.
+		o.Gone = o.Gone || ev.Deleted
+		l.Objects = append(l.Objects, o)
 	}
-	var w Items
-	if err := json.Unmarshal(body, &w); err != nil {
-		return stoatpaddle.Listing{}, &stoatpaddle.UnavailableError{Op: url, Cause: err}
-	}
-	return fromItems(w), nil
+	return l, nil
+}
+
+func (c *Client) read(ctx context.Context, bound time.Duration, q platform.Query) (platform.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	return c.store.Read(ctx, q)
 }
 
 // Put implements stoatpaddle.Platform.
 func (c *Client) Put(ctx context.Context, o stoatpaddle.Object) (stoatpaddle.Object, error) {
-	return c.write(ctx, http.MethodPut, o)
+	if o.Version > 0 {
+		return c.write(ctx, http.MethodPut, o)
+	}
+	made, err := c.write(ctx, http.MethodPost, o)
+	standing, conflicts := conflictOf(err)
+	if conflicts && standing.Gone {
+		o.Version = standing.Version
+		return c.write(ctx, http.MethodPut, o)
+	}
+	return made, err
 }
 
-// Delete implements stoatpaddle.Platform.
+// Delete implements stoatpaddle.Platform: it leaves a tombstone.
 func (c *Client) Delete(ctx context.Context, o stoatpaddle.Object) (stoatpaddle.Object, error) {
-	return c.write(ctx, http.MethodDelete, o)
+	o.Gone = true
+	return c.write(ctx, http.MethodPut, o)
 }
 
+// write does one write; a lost condition is *stoatpaddle.ConflictError.
 func (c *Client) write(ctx context.Context, method string, o stoatpaddle.Object) (stoatpaddle.Object, error) {
-	head := http.Header{}
-	head.Set(HeaderToken, string(o.Token))
-	if o.Version == 0 {
-		head.Set("If-None-Match", "*")
-	} else {
-		head.Set("If-Match", strconv.Quote(o.Version.String()))
-	}
-	status, body, err := c.call(ctx, c.timeout, method, path(o.Ref), head, o.Value)
+	p, err := ToObject(o)
+	if err != nil {
+		return stoatpaddle.Object{}, err
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		return stoatpaddle.Object{}, &stoatpaddle.DecodeError{What: o.Ref.String(), Cause: err}
+	}
+	to := Kind
+	if method == http.MethodPut {
+		to = target(o.Ref)
+	}
+	status, body, err := c.call(ctx, method, to, data)
 	if err != nil {
 		return stoatpaddle.Object{}, err
 	}
 	return readObject(o.Ref, status, body)
 }
 
+func (c *Client) call(ctx context.Context, method, to string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.store.Call(ctx, method, to, body)
+}
+
+func target(ref stoatpaddle.Ref) string { return Kind + "/" + nameOf(ref) }
+
+// readObject reads the answer to a call about one object.
 func readObject(ref stoatpaddle.Ref, status int, body []byte) (stoatpaddle.Object, error) {
 	switch status {
 	case http.StatusNotFound:
 		return stoatpaddle.Object{}, &stoatpaddle.NotFoundError{Ref: ref}
-	case http.StatusOK, http.StatusPreconditionFailed:
+	case http.StatusOK, http.StatusCreated, http.StatusConflict:
 	default:
-		return stoatpaddle.Object{}, unexpected(ref.String(), status, body)
+		return stoatpaddle.Object{}, platform.Unexpected(ref.String(), status, body)
 	}
-	var item Item
-	if err := json.Unmarshal(body, &item); err != nil {
+	var p platform.Object
+	if err := json.Unmarshal(body, &p); err != nil {
 		return stoatpaddle.Object{}, &stoatpaddle.UnavailableError{Op: ref.String(), Cause: err}
 	}
-	if status == http.StatusPreconditionFailed {
-		return stoatpaddle.Object{}, &stoatpaddle.ConflictError{Ref: ref, Current: FromItem(item)}
-	}
-	return FromItem(item), nil
-}
-
-func unexpected(op string, status int, body []byte) error {
-	return &stoatpaddle.UnavailableError{Op: op, Cause: &StatusError{Status: status, Body: string(body)}}
-}
-
-func path(ref stoatpaddle.Ref) string {
-	return PathObjects + "/" + string(ref.Kind) + "/" + ref.Name
-}
-
-// call does one request; a failure to get an answer is *stoatpaddle.UnavailableError.
-func (c *Client) call(
-	ctx context.Context, bound time.Duration, method, url string, head http.Header, body []byte,
-) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, bound)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, c.base+url, bytes.NewReader(body))
+	o, err := FromObject(p)
 	if err != nil {
-		return 0, nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
-	}
-	for k, v := range head {
-		req.Header[k] = v
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return 0, nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
-	}
-	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxBody))
-	if err != nil {
-		return 0, nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
+		return stoatpaddle.Object{}, err
 	}
-	if res.StatusCode == http.StatusTooManyRequests {
-		return 0, nil, &stoatpaddle.RateError{After: retryAfter(res.Header)}
+	if status == http.StatusConflict {
+		return stoatpaddle.Object{}, &stoatpaddle.ConflictError{Ref: ref, Current: o}
 	}
-	return res.StatusCode, data, nil
+	return o, nil
 }
 
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return defaultAfter
+func conflictOf(err error) (stoatpaddle.Object, bool) {
+	var c *stoatpaddle.ConflictError
+	if errors.As(err, &c) {
+		return c.Current, true
 	}
-	return time.Duration(seconds) * time.Second
+	return stoatpaddle.Object{}, false
 }
--- a/stoatplatform/wire.go
+++ b/stoatplatform/wire.go
@@ -2,55 +2,52 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
 )
 
-// HeaderToken carries the token of a write.
-const HeaderToken = "Token"
+// Kind is the one kind of object on the platform under which the system keeps its own: one
+// list and one watch show them all at one revision.
+const Kind = "stoatpaddle"
 
-// Paths of the object API.
-const (
-	PathObjects = "/objects"
-	PathWatch   = "/watch"
-)
+// nameMark stands between the kind and the name of an object in its name on the platform.
+const nameMark = "."
 
-// Item is an object on the wire.
-type Item struct {
-	Kind    string          `json:"kind"`
-	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
-	Token   string          `json:"token,omitempty"`
-	Gone    bool            `json:"gone,omitempty"`
-	Value   json.RawMessage `json:"value,omitempty"`
+// spec is what the platform keeps of an object. A deleted one stays as a tombstone: whoever
+// lists after an outage must see that it is gone, and at which version.
+type spec struct {
+	Token string          `json:"token,omitempty"`
+	Gone  bool            `json:"gone,omitempty"`
+	Value json.RawMessage `json:"value,omitempty"`
 }
 
-// Items is a listing on the wire.
-type Items struct {
-	Revision uint64 `json:"revision"`
-	Items    []Item `json:"items"`
-}
+func nameOf(ref stoatpaddle.Ref) string { return string(ref.Kind) + nameMark + ref.Name }
 
-// ToItem maps an object to the wire.
-func ToItem(o stoatpaddle.Object) Item {
-	return Item{
-		Kind: string(o.Ref.Kind), Name: o.Ref.Name, Version: uint64(o.Version),
-		Token: string(o.Token), Gone: o.Gone, Value: o.Value,
+// ToObject maps an object to the platform's.
+func ToObject(o stoatpaddle.Object) (platform.Object, error) {
+	s := spec{Token: string(o.Token), Gone: o.Gone}
+	if !o.Gone {
+		s.Value = o.Value
 	}
-}
-
-// FromItem maps an object from the wire.
-func FromItem(i Item) stoatpaddle.Object {
-	return stoatpaddle.Object{
-		Ref:     stoatpaddle.Ref{Kind: stoatpaddle.ObjectKind(i.Kind), Name: i.Name},
-		Version: stoatpaddle.Version(i.Version), Token: stoatpaddle.Token(i.Token), Gone: i.Gone, Value: i.Value,
+	data, err := json.Marshal(s)
+	if err != nil {
+		return platform.Object{}, &stoatpaddle.DecodeError{What: o.Ref.String(), Cause: err}
 	}
+	meta := platform.Meta{Name: nameOf(o.Ref), Revision: uint64(o.Version), Finalizers: []string{}}
+	return platform.Object{Meta: meta, Spec: data}, nil
 }
 
-func fromItems(w Items) stoatpaddle.Listing {
-	l := stoatpaddle.Listing{Revision: stoatpaddle.Version(w.Revision)}
-	for _, i := range w.Items {
-		l.Objects = append(l.Objects, FromItem(i))
+// FromObject maps an object of the platform, or returns *stoatpaddle.DecodeError.
+func FromObject(p platform.Object) (stoatpaddle.Object, error) {
+	kind, name, ok := strings.Cut(p.Meta.Name, nameMark)
+	var s spec
+	if err := json.Unmarshal(p.Spec, &s); err != nil || !ok {
+		return stoatpaddle.Object{}, &stoatpaddle.DecodeError{What: "object " + p.Meta.Name, Cause: err}
 	}
-	return l
+	return stoatpaddle.Object{
+		Ref:     stoatpaddle.Ref{Kind: stoatpaddle.ObjectKind(kind), Name: name},
+		Version: stoatpaddle.Version(p.Meta.Revision), Token: stoatpaddle.Token(s.Token), Gone: s.Gone, Value: s.Value,
+	}, nil
 }
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -108,7 +108,8 @@
 	case e == nil:
 		e = &entry{up: Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold)}}
 		b.ups[r.ID] = e
-	case revision < e.revision || revision == e.revision && e.up.Standing < Missing:
+	case revision <= e.revision:
+		// Also of one that is gone: a neighbour which is behind must not bring it back.
 		return false
 	}
 	was := e.up.Standing
@@ -128,6 +129,7 @@
 	if e == nil || revision < e.revision || e.up.Standing == Gone {
 		return false
 	}
+	e.revision = revision
 	b.end(now, e)
 	return true
 }
@@ -215,9 +217,13 @@
 	for _, e := range b.ups {
 		u := e.up
 		u.Cap = b.decl.Caps[u.Service]
-		t.byKey[u.Key] = &u
+		if other := t.byKey[u.Key]; other == nil || older(&u, other) {
+			t.byKey[u.Key] = &u
+		}
+	}
+	for _, u := range t.byKey {
 		if u.Opens() {
-			t.services[u.Service] = append(t.services[u.Service], &u)
+			t.services[u.Service] = append(t.services[u.Service], u)
 		}
 	}
 	for _, list := range t.services {
@@ -235,6 +241,30 @@
 	}
 }
 
+// older tells which of two upstreams with one cookie keeps it: the one that registered
+// first, for it may have flows. The other gets none, or its packets would go to the first.
+// Targets longer than 32 bits can meet so; of 43,000 upstreams two do one time in five.
+func older(a, b *Upstream) bool {
+	if a.Born != b.Born {
+		return a.Born < b.Born
+	}
+	return a.ID < b.ID
+}
+
+// Clash returns the upstream that has the cookie of another one and keeps it, if there is one.
+func (b *Book) Clash(id stoatpaddle.UpstreamID) (stoatpaddle.UpstreamID, bool) {
+	e := b.ups[id]
+	if e == nil {
+		return "", false
+	}
+	for other, o := range b.ups {
+		if other != id && o.up.Key == e.up.Key && older(&o.up, &e.up) {
+			return other, true
+		}
+	}
+	return "", false
+}
+
 // Holding is everything that the book has in force, for a neighbour.
 type Holding struct {
 	Declaration stoatpaddle.Declaration
