stoatecho: new flows that would be answered late are refused at once; earlier ejection

Entries refuse new flows once the mean answer of the best upstream takes half of the route's objective, 0.8 of it for a route more urgent than another of its service.

--- a/route.go
+++ b/route.go
@@ -15,7 +15,9 @@
 type Route struct {
 	Listen     netip.AddrPort // what callers write into their packets
 	Backends   []Backend
-	Idempotent bool // its requests may run twice
+	Idempotent bool          // its requests may run twice
+	Priority   int           // 0 is the most urgent
+	Objective  time.Duration // an answer later than this is late; 0: none is declared
 }
 
 // Declaration is the configuration that operators wrote, whole.
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -172,6 +172,10 @@
 		e.stats.Refused++
 		return Action{Verdict: Reset, Reason: stoatpacket.DropNoUpstream, Ejected: a.Ejected, Silence: a.Silence}
 	}
+	if !admits(e.health.of(a.Upstream.Key), r) {
+		e.stats.Refused++
+		return Action{Verdict: Reset, Upstream: a.Upstream, Reason: stoatpacket.DropOverload, Ejected: a.Ejected, Silence: a.Silence}
+	}
 	a.Moved = a.Moved && a.Upstream.Key != except
 	if a.Moved {
 		e.stats.Moved++
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -20,7 +20,7 @@
 	// ejectRepeats and ejectSilence are the evidence that an upstream is dead: so many
 	// packets were repeated, and nothing came back on any flow for so long.
 	ejectRepeats = 2
-	ejectSilence = 300 * time.Millisecond
+	ejectSilence = 200 * time.Millisecond
 	// ejectLeast and ejectMost bound how long it gets no flows; each time doubles it.
 	ejectLeast = time.Second
 	ejectMost  = 8 * time.Second
@@ -40,6 +40,7 @@
 	openFrom time.Time     // since when an opening waits, without a sign since
 	busyFrom time.Time     // since when a request waits, without a sign since
 	latency  time.Duration // mean from a request to its answer
+	base     time.Duration // the least mean of late, rising slowly
 	repeats  int           // repeated packets since the last sign
 	ejected  time.Time     // until when it gets no flows; zero: a sign came since
 	ejection time.Duration // the last one
@@ -100,10 +101,11 @@
 
 func (h *health) answered(took time.Duration) {
 	if h.latency == 0 {
-		h.latency = took
+		h.latency, h.base = took, took
 		return
 	}
 	h.latency += time.Duration(latencyWeight * float64(took-h.latency))
+	h.base = min(h.latency, time.Duration(baseGrowth*float64(h.base)))
 }
 
 // load is the part of the upstream's slots that this entry has taken.
--- a/stoatedge/run_neighbour.go
+++ b/stoatedge/run_neighbour.go
@@ -40,6 +40,8 @@
 	Listen   string        `json:"listen"`
 	Backends []wireBackend `json:"backends"`
 	Repeat   bool          `json:"repeat"` // its requests may run twice
+	AimMS    int64         `json:"aim"`    // objective
+	Priority int           `json:"priority"`
 }
 
 type wireBackend struct {
@@ -68,7 +70,7 @@
 		w.Declaration.Caps[string(s)] = n
 	}
 	for _, r := range h.Declaration.Routes {
-		out := wireRoute{Listen: r.Listen.String(), Repeat: r.Idempotent}
+		out := wireRoute{Listen: r.Listen.String(), Repeat: r.Idempotent, AimMS: r.Objective.Milliseconds(), Priority: r.Priority}
 		for _, b := range r.Backends {
 			out.Backends = append(out.Backends, wireBackend{Service: string(b.Service), Weight: uint32(b.Weight)})
 		}
@@ -100,7 +102,10 @@
 			if err != nil {
 				return nil, &stoatpaddle.DecodeError{What: "a neighbour's route", Cause: err}
 			}
-			route := stoatpaddle.Route{Listen: listen, Idempotent: r.Repeat}
+			route := stoatpaddle.Route{
+				Listen: listen, Idempotent: r.Repeat, Priority: r.Priority,
+				Objective: time.Duration(r.AimMS) * time.Millisecond,
+			}
 			for _, b := range r.Backends {
 				route.Backends = append(route.Backends, stoatpaddle.Backend{Service: stoatpaddle.ServiceID(b.Service), Weight: stoatpaddle.Weight(b.Weight)})
 			}
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -84,8 +84,9 @@
 		return false
 	}
 	routes := make(map[netip.AddrPort]*Route, len(d.Routes))
+	least := leastUrgent(d.Routes)
 	for _, r := range d.Routes {
-		n := &Route{Route: r, had: map[stoatpaddle.ServiceID]bool{}}
+		n := &Route{Route: r, Urgent: least.over(&r), had: map[stoatpaddle.ServiceID]bool{}}
 		// A route that moved to another service keeps the open flows at the one before.
 		if old := b.routes[r.Listen]; old != nil {
 			for s := range old.had {
@@ -101,6 +102,30 @@
 	return true
 }
 
+// priorityOf holds the least urgent priority, which is the highest number, of the routes to
+// each service.
+type priorityOf map[stoatpaddle.ServiceID]int
+
+func leastUrgent(routes []stoatpaddle.Route) priorityOf {
+	least := priorityOf{}
+	for _, r := range routes {
+		for _, b := range r.Backends {
+			least[b.Service] = max(least[b.Service], r.Priority)
+		}
+	}
+	return least
+}
+
+// over tells whether a less urgent route shares a service with r.
+func (p priorityOf) over(r *stoatpaddle.Route) bool {
+	for _, b := range r.Backends {
+		if r.Priority < p[b.Service] {
+			return true
+		}
+	}
+	return false
+}
+
 // Register takes in what an upstream says about itself and tells whether its standing is news.
 func (b *Book) Register(now time.Time, r stoatpaddle.Registration, revision stoatpaddle.Version) bool {
 	e := b.ups[r.ID]
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -38,7 +38,8 @@
 // Route is where flows to one address go.
 type Route struct {
 	stoatpaddle.Route
-	had map[stoatpaddle.ServiceID]bool // services that it ever had here
+	Urgent bool                           // of the most urgent priority, where there are several
+	had    map[stoatpaddle.ServiceID]bool // services that it ever had here
 }
 
 // Had tells whether the route has or had the service: flows that opened there go on.
