--- a/stoatadmin/wire.go
+++ b/stoatadmin/wire.go
@@ -77,6 +77,18 @@
 	Watching  bool       `json:"watching"`
 	Contracts []Summary  `json:"contracts"`
 	Instances []Instance `json:"instances"`
+	View      *View      `json:"view,omitempty"` // on an echo fabric
+}
+
+// View is what an entry on an echo fabric believes about routes and upstreams.
+type View struct {
+	Version uint64 `json:"version"` // of the configuration
+	Age     int64  `json:"age"`     // ms since the upstreams were proven up to date; -1: never
+	Routes  int    `json:"routes"`
+	Serving int    `json:"serving"` // upstreams
+	Leaving int    `json:"leaving"`
+	Missing int    `json:"missing"`
+	Gone    int    `json:"gone"`
 }
 
 // Instance is one instance as an entry sees it.
--- a/stoatcommand/operate.go
+++ b/stoatcommand/operate.go
@@ -219,6 +219,10 @@
 		for _, s := range st.Contracts {
 			_, _ = fmt.Fprintf(w, " %s@%d", s.Customer, s.Version)
 		}
+		if v := st.View; v != nil {
+			_, _ = fmt.Fprintf(w, " version=%d proven=%dms routes=%d serving=%d leaving=%d missing=%d gone=%d",
+				v.Version, v.Age, v.Routes, v.Serving, v.Leaving, v.Missing, v.Gone)
+		}
 		_, _ = fmt.Fprintln(w)
 	}
 	for _, name := range f.Silent {
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -50,6 +50,14 @@
 	// Ejected is the upstream that gets no flows for a while, on the packet's evidence, or nil.
 	Ejected *stoatroute.Upstream
 	Silence time.Duration // of Ejected
+	// Abandoned are flows that wait for an answer of Ejected: their callers are told now.
+	Abandoned []Abandoned
+}
+
+// Abandoned is a flow to reset of which no packet is at hand.
+type Abandoned struct {
+	Tuple stoatpacket.Tuple
+	Ack   uint32 // what its caller acknowledged last
 }
 
 // Unproven is how long cookies are waited for that no answer has settled.
@@ -161,7 +169,7 @@
 	var except stoatpaddle.UpstreamKey
 	if f := e.flows[p.Tuple]; f != nil && f.opening && p.Copies > 0 {
 		u := t.Upstream(f.key)
-		if e.sameAgain(now, u, f, &a) {
+		if e.sameAgain(now, t, u, f, &a) {
 			return Action{Verdict: Forward, Upstream: u}
 		}
 		except, a.Moved = f.key, true
@@ -192,7 +200,7 @@
 // sameAgain tells whether the copy of an opening goes where the one before went. A sign of
 // life since then says that the packet was lost, not the upstream: at another one the flow
 // would be open twice, and the caller's packets would bring either cookie.
-func (e *Engine) sameAgain(now time.Time, u *stoatroute.Upstream, f *flow, a *Action) bool {
+func (e *Engine) sameAgain(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, f *flow, a *Action) bool {
 	if u == nil || !u.Opens() {
 		return false
 	}
@@ -200,16 +208,17 @@
 		return true
 	}
 	h := e.health.of(f.key)
-	e.suspect(now, u, h, a)
+	e.suspect(now, t, u, h, a)
 	return h.sign.After(f.seen) && !h.isEjected(now)
 }
 
 // suspect takes a repeated packet as evidence against its upstream.
-func (e *Engine) suspect(now time.Time, u *stoatroute.Upstream, h *health, a *Action) {
+func (e *Engine) suspect(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, a *Action) {
 	silence := h.silence(now)
 	if h.repeated(now) {
 		a.Ejected, a.Silence = u, silence
 		e.stats.Ejected++
+		a.Abandoned = e.abandon(now, t, u)
 	}
 }
 
@@ -223,7 +232,7 @@
 	if !r.Had(u.Service) {
 		return Action{Reason: stoatpacket.DropForged}
 	}
-	a := e.track(now, r, u, p)
+	a := e.track(now, t, r, u, p)
 	if p.Reset {
 		return a
 	}
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -350,6 +350,43 @@
 	}
 }
 
+// An upstream takes a request and dies before it answers: the caller has nothing to repeat,
+// so no packet of its flow comes here. When others prove the upstream dead, its caller is
+// told too, if the request may run twice; a pledge that may have run is left alone, and so
+// are idle flows, which are told with their next request.
+func TestWaitingFlowsAreAbandoned(t *testing.T) {
+	w := newWorld(t)
+	at1 := func(to netip.AddrPort) *caller {
+		for {
+			if c := w.caller(to); c.open().ID == "i-1" {
+				return c
+			}
+		}
+	}
+	waiting, idle, sworn, one, two := at1(feed), at1(feed), at1(pledge), at1(feed), at1(feed)
+	w.after(time.Second)
+	waiting.ask()
+	sworn.ask()
+	w.after(100 * ms)
+	one.ask()
+	two.ask()
+	w.after(210 * ms)
+	one.again()
+	a := two.again()
+	if a.Ejected == nil || len(a.Abandoned) != 2 {
+		t.Fatalf("%+v", a)
+	}
+	for _, x := range a.Abandoned {
+		if x.Tuple != waiting.tuple && x.Tuple != one.tuple || x.Ack != waiting.ack {
+			t.Errorf("%+v", x)
+		}
+	}
+	wantReset(t, idle.ask(), stoatpacket.DropStuck)
+	if a := sworn.again(); a.Verdict != stoatecho.Forward {
+		t.Errorf("%+v", a)
+	}
+}
+
 // Callers repeat a packet that was lost while their upstream answers others: no ejection.
 func TestLossIsNoDeath(t *testing.T) {
 	w := newWorld(t)
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -1,6 +1,7 @@
 package stoatecho
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
@@ -12,7 +13,7 @@
 //
 // A request begins with data and ends when the caller acknowledges something new: an
 // upstream's answers do not pass here.
-func (e *Engine) track(now time.Time, r *stoatroute.Route, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
+func (e *Engine) track(now time.Time, t *stoatroute.Table, r *stoatroute.Route, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
 	a := Action{Verdict: Forward, Upstream: u}
 	f, h := e.flows[p.Tuple], e.health.of(u.Key)
 	if f == nil || f.key != u.Key {
@@ -41,7 +42,7 @@
 		return a
 	}
 	if p.Size > 0 {
-		e.data(now, before, h, f, p, &a)
+		e.data(now, before, t, h, f, p, &a)
 		e.leaveStuck(now, r, h, f, p, &a)
 	}
 	return a
@@ -60,7 +61,7 @@
 
 // data takes in a packet that carries a request, or a part of one; before is when the
 // flow's last packet came.
-func (e *Engine) data(now, before time.Time, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
+func (e *Engine) data(now, before time.Time, t *stoatroute.Table, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
 	if f.asked.IsZero() {
 		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
 		h.asked(now)
@@ -76,7 +77,25 @@
 	}
 	f.repeats++
 	a.Repeats = f.repeats
-	e.suspect(now, a.Upstream, h, a)
+	e.suspect(now, t, a.Upstream, h, a)
+}
+
+// abandon takes out the flows that wait for an answer of the upstream, where a request may
+// run twice. An upstream that took a request and died leaves its caller nothing to repeat:
+// no packet would come here until the caller gives up.
+func (e *Engine) abandon(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream) []Abandoned {
+	var out []Abandoned
+	for tuple, f := range e.flows {
+		if f.key != u.Key || f.asked.IsZero() || now.Sub(f.asked) < repeatLeast {
+			continue
+		}
+		if r := t.Route(tuple.Dst); r != nil && r.Idempotent {
+			out = append(out, Abandoned{Tuple: tuple, Ack: f.ack})
+			e.forget(tuple)
+		}
+	}
+	e.stats.Resets[stoatpacket.DropStuck] += int64(len(out))
+	return out
 }
 
 // leaveStuck resets a flow whose upstream answers nobody, so that its caller comes back at
@@ -88,6 +107,7 @@
 	}
 	e.forget(p.Tuple)
 	a.Verdict, a.Reason = Reset, stoatpacket.DropStuck
+	a.Abandoned = slices.DeleteFunc(a.Abandoned, func(x Abandoned) bool { return x.Tuple == p.Tuple })
 }
 
 // forget takes a flow out of the table and its upstream's counts.
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -49,6 +49,7 @@
 	servers   []*http.Server
 	stop      stopState
 	pause     pauseWatch
+	inTouch   atomic.Bool // the platform answers
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -105,7 +106,10 @@
 	if err = e.listen(e.set.Ready, http.HandlerFunc(e.readiness)); err != nil {
 		return err
 	}
-	return e.listen(e.set.Admin, e.admin())
+	if err = e.listen(e.set.Admin, e.admin()); err != nil || !e.set.Metrics.IsValid() {
+		return err
+	}
+	return e.listen(e.set.Metrics, http.HandlerFunc(e.writeMetrics))
 }
 
 const (
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -72,6 +72,8 @@
 	interrupt struct{ topic topic }
 	// askNeighbours asks other entries what is in force; each answer ends in told.
 	askNeighbours struct{}
+	// touched tells whether the platform answers.
+	touched struct{ answers bool }
 	// publish makes a table the one that traffic reads.
 	publish struct{ table *stoatroute.Table }
 	// logged writes a numbered event.
@@ -108,6 +110,7 @@
 	book    *stoatroute.Book
 	feeds   [topicCount]*stoatfeed.Feed
 	waiting [topicCount]bool // a watch is under way that waits for a change
+	answers bool             // as last told
 	parked  bool             // upstreams are not asked for until the other topic is answered
 	listed  map[stoatpaddle.UpstreamID]bool
 	open    *proof // not matched yet
@@ -156,6 +159,10 @@
 			f.SetBound(x.apply)
 		}
 	}
+	if answers := k.ready && k.failing().IsZero(); answers != k.answers {
+		k.answers = answers
+		k.do(touched{answers: answers})
+	}
 	k.publish()
 	return k.out
 }
--- /dev/null
+++ b/stoatedge/run_admin.go
@@ -0,0 +1,70 @@
+package stoatedge
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatadmin"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// admin serves operators and neighbours.
+func (e *Edge) admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathHolding, e.tellHolding)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.status()) })
+	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.report()) })
+	mux.HandleFunc("GET /metrics", e.writeMetrics)
+	return mux
+}
+
+func answer(w http.ResponseWriter, body any) {
+	data, err := json.MarshalIndent(body, "", "  ")
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// Whoever hung up does not want it any more.
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// status is what is in force on this entry. The entries that it names are those of the
+// settings: on this fabric entries need not know each other.
+func (e *Edge) status() stoatadmin.Status {
+	set, t := e.settings(), e.table.Load()
+	routes, n := t.Counts()
+	age := int64(-1)
+	if !t.Proven.IsZero() {
+		age = clock().Sub(t.Proven).Milliseconds()
+	}
+	s := stoatadmin.Status{
+		Instance: string(set.Instance), Ready: t.Ready(), Leaving: e.stop.asked(),
+		Platform: e.inTouch.Load(), Watching: true,
+		Contracts: []stoatadmin.Summary{}, Instances: []stoatadmin.Instance{},
+		View: &stoatadmin.View{
+			Version: uint64(t.Version), Age: age, Routes: routes, Serving: n[stoatroute.Serving],
+			Leaving: n[stoatroute.Leaving], Missing: n[stoatroute.Missing], Gone: n[stoatroute.Gone],
+		},
+	}
+	named := false
+	for _, seed := range set.Seeds {
+		named = named || seed == set.Admin
+		s.Instances = append(s.Instances, stoatadmin.Instance{Name: seed.String(), Role: "entry", Admin: seed.String()})
+	}
+	if !named {
+		s.Instances = append(s.Instances, stoatadmin.Instance{Name: s.Instance, Role: "entry", Admin: set.Admin.String()})
+	}
+	return s
+}
+
+// report sums up what became of flows.
+func (e *Edge) report() stoatadmin.Report {
+	s := e.Stats()
+	return stoatadmin.Report{
+		Instance: string(e.settings().Instance), Opened: s.Opened,
+		Reset:   s.Resets[stoatpacket.DropStuck] + s.Resets[stoatpacket.DropGone],
+		Limited: s.Refused,
+	}
+}
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -43,6 +43,8 @@
 		if x.table.Ready() {
 			e.release(clock())
 		}
+	case touched:
+		e.inTouch.Store(x.answers)
 	case logged:
 		e.log.emit(clock(), x.entry, x.fields...)
 	}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -140,12 +140,24 @@
 			e.doubt(now)
 		}
 	}
+	for _, x := range a.Abandoned {
+		e.abandon(now, t, a.Ejected, x, m)
+	}
 	if a.Ejected != nil {
 		e.logFlow(now, EventEjected, t, a, p, stoatevent.F("ejected", string(a.Ejected.ID)),
 			stoatevent.F("centre", string(a.Ejected.DataCentre)), stoatevent.F("silence", a.Silence.String()))
 	}
 }
 
+// abandon resets a flow of which no packet is at hand.
+func (e *Edge) abandon(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, x stoatecho.Abandoned, m *mover) {
+	p := stoatpacket.Packet{Tuple: x.Tuple, Ack: x.Ack}
+	platform.PutReset(m.reset, &p)
+	_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
+	a := stoatecho.Action{Upstream: u}
+	e.logFlow(now, EventReset, t, a, &p, stoatevent.F("reason", stoatpacket.DropStuck.String()), stoatevent.F("opens", "false"), stoatevent.F("waited", "true"))
+}
+
 // logFlow writes a line about one flow: its id, what decided, how old that was.
 func (e *Edge) logFlow(now time.Time, entry *stoatevent.Entry, t *stoatroute.Table, a stoatecho.Action, p *stoatpacket.Packet, more ...stoatevent.Field) {
 	if !e.log.admit(now, entry) {
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -23,6 +23,7 @@
 	Seeds      []netip.AddrPort // peers to ask when the platform does not answer
 	Fabric     Fabric           // what the fabric does for the entries
 	Ready      netip.AddrPort   // the fabric's readiness checks, HTTP; echo fabric only
+	Metrics    netip.AddrPort   // metrics alone, HTTP; echo fabric only; invalid: none
 	Apply      time.Duration    // how soon a change has to be in force; echo fabric only
 	Life       time.Duration    // how long a flow lives at most; echo fabric only
 	Return     time.Duration    // how long a lapsed registration may take to come back; echo fabric only
@@ -89,6 +90,9 @@
 		Stop:       r.Section("stop").Duration("deadline", defaultStop),
 		Settle:     r.Section("flow").Duration("settle", defaultSettle),
 	}
+	if list := listen.AddrPorts("metrics"); len(list) > 0 {
+		s.Metrics = list[0]
+	}
 	distinct(listen, s)
 	if err := r.Err(); err != nil {
 		return Settings{}, err
@@ -110,6 +114,7 @@
 		{"admin", false, s.Admin},
 		{"call", false, s.Call},
 		{"ready", false, s.Ready},
+		{"metrics", false, s.Metrics},
 	}
 	for i, a := range list {
 		for _, b := range list[:i] {
