stoatecho: an upstream that lets openings go unanswered is shunned; who comes back at once goes elsewhere

Callers were back after 7 ms and sent there again, up to three times; and once the opening was forgotten, after 0.3 s, the upstream looked idle and got the next one. Now a caller whose last opening brought nothing within a usual handshake goes elsewhere, and an unanswered opening shuns its upstream for 0.4 s and longer, until a sign comes. How long an opening may wait follows the handshakes seen (mean and deviation), not a fixed 60 ms, which distant callers would exceed.

--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -33,13 +33,14 @@
 // ejected the evidence speaks of this entry's network rather than of them.
 func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) *stoatroute.Upstream {
 	var own, other, last pick
+	patience := e.handshake.patience()
 	for _, u := range t.Service(e.backend(r)) {
 		h := e.health.of(u.Key)
 		if u.Cap > 0 && h.flows >= u.Cap {
 			continue
 		}
 		// The order of equals must differ from entry to entry, or all would start with the same.
-		cost := h.cost(now, u) * (1 + jitter*e.rnd.Float64())
+		cost := h.cost(now, u, patience) * (1 + jitter*e.rnd.Float64())
 		switch {
 		case h.isEjected(now) || u.Key == except:
 			last.offer(u, h, cost)
@@ -54,7 +55,7 @@
 		return last.up
 	case own.up == nil:
 		return other.up
-	case other.up != nil && spills(now, &own, &other):
+	case other.up != nil && spills(now, patience, &own, &other):
 		return other.up
 	}
 	return own.up
@@ -63,11 +64,11 @@
 // spills tells whether a flow goes to another data centre although the own one could take
 // it: when the best upstream here owes an answer and the best there does not, or when this
 // entry alone has filled the best one here, and left much of the best one there.
-func spills(now time.Time, own, other *pick) bool {
-	if other.h.slowToAnswer(now) {
+func spills(now time.Time, patience time.Duration, own, other *pick) bool {
+	if other.h.slowToAnswer(now, patience) {
 		return false
 	}
-	if own.h.slowToAnswer(now) {
+	if own.h.slowToAnswer(now, patience) {
 		return true
 	}
 	here, there := own.h.load(own.up), other.h.load(other.up)
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -93,8 +94,11 @@
 	rnd      *rand.Rand
 	stats    Stats
 	swept    time.Time
-	openings expectations
-	answers  expectations
+	// last is the latest opening of each caller: one that comes back at once was refused.
+	last      map[callerKey]stoatpacket.Tuple
+	handshake handshake
+	openings  expectations
+	answers   expectations
 }
 
 // New returns an Engine.
@@ -104,8 +108,8 @@
 	}
 	return &Engine{
 		cfg: cfg, health: healths{}, flows: map[stoatpacket.Tuple]*flow{},
-		unproven: map[stoatpaddle.UpstreamKey]unproven{},
-		rnd:      rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
+		unproven: map[stoatpaddle.UpstreamKey]unproven{}, last: map[callerKey]stoatpacket.Tuple{},
+		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
 }
 
@@ -175,6 +179,9 @@
 		except, a.Moved = f.key, true
 	}
 	e.forget(p.Tuple)
+	if p.Copies == 0 {
+		except = e.refusedBefore(now, p)
+	}
 	a.Upstream = e.choose(now, t, r, except)
 	if a.Upstream == nil {
 		e.stats.Refused++
@@ -193,10 +200,32 @@
 		e.health.of(a.Upstream.Key).opened(now)
 		e.flows[p.Tuple] = &flow{key: a.Upstream.Key, seen: now, opening: true}
 		e.openings.add(p.Tuple, now)
+		e.last[callerOf(p)] = p.Tuple
 	}
 	return a
 }
 
+// callerKey is a caller at one address of the service.
+type callerKey struct {
+	caller  netip.Addr
+	service netip.AddrPort
+}
+
+func callerOf(p *stoatpacket.Packet) callerKey {
+	return callerKey{caller: p.Tuple.Src.Addr(), service: p.Tuple.Dst}
+}
+
+// refusedBefore returns the upstream that this caller's last opening went to, if nothing
+// came of it by now although a handshake takes no longer: it may have been refused, and the
+// caller has few tries. Others behind the same address lose nothing by another choice.
+func (e *Engine) refusedBefore(now time.Time, p *stoatpacket.Packet) stoatpaddle.UpstreamKey {
+	f := e.flows[e.last[callerOf(p)]]
+	if f == nil || !f.opening || e.handshake.mean == 0 || now.Sub(f.seen) < e.handshake.mean*3/4 {
+		return 0
+	}
+	return f.key
+}
+
 // sameAgain tells whether the copy of an opening goes where the one before went. A sign of
 // life since then says that the packet was lost, not the upstream: at another one the flow
 // would be open twice, and the caller's packets would bring either cookie.
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -387,6 +387,58 @@
 	}
 }
 
+// A server crashed and its machine refuses openings towards the callers, past this entry.
+// A caller is back after 7 ms and has two tries left: it must not be sent there again. And
+// the next callers avoid the upstream for longer than the opening is remembered.
+func TestRefusedCallerComesBackAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.caller(upload).open() // a handshake takes 10 ms
+	c := w.caller(pledge)
+	dead := c.syn(0).Upstream
+	w.after(10 * ms)
+	again := *c
+	again.tuple.Src = netip.AddrPortFrom(c.tuple.Src.Addr(), c.tuple.Src.Port()+1000)
+	if a := again.syn(0); a.Verdict != stoatecho.Forward || a.Upstream.ID == dead.ID {
+		t.Errorf("%+v", a)
+	}
+	w.after(300 * ms)
+	for range 6 {
+		if up := w.caller(pledge).open(); up.ID == dead.ID {
+			t.Error("it gets flows again after", w.now.Sub(start))
+		}
+	}
+	w.after(400 * ms)
+	got := map[stoatpaddle.UpstreamID]int{}
+	for range 6 {
+		got[w.caller(pledge).open().ID]++
+	}
+	if got[dead.ID] == 0 {
+		t.Error("it is never tried again", got)
+	}
+}
+
+// Callers far away take 120 ms for a handshake. That is no silence, once it is known.
+func TestDistantCallersAreNoSilence(t *testing.T) {
+	w := newWorld(t)
+	got := map[stoatpaddle.DataCentreID]int{}
+	for range 20 {
+		c := w.caller(pledge)
+		a := c.syn(0)
+		got[a.Upstream.DataCentre]++
+		c.cookie = a.Upstream.Key
+		w.after(120 * ms)
+		c.send(stoatpacket.Packet{Ack: 1})
+		c.send(stoatpacket.Packet{Ends: true})
+	}
+	for range 6 {
+		got[w.caller(pledge).syn(0).Upstream.DataCentre]++
+		w.after(20 * ms)
+	}
+	if got["there"] > 0 {
+		t.Error(got)
+	}
+}
+
 // Callers repeat a packet that was lost while their upstream answers others: no ejection.
 func TestLossIsNoDeath(t *testing.T) {
 	w := newWorld(t)
@@ -417,6 +469,7 @@
 // sign anywhere, the fault is this entry's, and flows go on to the least bad.
 func TestEverybodySilent(t *testing.T) {
 	w := newWorld(t)
+	w.caller(upload).open() // tells how far callers are
 	for _, want := range []string{"here", "here", "there", "any"} {
 		c := w.caller(pledge)
 		a := c.syn(0)
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -61,6 +61,7 @@
 			break
 		}
 		if f := e.flows[x.tuple]; f != nil && f.opening && f.seen.Equal(x.since) {
+			e.health.of(f.key).missed(now, f.seen)
 			e.forget(x.tuple)
 		}
 	}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -8,10 +8,15 @@
 )
 
 const (
-	// openingPatience is how long an opening may wait for its caller's next packet before
-	// new flows avoid the upstream: a caller answers in about 10 ms, and repeats its
-	// opening after 200 ms, which is as late as a request may be.
-	openingPatience = 60 * time.Millisecond
+	// patienceLeast and patienceMost bound how long an opening may wait for its caller's
+	// next packet before new flows avoid the upstream. A caller repeats its opening after
+	// 200 ms, which is as late as a request may be.
+	patienceLeast = 20 * time.Millisecond
+	patienceMost  = 150 * time.Millisecond
+	// shunLeast and shunMost bound how long an upstream that let an opening go unanswered
+	// gets no flows while others can take them; each time doubles it, a sign ends it.
+	shunLeast = 400 * time.Millisecond
+	shunMost  = 3200 * time.Millisecond
 	// answerPatience is the same for a request: twice the slowest usual one.
 	answerPatience = 500 * time.Millisecond
 	// repeatLeast is the least time between a packet and its copy that counts as a repeat:
@@ -45,12 +50,26 @@
 	ejected  time.Time     // until when it gets no flows; zero: a sign came since
 	ejection time.Duration // the last one
 	trial    bool          // it got a flow after an ejection and has not answered
+	shunned  time.Time     // until when it gets no flows while others can take them
+	shun     time.Duration // the last one
 }
 
 // heard notes a proof of life.
 func (h *health) heard(now time.Time) {
 	h.sign, h.openFrom, h.busyFrom = now, now, now
 	h.repeats, h.trial, h.ejected, h.ejection = 0, false, time.Time{}, 0
+	h.shunned, h.shun = time.Time{}, 0
+}
+
+// missed notes that an opening sent at that time went unanswered for good. A machine whose
+// server crashed refuses openings towards the caller, past this entry; the caller is back
+// within milliseconds, and would be sent there again.
+func (h *health) missed(now, sent time.Time) {
+	if h.sign.After(sent) {
+		return
+	}
+	h.shun = min(shunMost, max(shunLeast, 2*h.shun))
+	h.shunned = now.Add(h.shun)
 }
 
 // silence is how long the upstream has owed an answer.
@@ -66,8 +85,32 @@
 }
 
 // slowToAnswer tells whether new flows should rather go elsewhere for now.
-func (h *health) slowToAnswer(now time.Time) bool {
-	return h.trial || h.opening > 0 && now.Sub(h.openFrom) > openingPatience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
+func (h *health) slowToAnswer(now time.Time, patience time.Duration) bool {
+	return h.trial || now.Before(h.shunned) ||
+		h.opening > 0 && now.Sub(h.openFrom) > patience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
+}
+
+// handshake follows how long callers take from an opening to their next packet, which is
+// their distance: mean and mean deviation, as TCP does for its timer (RFC 6298).
+type handshake struct{ mean, deviation time.Duration }
+
+const handshakeWeight = 8 // a new sample counts an eighth
+
+func (x *handshake) took(d time.Duration) {
+	if x.mean == 0 {
+		x.mean, x.deviation = d, d/2
+		return
+	}
+	x.deviation += ((x.mean - d).Abs() - x.deviation) / handshakeWeight
+	x.mean += (d - x.mean) / handshakeWeight
+}
+
+// patience is how long an opening may wait before its upstream is suspected.
+func (x *handshake) patience() time.Duration {
+	if x.mean == 0 {
+		return patienceMost
+	}
+	return min(patienceMost, max(patienceLeast, x.mean+4*x.deviation))
 }
 
 func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejected) }
@@ -124,7 +167,7 @@
 )
 
 // cost is the expected wait at the upstream, in units of a request alone there.
-func (h *health) cost(now time.Time, u *stoatroute.Upstream) float64 {
+func (h *health) cost(now time.Time, u *stoatroute.Upstream, patience time.Duration) float64 {
 	c := h.load(u) + (1+idleLoad*float64(h.flows))/float64(max(1, u.Slots))
 	if h.latency > latencyFloor {
 		c *= float64(h.latency) / float64(latencyFloor)
@@ -132,7 +175,7 @@
 	if now.Before(u.Warm) {
 		c *= coldPenalty
 	}
-	if h.slowToAnswer(now) {
+	if h.slowToAnswer(now, patience) {
 		c *= slowPenalty
 	}
 	return c
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -26,6 +26,7 @@
 	f.seen = now
 	if f.opening {
 		f.opening = false
+		e.handshake.took(now.Sub(before))
 		h.opening--
 		h.flows++
 		h.heard(now)
@@ -142,6 +143,7 @@
 			e.forget(t)
 		}
 	}
+	e.forgetCallers()
 	for k, w := range e.unproven {
 		if now.Sub(w.since) > idleKept {
 			delete(e.unproven, k)
@@ -149,6 +151,15 @@
 	}
 }
 
+// forgetCallers forgets callers whose last flow is forgotten.
+func (e *Engine) forgetCallers() {
+	for k, t := range e.last {
+		if e.flows[t] == nil {
+			delete(e.last, k)
+		}
+	}
+}
+
 // Retain forgets the health of upstreams that are not in the table any more.
 func (e *Engine) Retain(t *stoatroute.Table) {
 	for k, h := range e.health {
