stoatfeed: news is gathered; stoatroute: a new proof shares the table

A watch that follows news waits for a twentieth of the bound first.

A proof, which comes every two seconds, no longer rebuilds the table, and what a neighbour asks for is read from the table when it is asked.

--- a/stoatedge/control.go
+++ b/stoatedge/control.go
@@ -17,7 +17,7 @@
 	switch m := ctx.Message().(type) {
 	case started, ticked, ended, told, doubted, rebound, shown:
 		for _, effect := range c.keeper.step(clock(), m) {
-			c.edge.do(effect, c.keeper)
+			c.edge.do(effect)
 		}
 	}
 }
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -38,7 +38,6 @@
 	engineMu  sync.Mutex // of engine and hold
 	hold      stoatecho.Hold
 	table     atomic.Pointer[stoatroute.Table]
-	holding   atomic.Pointer[stoatroute.Holding]
 	system    *actor.ActorSystem
 	pid       *actor.PID
 	cancels   [topicCount]callCancel
--- a/stoatedge/edge_test.go
+++ b/stoatedge/edge_test.go
@@ -262,7 +262,7 @@
 	r.arrives()
 	r.store.Set(stoatfake.Trouble{})
 	r.configure(2, "app")
-	r.wait("the second follows the store", func() bool { return b.Table().Version == 2 && !b.Table().Proven.IsZero() })
+	r.wait("the second follows the store", func() bool { return b.Table().Declaration.Version == 2 && !b.Table().Proven.IsZero() })
 }
 
 // The store forgets its history while both watches wait, and everything changed in the gap.
@@ -275,7 +275,7 @@
 	r.register(0, "draining")
 	r.store.Forget()
 	r.store.Set(stoatfake.Trouble{})
-	r.wait("both are known", func() bool { return e.Table().Version == 2 && len(e.Table().Service("app")) == 1 })
+	r.wait("both are known", func() bool { return e.Table().Declaration.Version == 2 && len(e.Table().Service("app")) == 1 })
 }
 
 // A replica lags behind for good. What the store itself says is in force all the same.
--- a/stoatedge/holding.go
+++ b/stoatedge/holding.go
@@ -48,7 +48,7 @@
 	Born     uint64 `json:"born"`
 }
 
-func encodeHolding(h *stoatroute.Holding, age time.Duration) wireHolding {
+func encodeHolding(h *stoatroute.Table, age time.Duration) wireHolding {
 	w := wireHolding{AgeMS: age.Milliseconds(), Declared: h.Declared, Revision: uint64(h.Revision)}
 	w.Declaration = wireDeclared{
 		Version: uint64(h.Declaration.Version), Caps: map[string]int{}, IdleMS: h.Declaration.Idle.Milliseconds(),
@@ -63,7 +63,7 @@
 		}
 		w.Declaration.Routes = append(w.Declaration.Routes, out)
 	}
-	for _, u := range h.Upstreams {
+	for _, u := range h.Upstreams() {
 		r := u.Registration
 		w.Upstreams = append(w.Upstreams, wireHeld{
 			ID: string(r.ID), Target: uint64(r.Target), Service: string(r.Service), Centre: string(r.DataCentre),
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -388,6 +388,6 @@
 	if t.Ready() && !k.ready {
 		k.ready = true
 		_, n := t.Counts()
-		k.log(EventReady, stoatevent.F("version", t.Version.String()), stoatevent.F("upstreams", countOf(n[stoatroute.Serving])))
+		k.log(EventReady, stoatevent.F("version", t.Declaration.Version.String()), stoatevent.F("upstreams", countOf(n[stoatroute.Serving])))
 	}
 }
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -235,8 +235,8 @@
 	}
 	s.step(told{from: "10.0.0.1:1", cause: &stoatpaddle.UnavailableError{Op: "x"}})
 	s.step(told{from: "10.0.0.2:1", changes: []change{declared(3, 5), registered("i-1", 1, 6)}})
-	if !s.table.Ready() || s.table.Version != 3 || !s.table.Proven.IsZero() {
-		t.Error(s.table.Ready(), s.table.Version, s.table.Proven)
+	if !s.table.Ready() || s.table.Declaration.Version != 3 || !s.table.Proven.IsZero() {
+		t.Error(s.table.Ready(), s.table.Declaration.Version, s.table.Proven)
 	}
 	asked := s.asked
 	s.fail(declarations)
@@ -251,8 +251,8 @@
 func TestNeighbourThatIsBehind(t *testing.T) {
 	s := running(t)
 	s.step(told{from: "10.0.0.2:1", changes: []change{declared(0, 1), registered("i-9", 9, 1)}})
-	if s.table.Version != 1 || len(s.table.Service("app")) != 2 {
-		t.Error(s.table.Version, len(s.table.Service("app")))
+	if s.table.Declaration.Version != 1 || len(s.table.Service("app")) != 2 {
+		t.Error(s.table.Declaration.Version, len(s.table.Service("app")))
 	}
 }
 
@@ -260,8 +260,8 @@
 func TestFaultyObject(t *testing.T) {
 	s := running(t)
 	s.answer(declarations, 12, change{name: "main", revision: 12, fault: &stoatpaddle.DecodeError{What: "configuration"}})
-	if s.table.Version != 1 || s.events[EventInvalid.Number] != 1 {
-		t.Error(s.table.Version, s.events)
+	if s.table.Declaration.Version != 1 || s.events[EventInvalid.Number] != 1 {
+		t.Error(s.table.Declaration.Version, s.events)
 	}
 }
 
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -52,7 +52,7 @@
 		})
 		stat(fmt.Sprintf("stoatpaddle_flow_reset_total{reason=%q}", r), func(s stoatecho.Stats) int64 { return s.Resets[r] })
 	}
-	set.NewGauge("stoatpaddle_config_version", func() float64 { return float64(e.table.Load().Version) })
+	set.NewGauge("stoatpaddle_config_version", func() float64 { return float64(e.table.Load().Declaration.Version) })
 	set.NewGauge("stoatpaddle_view_age_seconds", func() float64 {
 		t := e.table.Load()
 		if t.Proven.IsZero() {
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -81,11 +81,10 @@
 	c.declaration.Routes[0].Idempotent = true
 	r.registration.Leaving = true
 	r.registration.Addr = listen
-	h := stoatroute.Holding{
-		Declared: true, Declaration: *c.declaration, Revision: c.revision,
-		Upstreams: []stoatroute.Held{{Registration: *r.registration, Revision: r.revision}},
-	}
-	w := encodeHolding(&h, time.Second)
+	b := stoatroute.NewBook(stoatroute.Config{})
+	b.Declare(*c.declaration, c.revision)
+	b.Register(time.Unix(1000, 0), *r.registration, r.revision)
+	w := encodeHolding(b.Table(), time.Second)
 	got, err := decodeHolding(&w)
 	if err != nil || len(got) != 2 {
 		t.Fatal(got, err)
--- a/stoatedge/proof_test.go
+++ b/stoatedge/proof_test.go
@@ -53,8 +53,8 @@
 	}
 	s.answer(declarations, 21, declared(2, 20))
 	s.answer(upstreams, 21)
-	if s.table.Version != 2 {
-		t.Error(s.table.Version)
+	if s.table.Declaration.Version != 2 {
+		t.Error(s.table.Declaration.Version)
 	}
 	if c := s.calls[declarations]; !c.Stale {
 		t.Errorf("%+v", c)
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -45,7 +45,7 @@
 		Platform: e.inTouch.Load(), Watching: true,
 		Contracts: []stoatadmin.Summary{}, Instances: []stoatadmin.Instance{},
 		View: &stoatadmin.View{
-			Version: uint64(t.Version), Age: age, Routes: routes, Serving: n[stoatroute.Serving],
+			Version: uint64(t.Declaration.Version), Age: age, Routes: routes, Serving: n[stoatroute.Serving],
 			Leaving: n[stoatroute.Leaving], Missing: n[stoatroute.Missing], Gone: n[stoatroute.Gone],
 		},
 	}
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -21,7 +21,7 @@
 }
 
 // do performs one effect; what waits for others runs in the group.
-func (e *Edge) do(effect any, k *keeper) {
+func (e *Edge) do(effect any) {
 	switch x := effect.(type) {
 	case ask:
 		e.group.Go(func() error {
@@ -37,8 +37,6 @@
 	case askNeighbours:
 		e.askNeighbours()
 	case publish:
-		h := k.book.Holding()
-		e.holding.Store(&h)
 		e.table.Store(x.table)
 		if x.table.Ready() {
 			e.release(clock())
--- a/stoatedge/run_neighbour.go
+++ b/stoatedge/run_neighbour.go
@@ -22,18 +22,16 @@
 )
 
 func (e *Edge) tellHolding(w http.ResponseWriter, _ *http.Request) {
-	h := e.holding.Load()
-	if h == nil {
+	t := e.table.Load()
+	if !t.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	age := time.Duration(-1) * time.Millisecond
-	if p := e.table.Load().Proven; !p.IsZero() {
-		age = clock().Sub(p)
+	if !t.Proven.IsZero() {
+		age = clock().Sub(t.Proven)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	// A neighbour that hung up asks another one.
-	_ = json.NewEncoder(w).Encode(encodeHolding(h, age))
+	answer(w, encodeHolding(t, age))
 }
 
 // askNeighbours asks the entries that the settings name, all at once: behind a cut those of
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -170,7 +170,7 @@
 	if a.Repeats > 0 {
 		fields = append(fields, stoatevent.F("repeats", strconv.Itoa(a.Repeats)))
 	}
-	fields = append(fields, stoatevent.F("version", t.Version.String()), stoatevent.F("proven", ageOf(now, t.Proven)))
+	fields = append(fields, stoatevent.F("version", t.Declaration.Version.String()), stoatevent.F("proven", ageOf(now, t.Proven)))
 	e.log.write(entry, fields...)
 }
 
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -26,6 +26,9 @@
 	hangShare = 0.15
 	// reliefShare is how much of Bound a replica is watched after a refusal by rate.
 	reliefShare = 0.2
+	// gatherShare is how much of Bound passes between news and the next watch: changes come
+	// in swarms, and each answer is paid for by each entry.
+	gatherShare = 0.05
 	// listTimeout bounds a page: 500 objects at 4 ms, and up to 60 times that when slow.
 	listTimeout = 1500 * time.Millisecond
 	// pauseLeast and pauseMost bound the pause after a failure. Each refused call is paid
@@ -99,6 +102,7 @@
 	lost     bool
 	exact    bool // the next call must not be answered by a replica
 	hurry    bool // the next call must not wait for a change
+	gather   bool // the last watch brought news
 }
 
 // New returns a Feed that has heard nothing.
@@ -147,7 +151,10 @@
 
 // pause is random: nine entries that ask again in one moment would be refused by rate.
 func (f *Feed) pause() time.Duration {
-	if f.failures == 0 {
+	switch {
+	case f.failures == 0 && f.gather && !f.exact && !f.hurry:
+		return share(f.cfg.Bound, gatherShare)
+	case f.failures == 0:
 		return 0
 	}
 	most := pauseMost
@@ -159,7 +166,7 @@
 
 // Done takes the end of a call in.
 func (f *Feed) Done(now time.Time, c Call, r Result) Verdict {
-	f.relief = false
+	f.relief, f.gather = false, r.Outcome == Answered && !c.List && r.Changes > 0
 	switch r.Outcome {
 	case Forgotten:
 		f.relist()
--- a/stoatfeed/feed_test.go
+++ b/stoatfeed/feed_test.go
@@ -202,3 +202,22 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// A hundred and fifty upstreams register within seconds, and each answer to each of the
+// entries is paid for: news that follows news is gathered for a moment, what is wanted at
+// once is not.
+func TestNewsIsGathered(t *testing.T) {
+	f := listed(t, true)
+	f.Done(start, f.Next(), stoatfeed.Result{AsOf: 11, Changes: 1})
+	if c := f.Next(); c.Pause != 150*time.Millisecond || c.Pause+c.Timeout > bound*9/10 {
+		t.Errorf("%+v", c)
+	}
+	f.Doubt()
+	if c := f.Next(); c.Pause != 0 {
+		t.Errorf("%+v", c)
+	}
+	f.Done(start, f.Next(), stoatfeed.Result{AsOf: 12})
+	if c := f.Next(); c.Pause != 0 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -28,9 +28,8 @@
 
 // entry is what the book has on one upstream.
 type entry struct {
-	up       Upstream
-	revision stoatpaddle.Version
-	until    time.Time // Missing: when it counts as gone; Gone: when it is forgotten
+	up    Upstream
+	until time.Time // Missing: when it counts as gone; Gone: when it is forgotten
 }
 
 // Book gathers what the platform says. One goroutine uses it.
@@ -44,7 +43,7 @@
 	declared bool
 	listed   bool
 	table    *Table
-	dirty    bool
+	dirty    bool // more than proven changed since table was made
 }
 
 // NewBook returns an empty Book.
@@ -133,13 +132,13 @@
 	case e == nil:
 		e = &entry{up: Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold)}}
 		b.ups[r.ID] = e
-	case revision <= e.revision:
+	case revision <= e.up.Revision:
 		// Also of one that is gone: a neighbour which is behind must not bring it back.
 		return false
 	}
 	was := e.up.Standing
-	fresh := e.revision == 0
-	e.up.Registration, e.revision = r, revision
+	fresh := e.up.Revision == 0
+	e.up.Registration, e.up.Revision = r, revision
 	e.up.Standing = Serving
 	if r.Leaving {
 		e.up.Standing = Leaving
@@ -151,10 +150,10 @@
 // Remove takes in that a registration ended while the platform was in touch.
 func (b *Book) Remove(now time.Time, id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
 	e := b.ups[id]
-	if e == nil || revision < e.revision || e.up.Standing == Gone {
+	if e == nil || revision < e.up.Revision || e.up.Standing == Gone {
 		return false
 	}
-	e.revision = revision
+	e.up.Revision = revision
 	b.end(now, e)
 	return true
 }
@@ -188,7 +187,7 @@
 // Prove notes that the upstreams were up to date when a question was sent at that time.
 func (b *Book) Prove(sent time.Time) {
 	if sent.After(b.proven) {
-		b.proven, b.dirty = sent, true
+		b.proven = sent
 	}
 }
 
@@ -229,13 +228,23 @@
 	return e.up, true
 }
 
-// Table returns the present snapshot.
+// Table returns the present snapshot. A new proof alone shares everything else with the one
+// before: it comes every few seconds, to as many upstreams as there are.
 func (b *Book) Table() *Table {
-	if !b.dirty {
-		return b.table
+	switch {
+	case b.dirty:
+		b.table, b.dirty = b.build(), false
+	case b.table.Proven != b.proven:
+		t := *b.table
+		t.Proven = b.proven
+		b.table = &t
 	}
+	return b.table
+}
+
+func (b *Book) build() *Table {
 	t := &Table{
-		Version: b.decl.Version, Proven: b.proven, Idle: b.decl.Idle, Declared: b.declared, Listed: b.listed,
+		Declaration: b.decl, Revision: b.revision, Proven: b.proven, Declared: b.declared, Listed: b.listed,
 		routes: b.routes, byKey: make(map[stoatpaddle.UpstreamKey]*Upstream, len(b.ups)),
 		services: map[stoatpaddle.ServiceID][]*Upstream{},
 	}
@@ -254,18 +263,9 @@
 	for _, list := range t.services {
 		slices.SortFunc(list, func(x, y *Upstream) int { return cmp.Compare(x.Key, y.Key) })
 	}
-	b.table, b.dirty = t, false
 	return t
 }
 
-// Neighbour takes in that another entry, told all
-// it has. That is enough to serve, but no proof here: its answer may have been long under way.
-func (b *Book) Neighbour() {
-	if !b.listed && b.declared && len(b.ups) > 0 {
-		b.listed, b.dirty = true, true
-	}
-}
-
 // older tells which of two upstreams with one cookie keeps it: the one that registered
 // first, for it may have flows. The other gets none, or its packets would go to the first.
 // Targets longer than 32 bits can meet so; of 43,000 upstreams two do one time in five.
@@ -290,28 +290,10 @@
 	return "", false
 }
 
-// Holding is everything that the book has in force, for a neighbour.
-type Holding struct {
-	Declaration stoatpaddle.Declaration
-	Declared    bool
-	Revision    stoatpaddle.Version // of the declaration
-	Upstreams   []Held
-}
-
-// Held is one registration in force.
-type Held struct {
-	Registration stoatpaddle.Registration
-	Revision     stoatpaddle.Version
-}
-
-// Holding returns everything in force; what is gone is left out.
-func (b *Book) Holding() Holding {
-	h := Holding{Declaration: b.decl, Declared: b.declared, Revision: b.revision}
-	for _, e := range b.ups {
-		if e.up.Standing != Gone {
-			h.Upstreams = append(h.Upstreams, Held{Registration: e.up.Registration, Revision: e.revision})
-		}
+// Neighbour takes in that another entry told all it has. That is enough to serve, but no
+// proof here: its answer may have been long under way.
+func (b *Book) Neighbour() {
+	if !b.listed && b.declared && len(b.ups) > 0 {
+		b.listed, b.dirty = true, true
 	}
-	slices.SortFunc(h.Upstreams, func(x, y Held) int { return cmp.Compare(x.Registration.ID, y.Registration.ID) })
-	return h
 }
--- a/stoatroute/book_test.go
+++ b/stoatroute/book_test.go
@@ -41,7 +41,7 @@
 	if !b.Declare(declaration(7, "app"), 40) || b.Declare(declaration(5, "old"), 30) || b.Declare(declaration(5, "old"), 41) || b.Declare(declaration(8, "old"), 39) {
 		t.Error("an older configuration was adopted, or a newer one not")
 	}
-	if got := b.Table().Version; got != 7 {
+	if got := b.Table().Declaration.Version; got != 7 {
 		t.Error(got)
 	}
 }
@@ -177,8 +177,7 @@
 	if table := b.Table(); !table.Ready() || !table.Proven.IsZero() {
 		t.Error(table.Ready(), table.Proven)
 	}
-	h := b.Holding()
-	if len(h.Upstreams) != 1 || !h.Declared || h.Revision != 1 {
+	if h := b.Table(); len(h.Upstreams()) != 1 || !h.Declared || h.Revision != 1 {
 		t.Errorf("%+v", h)
 	}
 }
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -1,7 +1,9 @@
 package stoatroute
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -24,6 +26,7 @@
 // Upstream is one life of a server. It never changes after the table that has it was made.
 type Upstream struct {
 	stoatpaddle.Registration
+	Revision stoatpaddle.Version // of its registration
 	Key      stoatpaddle.UpstreamKey
 	Standing Standing
 	Cap      int       // flows it may hold; 0: not limited
@@ -47,11 +50,11 @@
 
 // Table is a snapshot that traffic reads; it never changes.
 type Table struct {
-	Version stoatpaddle.Version // of the declaration
+	Declaration stoatpaddle.Declaration
+	Revision    stoatpaddle.Version // of the declaration
 	// Proven is when the question was sent whose answer last proved the upstreams up to
 	// date: whatever is not in the table did not exist then.
 	Proven   time.Time
-	Idle     time.Duration
 	Declared bool // there is a declaration
 	Listed   bool // the upstreams were listed at least once
 
@@ -72,6 +75,18 @@
 // Ready tells whether the table is enough to place flows.
 func (t *Table) Ready() bool { return t.Declared && t.Listed }
 
+// Upstreams returns the upstreams that have not ended, ascending by key.
+func (t *Table) Upstreams() []*Upstream {
+	out := make([]*Upstream, 0, len(t.byKey))
+	for _, u := range t.byKey {
+		if u.Standing != Gone {
+			out = append(out, u)
+		}
+	}
+	slices.SortFunc(out, func(x, y *Upstream) int { return cmp.Compare(x.Key, y.Key) })
+	return out
+}
+
 // Counts returns the number of routes and of upstreams by standing.
 func (t *Table) Counts() (routes int, upstreams [4]int) {
 	for _, u := range t.byKey {
