stoatecho: a busy flow is awaited once

Cause, found by a benchmark (1 KB allocated a packet): each request on a long flow added an entry to the list of awaited answers, and each entry was put back for as long as the flow was busy: 3,000 after a minute of a caller that asks without a pause. A flow stands in the list once now.

--- /dev/null
+++ b/stoatecho/bench_test.go
@@ -0,0 +1,65 @@
+package stoatecho_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+func benchTable(n int) *stoatroute.Table {
+	b := stoatroute.NewBook(stoatroute.Config{})
+	b.Declare(stoatpaddle.Declaration{Version: 1, Routes: []stoatpaddle.Route{{Listen: feed, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}}}}}, 1)
+	names := map[stoatpaddle.UpstreamID]bool{}
+	for i := range n {
+		id := stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i+1))
+		names[id] = true
+		b.Register(start, stoatpaddle.Registration{ID: id, Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "here", Slots: 3, Born: stoatpaddle.Version(i + 2)}, stoatpaddle.Version(i+2))
+	}
+	b.Listed(start, names, false)
+	return b.Table()
+}
+
+func benchTuple(i int) stoatpacket.Tuple {
+	src := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(i >> 24), byte(i >> 16), byte(i >> 8)}), uint16(1024+i%60000))
+	return stoatpacket.Tuple{Src: src, Dst: feed, Protocol: stoatpaddle.ProtocolTCP}
+}
+
+// A packet of an open flow, with so many flows remembered.
+func BenchmarkFollow(b *testing.B) {
+	for _, flows := range []int{100, 13000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			t := benchTable(11)
+			e := stoatecho.New(stoatecho.Config{DataCentre: "here", Start: start, Seed: 1})
+			now := start.Add(time.Minute)
+			p := stoatpacket.Packet{Cookie: stoatroute.KeyOf(3), Size: 100}
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(50 * time.Microsecond)
+				p.Tuple, p.Seq, p.Ack = benchTuple(i%flows*7919), uint32(i*100), uint32(i*100)
+				e.Handle(now, t, &p)
+			}
+		})
+	}
+}
+
+// An opening, with so many upstreams to choose from.
+func BenchmarkOpen(b *testing.B) {
+	for _, n := range []int{11, 120} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := benchTable(n)
+			e := stoatecho.New(stoatecho.Config{DataCentre: "here", Start: start, Seed: 1})
+			now := start.Add(time.Minute)
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(20 * time.Millisecond)
+				e.Handle(now, t, &stoatpacket.Packet{Tuple: benchTuple(i * 7919), Opens: true})
+			}
+		})
+	}
+}
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -75,6 +75,7 @@
 	seq     uint32    // last sequence number with data
 	repeats int
 	opening bool
+	awaited bool // it stands in Engine.answers
 }
 
 // Stats counts what the engine did since its start.
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -53,6 +53,15 @@
 // compactAt is how many taken expectations may stand before the list is moved up.
 const compactAt = 256
 
+// await expects an answer on the flow. A flow stands in the list once, however many
+// requests it carries: an entry for each would be put back for as long as the flow is busy.
+func (e *Engine) await(now time.Time, t stoatpacket.Tuple, f *flow) {
+	if !f.awaited {
+		f.awaited = true
+		e.answers.add(t, now)
+	}
+}
+
 // expire stops counting what flows owe for too long.
 func (e *Engine) expire(now time.Time) {
 	for {
@@ -71,12 +80,16 @@
 			return
 		}
 		f := e.flows[x.tuple]
-		if f == nil || f.asked.IsZero() {
+		if f == nil {
+			continue
+		}
+		f.awaited = false
+		if f.asked.IsZero() {
 			continue
 		}
 		if quiet := now.Sub(f.seen); quiet < answerExpected {
 			// It goes on, as an upload or with repeats: look again a while after its last packet.
-			e.answers.add(x.tuple, now)
+			e.await(now, x.tuple, f)
 			continue
 		}
 		e.health.of(f.key).busy--
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -66,7 +66,7 @@
 	if f.asked.IsZero() {
 		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
 		h.asked(now)
-		e.answers.add(p.Tuple, now)
+		e.await(now, p.Tuple, f)
 		return
 	}
 	if int32(p.Seq-f.seq) > 0 {
--- /dev/null
+++ b/stoatroute/bench_test.go
@@ -0,0 +1,59 @@
+package stoatroute_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+func fullBook(n int) *stoatroute.Book {
+	b := stoatroute.NewBook(stoatroute.Config{})
+	d := stoatpaddle.Declaration{Version: 1}
+	for i := range max(1, n/11) {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+		service := stoatpaddle.ServiceID(fmt.Sprintf("s-%d", i))
+		d.Routes = append(d.Routes, stoatpaddle.Route{Listen: addr, Backends: []stoatpaddle.Backend{{Service: service, Weight: 1}}})
+	}
+	b.Declare(d, 1)
+	for i := range n {
+		b.Register(start, upstream(i, n), stoatpaddle.Version(i+2))
+	}
+	return b
+}
+
+func upstream(i, n int) stoatpaddle.Registration {
+	return stoatpaddle.Registration{
+		ID: stoatpaddle.UpstreamID(fmt.Sprintf("i-%08x", i+1)), Target: stoatpaddle.Target(i + 1),
+		Service: stoatpaddle.ServiceID(fmt.Sprintf("s-%d", i%max(1, n/11))), DataCentre: "a", Slots: 3, Born: stoatpaddle.Version(i + 2),
+	}
+}
+
+// One registration changes, and the table is made anew.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{18, 150, 1500, 43000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			book := fullBook(n)
+			b.ReportAllocs()
+			for i := range b.N {
+				u := upstream(0, n)
+				u.Leaving = i%2 == 0
+				book.Register(start, u, stoatpaddle.Version(n+i+2))
+				book.Table()
+			}
+		})
+	}
+}
+
+// A proof comes and nothing changed.
+func BenchmarkProof(b *testing.B) {
+	book := fullBook(43000)
+	b.ReportAllocs()
+	for i := range b.N {
+		book.Prove(start.Add(time.Duration(i)))
+		book.Table()
+	}
+}
