--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,7 @@
 func Start(ctx context.Context, cfg Config) (*Edge, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
+	debug.SetGCPercent(collectAt(0))
 	now := clock()
 	seed := uint64(now.UnixNano()) ^ addrSeed(cfg.Settings.Tunnel)
 	e := &Edge{
--- a/stoatedge/log.go
+++ b/stoatedge/log.go
@@ -62,10 +62,10 @@
 
 const accountEvery = 5 * time.Second
 
-// account says which lines were left out.
-func (l *eventLog) account(now time.Time) {
+// account says which lines were left out, and tells whether its time had come.
+func (l *eventLog) account(now time.Time) bool {
 	if now.Sub(l.told) < accountEvery {
-		return
+		return false
 	}
 	l.told = now
 	var fields []stoatevent.Field
@@ -79,6 +79,7 @@
 	if len(fields) > 0 {
 		l.write(EventLeftOut, fields...)
 	}
+	return true
 }
 
 func (l *eventLog) close() {
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -100,3 +100,12 @@
 		t.Error("a faulty neighbour is believed")
 	}
 }
+
+// A small heap is collected rarely, a large one must not grow to several times its size.
+func TestCollector(t *testing.T) {
+	for live, want := range map[uint64]int{0: 400, 11 << 20: 400, 20 << 20: 200, 60 << 20: 100} {
+		if got := collectAt(live); got != want {
+			t.Errorf("%d MB: %d", live>>20, got)
+		}
+	}
+}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -216,7 +216,9 @@
 		e.pause.tick(now)
 		e.post(ticked{})
 		e.giveUp(now)
-		e.log.account(now)
+		if e.log.account(now) {
+			tuneCollector()
+		}
 		if quiet, done := e.stop.done(now); done {
 			e.log.emit(now, EventStopped, stoatevent.F("quiet", quiet.String()))
 			e.cancel()
