stoatedge: lines say what decided a refusal, a placement and a late answer

Finding of the traces (docs/OPERATIONS.md): a refused opening did not say at which mean answer time, an ejection named the upstream that the packet went to next, and nothing told of answers that were late. Lines have the load that decided; SP1422 says what took longer than its objective; counters of answered and late requests.

--- a/stoatecho/admit.go
+++ b/stoatecho/admit.go
@@ -34,13 +34,14 @@
 // route. One with nothing in progress may always: else nothing would ever tell that its
 // queue is gone.
 func admits(h *health, r *stoatroute.Route) bool {
-	if r.Objective == 0 || h.busy+h.opening == 0 {
-		return true
-	}
+	return r.Objective == 0 || h.busy+h.opening == 0 || h.latency <= admitBound(h, r)
+}
+
+// admitBound is what the upstream's mean answer may take for the route.
+func admitBound(h *health, r *stoatroute.Route) time.Duration {
 	share := admitShare
 	if r.Urgent {
 		share = urgentShare
 	}
-	bound := time.Duration(share * float64(r.Objective))
-	return h.latency <= max(bound, admitBase*h.base)
+	return max(time.Duration(share*float64(r.Objective)), admitBase*h.base)
 }
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -48,6 +48,14 @@
 	Opened   bool // a flow was placed
 	Moved    bool // its opening went elsewhere before and got no answer
 	Repeats  int  // how often the packet's flow repeated itself, where known
+	// Late is how long the answer took that the packet acknowledges, if that is more than
+	// its route's objective.
+	Late time.Duration
+	// Busy and Mean are what the upstream had in progress from here and its mean answer time,
+	// where they decided; Bound is what Mean may be for the flow to be admitted.
+	Busy  int
+	Mean  time.Duration
+	Bound time.Duration
 	// Ejected is the upstream that gets no flows for a while, on the packet's evidence, or nil.
 	Ejected *stoatroute.Upstream
 	Silence time.Duration // of Ejected
@@ -81,6 +89,7 @@
 // Stats counts what the engine did since its start.
 type Stats struct {
 	Opened, Moved, Ejected, Refused int64
+	Answered, Late                  int64 // requests; late: over their route's objective
 	Resets, Drops                   [stoatpacket.DropCount]int64
 	Forwarded                       int64
 	Flows                           int
@@ -188,9 +197,12 @@
 		e.stats.Refused++
 		return Action{Verdict: Reset, Reason: stoatpacket.DropNoUpstream, Ejected: a.Ejected, Silence: a.Silence}
 	}
-	if !admits(e.health.of(a.Upstream.Key), r) {
+	h := e.health.of(a.Upstream.Key)
+	a.Busy, a.Mean, a.Bound = h.busy+h.opening, h.latency, admitBound(h, r)
+	if !admits(h, r) {
 		e.stats.Refused++
-		return Action{Verdict: Reset, Upstream: a.Upstream, Reason: stoatpacket.DropOverload, Ejected: a.Ejected, Silence: a.Silence}
+		a.Verdict, a.Reason, a.Opened, a.Moved = Reset, stoatpacket.DropOverload, false, false
+		return a
 	}
 	a.Moved = a.Moved && a.Upstream.Key != except
 	if a.Moved {
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -439,6 +439,31 @@
 	}
 }
 
+// An answer takes longer than its route's objective: the log can say so, with what else the
+// upstream had to do.
+func TestLateAnswerIsSaid(t *testing.T) {
+	w := newWorld(t)
+	w.rev++
+	w.book.Declare(stoatpaddle.Declaration{Version: w.rev, Routes: []stoatpaddle.Route{
+		{Listen: feed, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}}, Objective: 200 * ms},
+	}}, w.rev)
+	c := w.caller(feed)
+	c.open()
+	c.ask()
+	w.after(199 * ms)
+	if a := c.done(); a.Late != 0 {
+		t.Errorf("%+v", a)
+	}
+	c.ask()
+	w.after(250 * ms)
+	if a := c.done(); a.Late != 250*ms || a.Busy != 0 {
+		t.Errorf("%+v", a)
+	}
+	if s := w.e.Stats(); s.Answered != 2 || s.Late != 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
 // Callers repeat a packet that was lost while their upstream answers others: no ejection.
 func TestLossIsNoDeath(t *testing.T) {
 	w := newWorld(t)
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -33,10 +33,7 @@
 		f.ack = p.Ack
 	}
 	if !f.asked.IsZero() && p.Ack != f.ack {
-		h.busy--
-		h.answered(now.Sub(f.asked))
-		h.heard(now)
-		f.asked = time.Time{}
+		e.answered(now, r, h, f, &a)
 	}
 	if p.Ends {
 		e.forget(p.Tuple)
@@ -49,6 +46,20 @@
 	return a
 }
 
+// answered takes in that the caller has an answer.
+func (e *Engine) answered(now time.Time, r *stoatroute.Route, h *health, f *flow, a *Action) {
+	took := now.Sub(f.asked)
+	h.busy--
+	h.answered(took)
+	h.heard(now)
+	f.asked = time.Time{}
+	e.stats.Answered++
+	if r.Objective > 0 && took > r.Objective {
+		e.stats.Late++
+		a.Late, a.Busy = took, h.busy
+	}
+}
+
 // adopt remembers a flow that another entry placed.
 func (e *Engine) adopt(now time.Time, u *stoatroute.Upstream, p *stoatpacket.Packet) *flow {
 	if len(e.flows) >= e.cfg.MaxFlows || p.Ends {
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -57,7 +57,7 @@
 	EventReset = stoatevent.Register(stoatevent.Entry{
 		Number: 1411, Severity: stoatevent.Info, Since: "0.2",
 		Title: "flow reset",
-		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it), gone (its upstream has ended), stuck (its upstream answers nobody), young (no configuration yet).",
+		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it), gone (its upstream has ended), stuck (its upstream answers nobody; waited says that no packet of the flow was needed for it), overload (the mean answer of the best upstream is over bound, so that it would be late), young (no configuration yet).",
 	})
 	EventDropped = stoatevent.Register(stoatevent.Entry{
 		Number: 1412, Severity: stoatevent.Info, Since: "0.2",
@@ -67,7 +67,7 @@
 	EventOpened = stoatevent.Register(stoatevent.Entry{
 		Number: 1413, Severity: stoatevent.Info, Since: "0.2",
 		Title: "flow placed",
-		Text:  "The opening packet went to the upstream. Copies counts the opening packets sent before; moved says that the one before went elsewhere and got no answer. Cost is the expected wait there, in requests.",
+		Text:  "The opening packet went to the upstream. Copies counts the opening packets sent before; moved says that the one before went elsewhere and got no answer. Busy and mean are what this entry had in progress there and the mean answer time it saw, which decided.",
 	})
 	EventReload = stoatevent.Register(stoatevent.Entry{
 		Number: 1414, Severity: stoatevent.Info, Since: "0.2",
@@ -99,6 +99,11 @@
 		Title: "no seed proves for this entry",
 		Text:  "Seeds did not answer, or are out of touch themselves. The entry asks the platform exactly by itself until one tells again. If all entries report it, look at the seeds that the settings name, and at the platform's rates.",
 	})
+	EventLate = stoatevent.Register(stoatevent.Entry{
+		Number: 1422, Severity: stoatevent.Info, Since: "0.2",
+		Title: "answer was late",
+		Text:  "From a request to its caller's acknowledgement of the answer it took longer than the route's objective, as seen here. Busy counts the other requests of this entry in progress at the upstream then: many say that it is loaded, few that it is slow. A caller's first tries, if they went elsewhere, come on top.",
+	})
 	EventPaused = stoatevent.Register(stoatevent.Entry{
 		Number: 1418, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "entry was paused",
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -43,6 +43,8 @@
 	stat("stoatpaddle_flow_opened_total", func(s stoatecho.Stats) int64 { return s.Opened })
 	stat("stoatpaddle_flow_moved_total", func(s stoatecho.Stats) int64 { return s.Moved })
 	stat("stoatpaddle_flow_refused_total", func(s stoatecho.Stats) int64 { return s.Refused })
+	stat("stoatpaddle_request_answered_total", func(s stoatecho.Stats) int64 { return s.Answered })
+	stat("stoatpaddle_request_late_total", func(s stoatecho.Stats) int64 { return s.Late })
 	stat("stoatpaddle_flow_open", func(s stoatecho.Stats) int64 { return int64(s.Flows) })
 	stat("stoatpaddle_upstream_ejected_total", func(s stoatecho.Stats) int64 { return s.Ejected })
 	stat("stoatpaddle_packet_forwarded_total", func(s stoatecho.Stats) int64 { return s.Forwarded })
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -128,27 +128,42 @@
 		}
 		_, _ = e.conn.WriteToUDPAddrPort(buf, a.Upstream.Addr)
 		if a.Opened {
-			e.logFlow(now, EventOpened, t, a, p, stoatevent.F("copies", strconv.Itoa(p.Copies)), stoatevent.F("moved", strconv.FormatBool(a.Moved)))
+			e.logFlow(now, EventOpened, t, a, p, append(loadFields(a),
+				stoatevent.F("copies", strconv.Itoa(p.Copies)), stoatevent.F("moved", strconv.FormatBool(a.Moved)))...)
 		}
 	case stoatecho.Reset:
 		platform.PutReset(m.reset, p)
 		_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
-		e.logFlow(now, EventReset, t, a, p, stoatevent.F("reason", a.Reason.String()), stoatevent.F("opens", strconv.FormatBool(p.Opens)))
+		fields := []stoatevent.Field{stoatevent.F("reason", a.Reason.String()), stoatevent.F("opens", strconv.FormatBool(p.Opens))}
+		if a.Reason == stoatpacket.DropOverload {
+			fields = append(fields, append(loadFields(a), stoatevent.F("bound", a.Bound.Round(time.Millisecond).String()))...)
+		}
+		e.logFlow(now, EventReset, t, a, p, fields...)
 	case stoatecho.Drop:
 		e.logDrop(now, p, a.Reason)
 		if a.Reason == stoatpacket.DropUnproven {
 			e.doubt(now)
 		}
 	}
+	if a.Late > 0 {
+		e.logFlow(now, EventLate, t, a, p, stoatevent.F("took", a.Late.Round(time.Millisecond).String()), stoatevent.F("busy", strconv.Itoa(a.Busy)))
+	}
 	for _, x := range a.Abandoned {
 		e.abandon(now, t, a.Ejected, x, m)
 	}
 	if a.Ejected != nil {
-		e.logFlow(now, EventEjected, t, a, p, stoatevent.F("ejected", string(a.Ejected.ID)),
-			stoatevent.F("centre", string(a.Ejected.DataCentre)), stoatevent.F("silence", a.Silence.String()))
+		// The packet itself may have gone to another upstream.
+		of := stoatecho.Action{Upstream: a.Ejected, Repeats: a.Repeats}
+		e.logFlow(now, EventEjected, t, of, p, stoatevent.F("centre", string(a.Ejected.DataCentre)),
+			stoatevent.F("silence", a.Silence.Round(time.Millisecond).String()), stoatevent.F("waiting", strconv.Itoa(len(a.Abandoned))))
 	}
 }
 
+// loadFields are the load on which a placement or refusal was decided.
+func loadFields(a stoatecho.Action) []stoatevent.Field {
+	return []stoatevent.Field{stoatevent.F("busy", strconv.Itoa(a.Busy)), stoatevent.F("mean", a.Mean.Round(time.Millisecond).String())}
+}
+
 // abandon resets a flow of which no packet is at hand.
 func (e *Edge) abandon(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, x stoatecho.Abandoned, m *mover) {
 	p := stoatpacket.Packet{Tuple: x.Tuple, Ack: x.Ack}
