stoatedge: neighbours are told what is new, one at a time; faulty settings end with exit 2

Also: packets that name this entry's own address as the caller's are dropped; settings with faults end run with exit 2 and all faults.

--- a/stoatcommand/command.go
+++ b/stoatcommand/command.go
@@ -38,7 +38,7 @@
 // Description implements go-arg's Described.
 func (args) Description() string {
 	return "stoatpaddle shares layer-4 traffic over upstreams, one contract per customer.\n" +
-		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage."
+		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings."
 }
 
 type versionArgs struct{}
@@ -61,6 +61,15 @@
 // Error tells the problem.
 func (e *UsageError) Error() string { return e.Problem }
 
+// SettingsError reports settings that an entry cannot start with; it lists every fault.
+type SettingsError struct{ Cause error }
+
+// Error gives the faults, a line each.
+func (e *SettingsError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SettingsError) Unwrap() error { return e.Cause }
+
 // Main runs the program and returns its exit code.
 func Main(argv []string, stdout, stderr io.Writer) int {
 	var a args
@@ -95,7 +104,8 @@
 	}
 	_, _ = fmt.Fprintf(stderr, "stoatpaddle: %v\n", err)
 	var usage *UsageError
-	if errors.As(err, &usage) {
+	var settings *SettingsError
+	if errors.As(err, &usage) || errors.As(err, &settings) {
 		return exitUsage
 	}
 	return exitFail
--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -31,7 +31,7 @@
 	}
 	set, err := stoatsetting.Parse(a.Config, data)
 	if err != nil {
-		return err
+		return &SettingsError{Cause: err}
 	}
 	if set.Fabric == stoatsetting.FabricEcho {
 		e, err := stoatedge.Start(context.WithoutCancel(c.ctx), stoatedge.Config{Settings: set, Log: c.out})
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -45,13 +45,16 @@
 	metrics   *metrics.Set
 	counts    counters
 	conn      *net.UDPConn
+	own       netip.Addr
 	callers   uint16 // the port at which the fabric takes packets for callers
 	servers   []*http.Server
 	stop      stopState
 	pause     pauseWatch
 	inTouch   atomic.Bool // the platform answers
 	board     *board
-	proofSeed int // which seed is asked; used by one askProof at a time
+	teller    teller
+	known     atomic.Uint64 // the platform's revision up to which everything is known
+	proofSeed int           // which seed is asked; used by one askProof at a time
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -71,6 +74,7 @@
 		store:   platform.NewStore(cfg.Settings.Platform),
 		engine:  stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Start: now, Seed: seed}),
 		callers: cfg.Settings.Tunnel.Port(),
+		own:     cfg.Settings.Tunnel.Addr(),
 		system:  newSystem(),
 		board:   newBoard(),
 	}
--- a/stoatedge/edge_test.go
+++ b/stoatedge/edge_test.go
@@ -229,6 +229,9 @@
 	}
 	r.send(set, []byte{1, 2, 3})
 	r.send(set, packet(flagSYN|flagACK, 40001, 443, 0))
+	ours := packet(flagSYN, 40001, 443, 0)
+	ours[13] = 11 // 127.0.0.11
+	r.send(set, ours)
 	r.wait("both are counted", func() bool {
 		res, err := http.Get("http://" + set.Admin.String() + "/metrics")
 		if err != nil {
@@ -238,6 +241,7 @@
 		text, _ := io.ReadAll(res.Body)
 		return strings.Contains(string(text), `stoatpaddle_packet_dropped_total{reason="short"} 1`) &&
 			strings.Contains(string(text), `stoatpaddle_packet_dropped_total{reason="flags"} 1`) &&
+			strings.Contains(string(text), `stoatpaddle_packet_dropped_total{reason="own"} 1`) &&
 			strings.Contains(string(text), `stoatpaddle_flow_reset_total{reason="route"} 1`)
 	})
 	r.wait("the refusal is logged", func() bool { return l.has(`"event":"SP1411"`) && l.has(`"reason":"route"`) })
--- a/stoatedge/holding.go
+++ b/stoatedge/holding.go
@@ -9,7 +9,6 @@
 )
 
 type wireHolding struct {
-	AgeMS       int64        `json:"age"` // since the upstreams were proven up to date; -1: never
 	Declared    bool         `json:"declared"`
 	Revision    uint64       `json:"revision"`
 	Declaration wireDeclared `json:"declaration"`
@@ -48,8 +47,8 @@
 	Born     uint64 `json:"born"`
 }
 
-func encodeHolding(h *stoatroute.Table, age time.Duration) wireHolding {
-	w := wireHolding{AgeMS: age.Milliseconds(), Declared: h.Declared, Revision: uint64(h.Revision)}
+func encodeHolding(h *stoatroute.Table) wireHolding {
+	w := wireHolding{Declared: h.Declared, Revision: uint64(h.Revision)}
 	w.Declaration = wireDeclared{
 		Version: uint64(h.Declaration.Version), Caps: map[string]int{}, IdleMS: h.Declaration.Idle.Milliseconds(),
 	}
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -48,8 +48,10 @@
 		changes []change
 		cause   error
 	}
-	// told carries what a neighbour has in force; age is how long ago that was proven.
+	// told carries what a neighbour has in force; age is how long ago that was proven, known
+	// the revision up to which it knows everything.
 	told struct {
+		known   stoatpaddle.Version
 		from    string
 		changes []change
 		age     time.Duration
@@ -81,7 +83,14 @@
 	// interrupt gives up the waiting call of a topic; it ends in ended.
 	interrupt struct{ topic topic }
 	// askNeighbours asks other entries what is in force; each answer ends in told.
-	askNeighbours struct{}
+	// One that knows everything up to a revision is told only what is later; 0: it has
+	// nothing to serve by. turn says whose turn it is.
+	askNeighbours struct {
+		known stoatpaddle.Version
+		turn  int
+	}
+	// knows says up to which revision everything is known.
+	knows struct{ rev stoatpaddle.Version }
 	// askProof asks a seed for its next proof, or with wait unset for its last one; it ends
 	// in shown. attempt counts failures in a row.
 	askProof struct {
@@ -129,6 +138,9 @@
 	open    *proof        // not matched yet
 	// followAt is whether seeds are followed from the start on.
 	followAt bool
+	known    stoatpaddle.Version // everything up to it, of both topics, once ready
+	hearsay  stoatpaddle.Version // the same, as neighbours told
+	turn     int                 // of neighbours
 	start    time.Time
 	asked    time.Time // when neighbours were
 	ready    bool
@@ -186,6 +198,11 @@
 		k.do(touched{answers: answers})
 	}
 	k.publish()
+	own := min(k.feeds[declarations].Revision(), k.feeds[upstreams].Revision())
+	if known := max(own, k.hearsay); k.ready && known != k.known {
+		k.known = known
+		k.do(knows{rev: known})
+	}
 	return k.out
 }
 
@@ -221,7 +238,8 @@
 	k.press(now)
 	if k.wantsNeighbours(now) {
 		k.asked = now
-		k.do(askNeighbours{})
+		k.turn++
+		k.do(askNeighbours{known: k.known, turn: k.turn})
 	}
 }
 
@@ -376,6 +394,7 @@
 	k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", x.age.String()), stoatevent.F("objects", countOf(len(x.changes))))
 	k.apply(now, upstreams, x.changes, x.from)
 	k.book.Neighbour()
+	k.hearsay = max(k.hearsay, x.known)
 }
 
 func (k *keeper) publish() {
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -22,7 +22,9 @@
 	sent   [topicCount]time.Time
 	table  *stoatroute.Table
 	events map[stoatevent.Number]int
-	asked  int // neighbours
+	asked  int                 // neighbours
+	known  stoatpaddle.Version // as last said to them
+	knows  stoatpaddle.Version // as said to others
 }
 
 func newSession(t *testing.T) *session {
@@ -50,6 +52,9 @@
 			s.events[x.entry.Number]++
 		case askNeighbours:
 			s.asked++
+			s.known = x.known
+		case knows:
+			s.knows = x.rev
 		}
 	}
 }
@@ -247,6 +252,28 @@
 	}
 }
 
+// Three hundred entries ask their neighbours every second while the store is away. One that
+// was told everything says so, and is told only what is later: told all again by each, a
+// neighbour was killed for its memory.
+func TestNeighboursAreAskedForNewsOnly(t *testing.T) {
+	s := newSession(t)
+	s.pass(300 * ms)
+	if s.known != 0 {
+		t.Error(s.known)
+	}
+	s.step(told{from: "10.0.0.2:1", known: 42, changes: []change{declared(3, 5), registered("i-1", 1, 6)}})
+	s.fail(declarations)
+	s.fail(upstreams)
+	s.pass(2 * time.Second)
+	if s.known != 42 || s.knows != 42 {
+		t.Error(s.known, s.knows)
+	}
+	s.answer(declarations, 50)
+	if s.knows != 42 {
+		t.Error("one topic alone is not everything:", s.knows)
+	}
+}
+
 // A neighbour that is cut off tells old news while this entry is in touch: nothing changes.
 func TestNeighbourThatIsBehind(t *testing.T) {
 	s := running(t)
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -84,7 +84,7 @@
 	b := stoatroute.NewBook(stoatroute.Config{})
 	b.Declare(*c.declaration, c.revision)
 	b.Register(time.Unix(1000, 0), *r.registration, r.revision)
-	w := encodeHolding(b.Table(), time.Second)
+	w := encodeHolding(b.Table())
 	got, err := decodeHolding(&w)
 	if err != nil || len(got) != 2 {
 		t.Fatal(got, err)
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -35,7 +35,7 @@
 			(*cancel)()
 		}
 	case askNeighbours:
-		e.askNeighbours()
+		e.askNeighbours(x)
 	case publish:
 		e.table.Store(x.table)
 		if x.table.Ready() {
@@ -48,6 +48,8 @@
 		})
 	case proved:
 		e.board.post(x.rev, x.sent)
+	case knows:
+		e.known.Store(uint64(x.rev))
 	case touched:
 		e.inTouch.Store(x.answers)
 	case logged:
--- a/stoatedge/run_proof.go
+++ b/stoatedge/run_proof.go
@@ -117,7 +117,7 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, timeout)
 	defer cancel()
-	body, err := e.fetch(ctx, url)
+	_, body, err := e.fetch(ctx, url)
 	if err != nil {
 		return wireProof{}, err
 	}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -49,7 +49,12 @@
 			e.discard(now, gap, m)
 			continue
 		}
-		if reason := platform.ReadPacket(m.buf[platform.TargetSize:platform.TargetSize+n], &p); reason != stoatpacket.DropNone {
+		reason := platform.ReadPacket(m.buf[platform.TargetSize:platform.TargetSize+n], &p)
+		// Resets towards this entry itself would come back as packets.
+		if reason == stoatpacket.DropNone && p.Tuple.Src.Addr() == e.own {
+			reason = stoatpacket.DropOwn
+		}
+		if reason != stoatpacket.DropNone {
 			e.counts.malformed[reason].Add(1)
 			e.logDrop(now, &p, reason)
 			continue
--- a/stoatpacket/packet.go
+++ b/stoatpacket/packet.go
@@ -29,6 +29,7 @@
 	DropElsewhere // of a flow that entries beyond a cut may know
 	DropLength    // a length that is not the datagram's
 	DropFlags     // flags that no caller sends
+	DropOwn       // an address of this entry as the caller's
 	DropForged    // a cookie of a service that the route never had
 	DropUnproven  // a cookie that this entry cannot judge yet
 	DropYoung     // this entry has no configuration yet
@@ -42,7 +43,7 @@
 
 var dropNames = [DropCount]string{
 	"none", "short", "notip", "fragment", "protocol", "service", "limit", "upstream", "hops", "foreign", "elsewhere",
-	"length", "flags", "forged", "unproven", "young", "gone", "stuck", "route", "overload", "paused",
+	"length", "flags", "own", "forged", "unproven", "young", "gone", "stuck", "route", "overload", "paused",
 }
 
 // String returns the metric label of the reason.
