--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -11,108 +11,6 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
-// topic is one kind of object that an entry follows.
-type topic int
-
-// The topics.
-const (
-	declarations topic = iota
-	upstreams
-	topicCount
-)
-
-func (t topic) String() string { return [...]string{"configuration", "upstreams"}[t] }
-
-// change is one object that an answer brought, decoded.
-type change struct {
-	revision     stoatpaddle.Version
-	name         string
-	gone         bool
-	declaration  *stoatpaddle.Declaration
-	registration *stoatpaddle.Registration
-	fault        error // why it cannot be used
-}
-
-// The events of the keeper.
-type (
-	// started is the first event.
-	started struct{}
-	// ticked comes every tickEvery.
-	ticked struct{}
-	// ended reports the end of a call.
-	ended struct {
-		topic   topic
-		call    stoatfeed.Call
-		sent    time.Time
-		result  stoatfeed.Result
-		changes []change
-		cause   error
-	}
-	// told carries what a neighbour has in force; age is how long ago that was proven, known
-	// the revision up to which it knows everything.
-	told struct {
-		known   stoatpaddle.Version
-		from    string
-		changes []change
-		age     time.Duration
-		cause   error
-	}
-	// doubted tells that traffic met a cookie which is not known here.
-	doubted struct{}
-	// rebound carries changed bounds.
-	rebound struct {
-		apply, back, life time.Duration
-		follow            bool // there are seeds, and this entry is none of them
-	}
-	// shown carries a seed's proof; age is how long ago its question was sent.
-	shown struct {
-		from  string
-		rev   stoatpaddle.Version
-		age   time.Duration
-		cause error
-	}
-)
-
-// The effects of the keeper.
-type (
-	// ask does a call; it ends in ended.
-	ask struct {
-		topic topic
-		call  stoatfeed.Call
-	}
-	// interrupt gives up the waiting call of a topic; it ends in ended.
-	interrupt struct{ topic topic }
-	// askNeighbours asks other entries what is in force; each answer ends in told.
-	// One that knows everything up to a revision is told only what is later; 0: it has
-	// nothing to serve by. turn says whose turn it is.
-	askNeighbours struct {
-		known stoatpaddle.Version
-		turn  int
-	}
-	// knows says up to which revision everything is known.
-	knows struct{ rev stoatpaddle.Version }
-	// askProof asks a seed for its next proof, or with wait unset for its last one; it ends
-	// in shown. attempt counts failures in a row.
-	askProof struct {
-		wait    bool
-		attempt int
-	}
-	// proved shows others what this entry proved.
-	proved struct {
-		rev  stoatpaddle.Version
-		sent time.Time
-	}
-	// touched tells whether the platform answers.
-	touched struct{ answers bool }
-	// publish makes a table the one that traffic reads.
-	publish struct{ table *stoatroute.Table }
-	// logged writes a numbered event.
-	logged struct {
-		entry  *stoatevent.Entry
-		fields []stoatevent.Field
-	}
-)
-
 const (
 	tickEvery = 100 * time.Millisecond
 	// settle is how long the watch of upstreams may take to bring what the other feed's
@@ -141,8 +39,8 @@
 	known    stoatpaddle.Version // everything up to it, of both topics, once ready
 	hearsay  stoatpaddle.Version // the same, as neighbours told
 	turn     int                 // of neighbours
-	start    time.Time
-	asked    time.Time // when neighbours were
+	heard    time.Time           // when the platform last answered; at first the start
+	asked    time.Time           // when neighbours were
 	ready    bool
 	version  stoatpaddle.Version
 	table    *stoatroute.Table
@@ -171,7 +69,7 @@
 	k.out = nil
 	switch x := ev.(type) {
 	case started:
-		k.start = now
+		k.heard = now
 		k.ask(declarations)
 		k.ask(upstreams)
 		k.follow(k.followAt)
@@ -245,7 +143,8 @@
 
 func (k *keeper) wantsNeighbours(now time.Time) bool {
 	if !k.ready {
-		return now.Sub(k.start) > settle && now.Sub(k.asked) >= neighbourFirst
+		// A large list comes in pages; as long as they come, nobody needs to be troubled.
+		return now.Sub(k.heard) > settle && now.Sub(k.asked) >= neighbourFirst
 	}
 	failing := k.failing()
 	return !failing.IsZero() && now.Sub(failing) > settle && now.Sub(k.asked) >= neighbourEvery
@@ -263,6 +162,9 @@
 
 func (k *keeper) ended(now time.Time, x ended) {
 	k.waiting[x.topic] = false
+	if x.result.Outcome == stoatfeed.Answered {
+		k.heard = now
+	}
 	f := k.feeds[x.topic]
 	failing := f.Failing()
 	v := f.Done(now, x.call, x.result)
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -252,6 +252,19 @@
 	}
 }
 
+// An entry starts and lists three thousand upstreams, page by page. The platform answers all
+// the while, so that no neighbour is asked to tell everything.
+func TestLongListNeedsNoNeighbour(t *testing.T) {
+	s := newSession(t)
+	for range 6 {
+		s.pass(100 * ms)
+		s.end(upstreams, stoatfeed.Result{AsOf: 10, More: true, Last: "m"})
+	}
+	if s.asked != 0 {
+		t.Error("asked", s.asked, "times")
+	}
+}
+
 // Three hundred entries ask their neighbours every second while the store is away. One that
 // was told everything says so, and is told only what is later: told all again by each, a
 // neighbour was killed for its memory.
