stoatecho: an upstream whose registration ended keeps its flows as long as it answers

Purpose: a registration also ends when its upstream alone cannot reach the platform; its open flows were reset although it served. An answer to a request since the end keeps them; new flows go elsewhere. A first try took any sign for it, also the packet that completes a handshake from before the end; TestFlowOverTwoEntries failed, so only answers count.

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -278,7 +278,9 @@
 	if p.Reset {
 		return a
 	}
-	if u.Standing == stoatroute.Gone {
+	// A registration ends too when its upstream alone cannot reach the platform. One that
+	// goes on answering keeps its open flows, and gets no new ones.
+	if u.Standing == stoatroute.Gone && !e.health.of(u.Key).answer.After(u.Ended) {
 		e.forget(p.Tuple)
 		return Action{Verdict: Reset, Upstream: u, Reason: stoatpacket.DropGone}
 	}
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -237,6 +237,33 @@
 	}
 }
 
+// An upstream alone cannot reach the platform, so that its registration ends; it goes on
+// answering. Open flows stay, as soon as one of them shows that it lives; no new one goes there.
+func TestEndedButAnswering(t *testing.T) {
+	w := newWorld(t)
+	var list []*caller
+	for len(list) < 3 {
+		if c := w.caller(feed); c.open().ID == "i-1" {
+			list = append(list, c)
+		}
+	}
+	list[0].ask()
+	w.after(20 * ms)
+	w.rev++
+	w.book.Remove(w.now, "i-1", w.rev)
+	wantReset(t, list[1].ask(), stoatpacket.DropGone)
+	w.after(20 * ms)
+	if a := list[0].done(); a.Verdict != stoatecho.Forward {
+		t.Errorf("%+v", a)
+	}
+	if a := list[2].ask(); a.Verdict != stoatecho.Forward || a.Upstream.ID != "i-1" {
+		t.Errorf("%+v", a)
+	}
+	if up := w.caller(feed).open(); up.ID == "i-1" {
+		t.Error("it gets new flows")
+	}
+}
+
 // No upstream can take the flow: the caller is told at once, not left until its patience ends.
 func TestNobodyAble(t *testing.T) {
 	w := newWorld(t)
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -42,6 +42,7 @@
 	busy     int           // requests without an answer
 	opening  int           // openings without their caller's next packet
 	sign     time.Time     // last proof of life: a caller acknowledged something new
+	answer   time.Time     // last answer to a request, the surest sign
 	openFrom time.Time     // since when an opening waits, without a sign since
 	busyFrom time.Time     // since when a request waits, without a sign since
 	latency  time.Duration // mean from a request to its answer
@@ -142,7 +143,8 @@
 	h.busy++
 }
 
-func (h *health) answered(took time.Duration) {
+func (h *health) answered(now time.Time, took time.Duration) {
+	h.answer = now
 	if h.latency == 0 {
 		h.latency, h.base = took, took
 		return
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -50,7 +50,7 @@
 func (e *Engine) answered(now time.Time, r *stoatroute.Route, h *health, f *flow, a *Action) {
 	took := now.Sub(f.asked)
 	h.busy--
-	h.answered(took)
+	h.answered(now, took)
 	h.heard(now)
 	f.asked = time.Time{}
 	e.stats.Answered++
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -12,9 +12,11 @@
 )
 
 const (
+	// tickEvery is how often what happens without events is looked at: a tenth of the least
+	// time that matters here, the second of a short outage.
 	tickEvery = 100 * time.Millisecond
-	// settle is how long the watch of upstreams may take to bring what the other feed's
-	// proof shows to exist, before it is asked.
+	// settle is how long a replica may take to bring what a proof shows to exist, and the
+	// platform to answer at the start, before somebody is asked: many times an answer's 4 ms.
 	settle = 150 * time.Millisecond
 	// neighbourEvery is how often neighbours are asked while the platform does not answer,
 	// and neighbourFirst how often while there is nothing to serve by: an entry that starts
@@ -27,12 +29,12 @@
 type keeper struct {
 	book    *stoatroute.Book
 	feeds   [topicCount]*stoatfeed.Feed
-	waiting [topicCount]bool // a watch is under way that waits for a change
-	answers bool             // as last told
-	parked  bool             // upstreams are not asked for until the other topic is answered
-	listed  map[stoatpaddle.UpstreamID]bool
+	waiting [topicCount]bool                // a watch is under way that waits for a change
+	answers bool                            // the platform does, as last said to touched
+	parked  bool                            // upstreams are not asked for until the other topic is answered
+	listed  map[stoatpaddle.UpstreamID]bool // names in the pages of the list under way
 	seeds   follower
-	bound   time.Duration // the bound
+	bound   time.Duration // how soon a change has to be in force
 	open    *proof        // not matched yet
 	// followAt is whether seeds are followed from the start on.
 	followAt bool
@@ -42,9 +44,8 @@
 	heard    time.Time           // when the platform last answered; at first the start
 	asked    time.Time           // when neighbours were
 	ready    bool
-	version  stoatpaddle.Version
 	table    *stoatroute.Table
-	out      []any
+	out      []any // effects of the present step
 }
 
 type keeperConfig struct {
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -159,7 +159,7 @@
 }
 
 func (b *Book) end(now time.Time, e *entry) {
-	e.up.Standing, e.until = Gone, now.Add(b.cfg.Keep)
+	e.up.Standing, e.up.Ended, e.until = Gone, now, now.Add(b.cfg.Keep)
 	b.dirty = true
 }
 
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -31,6 +31,7 @@
 	Standing Standing
 	Cap      int       // flows it may hold; 0: not limited
 	Warm     time.Time // when its slow start ends
+	Ended    time.Time // Gone: since when
 }
 
 // Opens tells whether the upstream may take new flows.
