stoatecho: a refused opening still tells the flows that its repeat proved stuck

Found while reading: when the packet that ejected an upstream was itself refused because no upstream could take it, the flows waiting for the ejected one were forgotten and not told. Also a test that the settings' template, filled in, has no fault.

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -194,15 +194,12 @@
 	}
 	a.Upstream = e.choose(now, t, r, except)
 	if a.Upstream == nil {
-		e.stats.Refused++
-		return Action{Verdict: Reset, Reason: stoatpacket.DropNoUpstream, Ejected: a.Ejected, Silence: a.Silence}
+		return e.refuse(a, stoatpacket.DropNoUpstream)
 	}
 	h := e.health.of(a.Upstream.Key)
 	a.Busy, a.Mean, a.Bound = h.busy+h.opening, h.latency, admitBound(h, r)
 	if !admits(h, r) {
-		e.stats.Refused++
-		a.Verdict, a.Reason, a.Opened, a.Moved = Reset, stoatpacket.DropOverload, false, false
-		return a
+		return e.refuse(a, stoatpacket.DropOverload)
 	}
 	a.Moved = a.Moved && a.Upstream.Key != except
 	if a.Moved {
@@ -210,7 +207,7 @@
 	}
 	e.stats.Opened++
 	if len(e.flows) < e.cfg.MaxFlows {
-		e.health.of(a.Upstream.Key).opened(now)
+		h.opened(now)
 		e.flows[p.Tuple] = &flow{key: a.Upstream.Key, seen: now, opening: true}
 		e.openings.add(p.Tuple, now)
 		e.last[callerOf(p)] = p.Tuple
@@ -218,6 +215,13 @@
 	return a
 }
 
+// refuse turns an opening away; what its packet proved about other flows stays in a.
+func (e *Engine) refuse(a Action, reason stoatpacket.DropReason) Action {
+	e.stats.Refused++
+	a.Verdict, a.Reason, a.Opened, a.Moved = Reset, reason, false, false
+	return a
+}
+
 // callerKey is a caller at one address of the service.
 type callerKey struct {
 	caller  netip.Addr
--- /dev/null
+++ b/stoatsetting/template_test.go
@@ -0,0 +1,38 @@
+package stoatsetting_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
+)
+
+// The template that the users' platform fills in, filled in as their pages say, is what
+// deploy/testdata/rendered.ini shows, and its settings have no fault.
+func TestTemplate(t *testing.T) {
+	template, err := os.ReadFile("../deploy/entry.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := os.ReadFile("../deploy/testdata/rendered.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(
+		"{{node_name}}", "edge-ruwi-1", "{{zone}}", "ruwi", "{{ip}}", "10.1.0.10",
+		"{{bind_addrs.datagram_addr}}", "10.1.0.10:8172", "{{bind_addrs.readiness_addr}}", "10.1.0.10:8167",
+		"{{bind_addrs.control}}", "10.1.0.10:8166", "{{forwarding_mode}}", "echo",
+		"{{#seeds.0}}", "", "{{/seeds.0}}", "", "{{seeds}}", "10.1.0.10:8166,10.2.0.40:8166,10.3.0.7:8166",
+		"{{platform.address}}", "10.200.1.7:8169", "{{bounds.config_apply_ms}}", "3000",
+		"{{bounds.grace_s}}", "6", "{{bounds.flow_lifetime_s}}", "60",
+	).Replace(string(template))
+	_, body, _ := strings.Cut(text, "\n")
+	if _, shown, _ := strings.Cut(string(want), "\n"); body != shown {
+		t.Errorf("filled in:\n%s", body)
+	}
+	set, err := stoatsetting.Parse("entry.ini", []byte(text))
+	if err != nil || set.Fabric != stoatsetting.FabricEcho || len(set.Seeds) != 3 || !set.Metrics.IsValid() {
+		t.Errorf("%+v %v", set, err)
+	}
+}
