stoatedge: a pause is seen by the time since the machine's start

A suspended machine's steady clock stands still, so the watch on it did not see a suspension; the time since the machine's start counts it, and does not jump with the time of day.

--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -78,7 +78,7 @@
 		system:  newSystem(),
 		board:   newBoard(),
 	}
-	e.pause.start = now
+	e.pause.tick(uptime())
 	e.table.Store(&stoatroute.Table{})
 	e.metrics = e.newMetrics()
 	if err := e.open(); err != nil {
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -39,22 +39,24 @@
 	}
 }
 
-// A machine stands still for three seconds: what waits in the socket is old. A slow machine
+// A machine stands still, or is suspended, for three seconds: what waits in the socket is old. A slow machine
 // whose ticks come late is not paused.
 func TestPause(t *testing.T) {
-	start := time.Unix(1000, 0)
-	w := pauseWatch{start: start}
-	w.tick(start.Add(time.Second))
-	if gap := w.paused(start.Add(2 * time.Second)); gap != 0 {
+	var w pauseWatch
+	w.tick(time.Hour)
+	if gap := w.paused(time.Hour + time.Second); gap != 0 {
 		t.Error(gap)
 	}
-	if gap := w.paused(start.Add(4 * time.Second)); gap != 3*time.Second {
+	if gap := w.paused(time.Hour + 3*time.Second); gap != 3*time.Second {
 		t.Error(gap)
 	}
-	w.tick(start.Add(4 * time.Second))
-	if gap := w.paused(start.Add(4100 * ms)); gap != 0 {
+	w.tick(time.Hour + 3*time.Second)
+	if gap := w.paused(time.Hour + 3100*ms); gap != 0 {
 		t.Error("said twice")
 	}
+	if a, b := uptime(), uptime(); a <= 0 || b < a {
+		t.Error(a, b)
+	}
 }
 
 // A changed settings file: bounds are in force at once, addresses need a start.
--- a/stoatedge/pause.go
+++ b/stoatedge/pause.go
@@ -11,18 +11,18 @@
 // would run for nobody.
 const pausedFor = 1500 * time.Millisecond
 
-// pauseWatch notices that the process stood still: the ticker did not come. A clock that
-// was set forward looks the same to wall time, so only the steady clock counts.
+// pauseWatch notices that the process stood still: the ticker did not come. It goes by the
+// time since the machine was started, in which a suspended machine's time counts; the
+// steady clock leaves that out, and the time of day jumps for other reasons.
 type pauseWatch struct {
-	start  time.Time
-	ticked atomic.Int64 // steady time since start
+	ticked atomic.Int64 // time since the machine's start, at the last tick
 }
 
-func (w *pauseWatch) tick(now time.Time) { w.ticked.Store(int64(now.Sub(w.start))) }
+func (w *pauseWatch) tick(up time.Duration) { w.ticked.Store(int64(up)) }
 
-// paused tells for how long the process stood still until now; 0: it did not.
-func (w *pauseWatch) paused(now time.Time) time.Duration {
-	gap := now.Sub(w.start) - time.Duration(w.ticked.Load())
+// paused tells for how long the process stood still; 0: it did not.
+func (w *pauseWatch) paused(up time.Duration) time.Duration {
+	gap := up - time.Duration(w.ticked.Load())
 	if gap < pausedFor {
 		return 0
 	}
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -14,6 +14,11 @@
 
 func clock() time.Time { return time.Now() }
 
+var began = time.Now()
+
+// steady is the steady clock's time since the process started.
+func steady() time.Duration { return time.Since(began) }
+
 // callCancel gives up the call that a topic waits for.
 type callCancel struct {
 	cancel atomic.Pointer[context.CancelFunc]
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -45,7 +45,7 @@
 		}
 		now := clock()
 		e.stop.packet(now)
-		if gap := e.pause.paused(now); gap > 0 {
+		if gap := e.pause.paused(uptime()); gap > 0 {
 			e.discard(now, gap, m)
 			continue
 		}
@@ -69,7 +69,7 @@
 
 // discard drops the packets that waited while the process stood still.
 func (e *Edge) discard(now time.Time, gap time.Duration, m *mover) {
-	e.pause.tick(now)
+	e.pause.tick(uptime())
 	n := 1
 	for e.conn.SetReadDeadline(clock().Add(discardWait)) == nil {
 		if _, err := e.conn.Read(m.buf); err != nil {
@@ -233,7 +233,7 @@
 		case <-t.C:
 		}
 		now := clock()
-		e.pause.tick(now)
+		e.pause.tick(uptime())
 		e.post(ticked{})
 		e.giveUp(now)
 		if e.log.account(now) {
