stoatedge, stoatecho, stoatroute: one age of a proof; a wrapper, a dead method, two comments

Found reading the whole change again: the age of a table's proof was computed alike in the status and for neighbours; a struct around one time; Edge.Dropped, which nothing calls; the comment on Route.Urgent said what an earlier version did.

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -70,11 +70,6 @@
 	Ack   uint32 // what its caller acknowledged last
 }
 
-// Unproven is how long cookies are waited for that no answer has settled.
-type unproven struct {
-	since time.Time
-}
-
 // flow is what is remembered of a flow, to judge its upstream.
 type flow struct {
 	key     stoatpaddle.UpstreamKey
@@ -101,7 +96,7 @@
 	cfg      Config
 	health   healths
 	flows    map[stoatpacket.Tuple]*flow
-	unproven map[stoatpaddle.UpstreamKey]unproven
+	unproven map[stoatpaddle.UpstreamKey]time.Time // since when a cookie waits for proof
 	rnd      *rand.Rand
 	stats    Stats
 	swept    time.Time
@@ -119,7 +114,7 @@
 	}
 	return &Engine{
 		cfg: cfg, health: healths{}, flows: map[stoatpacket.Tuple]*flow{},
-		unproven: map[stoatpaddle.UpstreamKey]unproven{}, last: map[callerKey]stoatpacket.Tuple{},
+		unproven: map[stoatpaddle.UpstreamKey]time.Time{}, last: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
 }
@@ -315,14 +310,14 @@
 // proves that it is gone. Until then the caller repeats itself, and a reset would break a
 // flow that is alive.
 func (e *Engine) unknown(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
-	w, waits := e.unproven[p.Cookie]
+	since, waits := e.unproven[p.Cookie]
 	if !waits {
 		if len(e.unproven) < maxUnproven {
-			e.unproven[p.Cookie] = unproven{since: now}
+			e.unproven[p.Cookie] = now
 		}
 		return Action{Reason: stoatpacket.DropUnproven}
 	}
-	if !t.Proven.After(w.since) || p.Reset {
+	if !t.Proven.After(since) || p.Reset {
 		return Action{Reason: stoatpacket.DropUnproven}
 	}
 	return Action{Verdict: Reset, Reason: stoatpacket.DropGone}
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -156,8 +156,8 @@
 		}
 	}
 	e.forgetCallers()
-	for k, w := range e.unproven {
-		if now.Sub(w.since) > idleKept {
+	for k, since := range e.unproven {
+		if now.Sub(since) > idleKept {
 			delete(e.unproven, k)
 		}
 	}
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -18,7 +18,6 @@
 	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
-	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
 )
@@ -184,7 +183,4 @@
 	return e.engine.Stats()
 }
 
-// Dropped returns the number of packets dropped for the reason before a decision.
-func (e *Edge) Dropped(r stoatpacket.DropReason) int64 { return e.counts.malformed[r].Load() }
-
 func (e *Edge) post(ev any) { e.system.Root.Send(e.pid, ev) }
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -31,21 +31,25 @@
 	_, _ = w.Write(append(data, '\n'))
 }
 
+// provenAge is how long ago the table was proven, ms; -1: never.
+func provenAge(t *stoatroute.Table) int64 {
+	if t.Proven.IsZero() {
+		return -1
+	}
+	return clock().Sub(t.Proven).Milliseconds()
+}
+
 // status is what is in force on this entry. The entries that it names are those of the
 // settings: on this fabric entries need not know each other.
 func (e *Edge) status() stoatadmin.Status {
 	set, t := e.settings(), e.table.Load()
 	routes, n := t.Counts()
-	age := int64(-1)
-	if !t.Proven.IsZero() {
-		age = clock().Sub(t.Proven).Milliseconds()
-	}
 	s := stoatadmin.Status{
 		Instance: string(set.Instance), Ready: t.Ready(), Leaving: e.stop.asked(),
 		Platform: e.inTouch.Load(), Watching: true,
 		Contracts: []stoatadmin.Summary{}, Instances: []stoatadmin.Instance{},
 		View: &stoatadmin.View{
-			Version: uint64(t.Declaration.Version), Age: age, Routes: routes, Serving: n[stoatroute.Serving],
+			Version: uint64(t.Declaration.Version), Age: provenAge(t), Routes: routes, Serving: n[stoatroute.Serving],
 			Leaving: n[stoatroute.Leaving], Missing: n[stoatroute.Missing], Gone: n[stoatroute.Gone],
 		},
 	}
--- a/stoatedge/run_neighbour.go
+++ b/stoatedge/run_neighbour.go
@@ -74,16 +74,12 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	age := int64(-1)
-	if !t.Proven.IsZero() {
-		age = clock().Sub(t.Proven).Milliseconds()
-	}
 	body, err := e.teller.text(t)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set(headerAge, strconv.FormatInt(age, 10))
+	w.Header().Set(headerAge, strconv.FormatInt(provenAge(t), 10))
 	w.Header().Set(headerKnown, strconv.FormatUint(e.known.Load(), 10))
 	w.Header().Set("Content-Type", "application/json")
 	// A neighbour that hung up asks another one.
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -147,7 +147,7 @@
 	return fresh || was != e.up.Standing
 }
 
-// Remove takes in that a registration ended while the platform was in touch.
+// Remove takes in that a registration ended while the platform answered.
 func (b *Book) Remove(now time.Time, id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
 	e := b.ups[id]
 	if e == nil || revision < e.up.Revision || e.up.Standing == Gone {
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -42,7 +42,7 @@
 // Route is where flows to one address go.
 type Route struct {
 	stoatpaddle.Route
-	Urgent bool                           // of the most urgent priority, where there are several
+	Urgent bool                           // a less urgent route shares its service
 	had    map[stoatpaddle.ServiceID]bool // services that it ever had here
 }
 
