--- /dev/null
+++ b/deploy/play.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Plays the sites and days of our own on the users' bench, and prints a line for each.
+#
+#   deploy/play.sh KIT sites [JOBS]        every site in deploy/sites, all its days
+#   deploy/play.sh KIT days SITE [JOBS]    every day in deploy/days, on a site of the kit
+#
+# KIT is the folder that holds bin/fleetbench and sites/. Exits 1 if a rule was broken or a
+# day could not be played. The bench writes its journal entries; commit them.
+set -u
+cd "$(dirname "$0")/.."
+[ $# -ge 2 ] || { sed -n '2,9p' "$0"; exit 2; }
+kit=$1 what=$2
+bench=$kit/bin/fleetbench
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failed=0
+
+# show prints the line of each day in a report, and remembers what must not be.
+show() {
+	grep -E ' [0-9]+/[0-9]+ +[0-9]' "$1" | cut -c1-110
+	if ! grep -qE ' [0-9]+/[0-9]+ +[0-9]' "$1" || grep -qE '^(CONFIG|FLOW|DRAIN|ROUTE|MIXED|UNASKED|RECOVER)|BROKEN|breaks|fault:' "$1"; then
+		failed=1
+		grep -E '^(CONFIG|FLOW|DRAIN|ROUTE|MIXED|UNASKED|RECOVER)|BROKEN|breaks|fault:|fleetbench:' "$1" | head -5
+	fi
+}
+
+case $what in
+sites)
+	# A site file names the wire's description beside it; the kit's own serves.
+	cp "$kit/sites/wire.json" deploy/sites/*.toml "$work/"
+	for site in "$work"/*.toml; do
+		echo "== $(basename "$site" .toml)"
+		"$bench" score "$site" --jobs "${3:-4}" --why "sites of our own" >"$work/out" 2>&1
+		show "$work/out"
+		grep -E '^GATE' "$work/out" || failed=1
+	done
+	;;
+days)
+	for day in deploy/days/*.toml; do
+		"$bench" run "$kit/sites/$3.toml" "$day" --jobs "${4:-4}" --why "days of our own" >"$work/out" 2>&1
+		show "$work/out"
+	done
+	;;
+esac
+exit $failed
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -89,6 +89,16 @@
 		Title: "two upstreams share a cookie",
 		Text:  "The 32 bits that packets carry cannot tell the upstream from the holder, which registered first and keeps its flows. The upstream gets none. Start it again, so that it gets another id.",
 	})
+	EventFollows = stoatevent.Register(stoatevent.Entry{
+		Number: 1420, Severity: stoatevent.Info, Since: "0.2",
+		Title: "seed proves for this entry",
+		Text:  "The entry watches replicas of the platform and checks them against what the seed proves, instead of asking the platform exactly by itself.",
+	})
+	EventFollowsNobody = stoatevent.Register(stoatevent.Entry{
+		Number: 1421, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "no seed proves for this entry",
+		Text:  "Seeds did not answer, or are out of touch themselves. The entry asks the platform exactly by itself until one tells again. If all entries report it, look at the seeds that the settings name, and at the platform's rates.",
+	})
 	EventPaused = stoatevent.Register(stoatevent.Entry{
 		Number: 1418, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "entry was paused",
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -50,6 +50,8 @@
 	stop      stopState
 	pause     pauseWatch
 	inTouch   atomic.Bool // the platform answers
+	board     *board
+	proofSeed int // which seed is asked; used by one askProof at a time
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -69,6 +71,7 @@
 		engine:  stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Start: now, Seed: seed}),
 		callers: cfg.Settings.Tunnel.Port(),
 		system:  newSystem(),
+		board:   newBoard(),
 	}
 	e.pause.start = now
 	e.table.Store(&stoatroute.Table{})
@@ -77,7 +80,7 @@
 		e.Kill()
 		return nil, err
 	}
-	k := newKeeper(keeperConfig{Apply: e.set.Apply, Return: e.set.Return, Life: e.set.Life, Seed: seed})
+	k := newKeeper(keeperConfig{Apply: e.set.Apply, Return: e.set.Return, Life: e.set.Life, Follow: followsSeeds(e.set), Seed: seed})
 	e.pid = e.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return &control{edge: e, keeper: k} }))
 	e.log.emit(now, EventStart, stoatevent.F("tunnel", e.set.Tunnel.String()), stoatevent.F("centre", string(e.set.DataCentre)),
 		stoatevent.F("platform", e.set.Platform.String()), stoatevent.F("apply", e.set.Apply.String()))
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -58,7 +58,17 @@
 	// doubted tells that traffic met a cookie which is not known here.
 	doubted struct{}
 	// rebound carries changed bounds.
-	rebound struct{ apply, back, life time.Duration }
+	rebound struct {
+		apply, back, life time.Duration
+		follow            bool // there are seeds, and this entry is none of them
+	}
+	// shown carries a seed's proof; age is how long ago its question was sent.
+	shown struct {
+		from  string
+		rev   stoatpaddle.Version
+		age   time.Duration
+		cause error
+	}
 )
 
 // The effects of the keeper.
@@ -72,6 +82,17 @@
 	interrupt struct{ topic topic }
 	// askNeighbours asks other entries what is in force; each answer ends in told.
 	askNeighbours struct{}
+	// askProof asks a seed for its next proof, or with wait unset for its last one; it ends
+	// in shown. attempt counts failures in a row.
+	askProof struct {
+		wait    bool
+		attempt int
+	}
+	// proved shows others what this entry proved.
+	proved struct {
+		rev  stoatpaddle.Version
+		sent time.Time
+	}
 	// touched tells whether the platform answers.
 	touched struct{ answers bool }
 	// publish makes a table the one that traffic reads.
@@ -95,16 +116,6 @@
 	neighbourFirst = 300 * time.Millisecond
 )
 
-// proof is an exact answer of the configuration's feed that the upstreams' has to match:
-// the platform counts revisions over all kinds.
-type proof struct {
-	sent time.Time
-	rev  stoatpaddle.Version
-	at   time.Time // when it came
-	// hurried is set once the upstreams' replica was asked for it.
-	hurried bool
-}
-
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
 type keeper struct {
 	book    *stoatroute.Book
@@ -113,27 +124,33 @@
 	answers bool             // as last told
 	parked  bool             // upstreams are not asked for until the other topic is answered
 	listed  map[stoatpaddle.UpstreamID]bool
-	open    *proof // not matched yet
-	start   time.Time
-	asked   time.Time // when neighbours were
-	ready   bool
-	version stoatpaddle.Version
-	table   *stoatroute.Table
-	out     []any
+	seeds   follower
+	bound   time.Duration // the bound
+	open    *proof        // not matched yet
+	// followAt is whether seeds are followed from the start on.
+	followAt bool
+	start    time.Time
+	asked    time.Time // when neighbours were
+	ready    bool
+	version  stoatpaddle.Version
+	table    *stoatroute.Table
+	out      []any
 }
 
 type keeperConfig struct {
 	Apply  time.Duration
 	Return time.Duration
 	Life   time.Duration
+	Follow bool // there are seeds, and this entry is none of them
 	Seed   uint64
 }
 
 func newKeeper(cfg keeperConfig) *keeper {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
-	k := &keeper{book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life})}
+	k := &keeper{bound: cfg.Apply, book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life})}
 	k.feeds[declarations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd})
 	k.feeds[upstreams] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
+	k.followAt = cfg.Follow
 	return k
 }
 
@@ -145,8 +162,11 @@
 		k.start = now
 		k.ask(declarations)
 		k.ask(upstreams)
+		k.follow(k.followAt)
 	case ticked:
 		k.tick(now)
+	case shown:
+		k.shown(now, x)
 	case ended:
 		k.ended(now, x)
 	case told:
@@ -154,6 +174,8 @@
 	case doubted:
 		k.doubt(upstreams)
 	case rebound:
+		k.bound = x.apply
+		k.follow(x.follow)
 		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life})
 		for _, f := range k.feeds {
 			f.SetBound(x.apply)
@@ -196,11 +218,7 @@
 	for _, id := range k.book.Expire(now) {
 		k.standing(id, "did not come back")
 	}
-	if k.open != nil && !k.open.hurried && now.Sub(k.open.at) > settle {
-		k.open.hurried = true
-		k.feeds[upstreams].Hurry()
-		k.nudge(upstreams)
-	}
+	k.press(now)
 	if k.wantsNeighbours(now) {
 		k.asked = now
 		k.do(askNeighbours{})
@@ -287,26 +305,20 @@
 	k.listed = nil
 }
 
-// prove notes until when the upstreams are proven up to date: by an exact answer about
-// them, or by a replica's that is as new as an exact one about the configuration.
+// prove notes until when the view is proven up to date: by an exact answer about the
+// upstreams, or by replicas' answers that are as new as an exact one.
 func (k *keeper) prove(now time.Time, x ended, v stoatfeed.Verdict) {
 	switch {
 	case x.topic == upstreams && v.Proof:
 		k.book.Prove(x.sent)
-		if k.open != nil && x.sent.After(k.open.sent) {
-			k.open = nil
-		}
 	case x.topic == declarations && v.Proof:
-		k.open = &proof{sent: x.sent, rev: x.result.AsOf, at: now}
+		k.do(proved{rev: x.result.AsOf, sent: x.sent})
+		k.challenge(proof{sent: x.sent, rev: x.result.AsOf, at: now})
 	}
-	switch {
-	case k.open == nil:
-	case k.feeds[upstreams].Revision() >= k.open.rev:
-		k.book.Prove(k.open.sent)
-		k.open = nil
-	case x.topic == upstreams && k.open.hurried:
+	k.match()
+	if k.open != nil && k.open.hurried && k.feeds[x.topic].Revision() < k.open.rev {
 		// The replica is behind what the platform has said already.
-		k.feeds[upstreams].Doubt()
+		k.feeds[x.topic].Doubt()
 	}
 }
 
@@ -319,7 +331,7 @@
 		case c.declaration != nil:
 			if k.book.Declare(*c.declaration, c.revision) {
 				k.log(EventDeclared, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
-					stoatevent.F("routes", strconv.Itoa(len(c.declaration.Routes))), stoatevent.F("source", source))
+					stoatevent.F("routes", countOf(len(c.declaration.Routes))), stoatevent.F("source", source))
 			}
 		case c.gone && t == upstreams:
 			if k.book.Remove(now, stoatpaddle.UpstreamID(c.name), c.revision) {
@@ -349,6 +361,8 @@
 	}
 }
 
+func countOf(n int) string { return strconv.Itoa(n) }
+
 // told takes in what a neighbour has in force. Versions decide what is later, so that a
 // neighbour which is behind can take nothing back.
 func (k *keeper) told(now time.Time, x told) {
@@ -359,7 +373,7 @@
 	if k.failing().IsZero() && k.ready {
 		return
 	}
-	k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", x.age.String()), stoatevent.F("objects", strconv.Itoa(len(x.changes))))
+	k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", x.age.String()), stoatevent.F("objects", countOf(len(x.changes))))
 	k.apply(now, upstreams, x.changes, x.from)
 	k.book.Neighbour()
 }
@@ -374,6 +388,6 @@
 	if t.Ready() && !k.ready {
 		k.ready = true
 		_, n := t.Counts()
-		k.log(EventReady, stoatevent.F("version", t.Version.String()), stoatevent.F("upstreams", strconv.Itoa(n[stoatroute.Serving])))
+		k.log(EventReady, stoatevent.F("version", t.Version.String()), stoatevent.F("upstreams", countOf(n[stoatroute.Serving])))
 	}
 }
--- a/stoatedge/reload.go
+++ b/stoatedge/reload.go
@@ -23,7 +23,7 @@
 	}
 	e.set = next
 	e.log.level(next.Level)
-	e.post(rebound{apply: next.Apply, back: next.Return, life: next.Life})
+	e.post(rebound{apply: next.Apply, back: next.Return, life: next.Life, follow: followsSeeds(next)})
 	e.log.emit(now, EventReload, stoatevent.F("applied", strings.Join(applied, ",")), stoatevent.F("kept", strings.Join(kept, ",")))
 }
 
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -43,6 +43,13 @@
 		if x.table.Ready() {
 			e.release(clock())
 		}
+	case askProof:
+		e.group.Go(func() error {
+			e.askProof(x)
+			return nil
+		})
+	case proved:
+		e.board.post(x.rev, x.sent)
 	case touched:
 		e.inTouch.Store(x.answers)
 	case logged:
--- a/stoatedge/run_neighbour.go
+++ b/stoatedge/run_neighbour.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -62,7 +63,25 @@
 func (e *Edge) fetchHolding(addr netip.AddrPort) (*wireHolding, error) {
 	ctx, cancel := context.WithTimeout(e.ctx, neighbourTimeout)
 	defer cancel()
-	url := "http://" + addr.String() + pathHolding
+	body, err := e.fetch(ctx, "http://"+addr.String()+pathHolding)
+	if err != nil {
+		return nil, err
+	}
+	var w wireHolding
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, &stoatpaddle.DecodeError{What: "a neighbour's answer", Cause: err}
+	}
+	return &w, nil
+}
+
+// statusError reports a neighbour's answer other than 200.
+type statusError struct{ status int }
+
+// Error names the status.
+func (e *statusError) Error() string { return "status " + strconv.Itoa(e.status) }
+
+// fetch reads from another entry; no usable answer is *stoatpaddle.UnavailableError.
+func (e *Edge) fetch(ctx context.Context, url string) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
@@ -72,13 +91,12 @@
 		return nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxHolding))
-	if err != nil || res.StatusCode != http.StatusOK {
-		return nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxHolding))
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = &statusError{status: res.StatusCode}
 	}
-	var w wireHolding
-	if err := json.Unmarshal(data, &w); err != nil {
-		return nil, &stoatpaddle.DecodeError{What: "a neighbour's answer", Cause: err}
+	if err != nil {
+		return nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
 	}
-	return &w, nil
+	return body, nil
 }
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -24,6 +24,8 @@
 	// answered 0.15 later is given up, and the rest is left to ask again. Each watch is paid for.
 	waitShare = 0.65
 	hangShare = 0.15
+	// reliefShare is how much of Bound a replica is watched after a refusal by rate.
+	reliefShare = 0.2
 	// listTimeout bounds a page: 500 objects at 4 ms, and up to 60 times that when slow.
 	listTimeout = 1500 * time.Millisecond
 	// pauseLeast and pauseMost bound the pause after a failure. Each refused call is paid
@@ -91,6 +93,8 @@
 	listFrom stoatpaddle.Version // of its first page
 	failures int
 	failing  time.Time // since when; zero: not
+	down     time.Time // since when calls got no answer at all; zero: they did
+	relief   bool      // the next call goes to a replica, since the last was refused by rate
 	away     bool      // the next complete list follows an outage
 	lost     bool
 	exact    bool // the next call must not be answered by a replica
@@ -103,6 +107,9 @@
 // SetBound changes the bound for the calls to come.
 func (f *Feed) SetBound(d time.Duration) { f.cfg.Bound = d }
 
+// SetStale tells whether watches may be answered by a replica from now on.
+func (f *Feed) SetStale(stale bool) { f.cfg.Stale = stale }
+
 // Revision returns the revision up to which everything is known.
 func (f *Feed) Revision() stoatpaddle.Version { return f.rev }
 
@@ -116,14 +123,18 @@
 func (f *Feed) Next() Call {
 	c := Call{Timeout: listTimeout, Pause: f.pause()}
 	if !f.listed {
-		c.List, c.After = true, f.after
+		c.List, c.After, c.Stale = true, f.after, f.relief
 		return c
 	}
 	c.From = f.rev
 	c.Wait = share(f.cfg.Bound, waitShare)
 	c.Timeout = c.Wait + share(f.cfg.Bound, hangShare)
 	c.Stale = f.cfg.Stale && !f.exact
-	if f.exact || f.hurry || f.failures > 0 {
+	switch {
+	case f.relief:
+		// News goes on while the exact question waits its turn.
+		c.Stale, c.Wait = true, share(f.cfg.Bound, reliefShare)
+	case f.exact || f.hurry || f.failures > 0:
 		// It is wanted now, not when something changes.
 		c.Wait = time.Millisecond
 	}
@@ -148,19 +159,27 @@
 
 // Done takes the end of a call in.
 func (f *Feed) Done(now time.Time, c Call, r Result) Verdict {
+	f.relief = false
 	switch r.Outcome {
 	case Forgotten:
 		f.relist()
 		return Verdict{}
-	case Refused, Failed:
+	case Refused:
+		f.relief = !c.Stale
+		return f.failed(now)
+	case Failed:
+		if f.down.IsZero() {
+			f.down = now
+		}
 		return f.failed(now)
 	case Interrupted:
 		return Verdict{}
 	case Answered:
 	}
 	v := Verdict{Back: f.lost}
-	outage := !f.failing.IsZero() && now.Sub(f.failing) >= awayAfter
-	f.failures, f.failing, f.lost, f.hurry = 0, time.Time{}, false, false
+	// A platform that refuses by rate is there: nothing lapses meanwhile.
+	outage := !f.down.IsZero() && now.Sub(f.down) >= awayAfter
+	f.failures, f.failing, f.down, f.lost, f.hurry = 0, time.Time{}, time.Time{}, false, false
 	if outage {
 		f.away = true
 	}
@@ -210,9 +229,14 @@
 		f.after = r.Last
 		return v
 	}
+	if f.listFrom < f.rev {
+		// A replica that is behind: what its list lacks may be younger than the list.
+		f.relist()
+		return v
+	}
 	// Pages are read one after the other: what changed meanwhile is in the watch from the
 	// first page's revision on.
-	v.Complete, v.Proof, v.Away = true, true, f.away
+	v.Complete, v.Proof, v.Away = true, !c.Stale, f.away
 	f.rev = max(f.rev, f.listFrom)
 	f.listed, f.after, f.away, f.exact = true, "", false, false
 	return v
--- a/stoatfeed/feed_test.go
+++ b/stoatfeed/feed_test.go
@@ -156,3 +156,49 @@
 		t.Error(len(seen), "distinct tenths of a second")
 	}
 }
+
+// The store refuses by rate: twelve entries list at once after a restart. A list from a
+// replica counts toward no rate, and serves meanwhile; nothing lapses, so that no second
+// list is needed when it answers again.
+func TestRefusedByRate(t *testing.T) {
+	f := newFeed(false)
+	c := f.Next()
+	f.Done(start, c, stoatfeed.Result{Outcome: stoatfeed.Refused})
+	if c = f.Next(); !c.List || !c.Stale {
+		t.Fatalf("%+v", c)
+	}
+	if v := f.Done(start, c, stoatfeed.Result{AsOf: 10}); !v.Complete || v.Proof {
+		t.Errorf("%+v", v)
+	}
+	if c = f.Next(); c.List || c.Stale {
+		t.Errorf("%+v", c)
+	}
+	for at := time.Duration(0); at < 3*time.Second; at += time.Second {
+		f.Done(start.Add(at), c, stoatfeed.Result{Outcome: stoatfeed.Refused})
+		if c = f.Next(); !c.Stale || c.Wait < 500*time.Millisecond {
+			t.Errorf("no news meanwhile: %+v", c)
+		}
+		f.Done(start.Add(at), c, stoatfeed.Result{Outcome: stoatfeed.Interrupted})
+		if c = f.Next(); c.Stale {
+			t.Errorf("the exact question is not asked again: %+v", c)
+		}
+	}
+	if v := f.Done(start.Add(4*time.Second), c, stoatfeed.Result{AsOf: 11}); !v.Apply || f.Next().List {
+		t.Errorf("%+v", v)
+	}
+}
+
+// A replica's list is older than what is known already: what it lacks may be younger than
+// the list, and must not be taken for gone.
+func TestOldListOfAReplica(t *testing.T) {
+	f := listed(t, false)
+	f.Done(start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Forgotten})
+	f.Done(start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Refused})
+	c := f.Next()
+	if v := f.Done(start, c, stoatfeed.Result{AsOf: 8}); !c.Stale || v.Complete {
+		t.Errorf("%+v %+v", c, v)
+	}
+	if c = f.Next(); !c.List || c.Stale {
+		t.Errorf("%+v", c)
+	}
+}
