--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -48,9 +48,10 @@
 	Opened   bool // a flow was placed
 	Moved    bool // its opening went elsewhere before and got no answer
 	Repeats  int  // how often the packet's flow repeated itself, where known
-	// Late is how long the answer took that the packet acknowledges, if that is more than
-	// its route's objective.
-	Late time.Duration
+	// Took is how long the answer took that the packet acknowledges; Late says that this is
+	// more than its route's objective.
+	Took time.Duration
+	Late bool
 	// Busy and Mean are what the upstream had in progress from here and its mean answer time,
 	// where they decided; Bound is what Mean may be for the flow to be admitted.
 	Busy  int
@@ -130,6 +131,24 @@
 	return s
 }
 
+// InProgress is what this entry has in progress at one upstream.
+type InProgress struct {
+	Upstream stoatpaddle.UpstreamKey
+	Flows    int
+	Requests int
+	Mean     time.Duration // of answers
+	Ejected  bool
+}
+
+// InProgress returns what is in progress at each upstream that this entry met, in any order.
+func (e *Engine) InProgress(now time.Time) []InProgress {
+	out := make([]InProgress, 0, len(e.health))
+	for k, h := range e.health {
+		out = append(out, InProgress{Upstream: k, Flows: h.flows, Requests: h.busy, Mean: h.latency, Ejected: h.isEjected(now)})
+	}
+	return out
+}
+
 // Handle decides about one packet.
 func (e *Engine) Handle(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
 	e.sweep(now)
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -54,9 +54,10 @@
 	h.heard(now)
 	f.asked = time.Time{}
 	e.stats.Answered++
+	a.Took, a.Busy = took, h.busy
 	if r.Objective > 0 && took > r.Objective {
 		e.stats.Late++
-		a.Late, a.Busy = took, h.busy
+		a.Late = true
 	}
 }
 
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	malformed [stoatpacket.DropCount]atomic.Int64
 	doubted   time.Time // used by the traffic goroutine only
 	set       *metrics.Set
+	answer    *metrics.Histogram // from a request to its caller's acknowledgement of the answer
 }
 
 // called counts one call to the platform.
@@ -37,6 +39,7 @@
 func (e *Edge) newMetrics() *metrics.Set {
 	set := metrics.NewSet()
 	e.counts.set = set
+	e.counts.answer = set.NewHistogram("stoatpaddle_request_answer_seconds")
 	stat := func(name string, value func(s stoatecho.Stats) int64) {
 		set.NewGauge(name, func() float64 { return float64(value(e.Stats())) })
 	}
@@ -71,5 +74,30 @@
 		e.metrics.GetOrCreateCounter(fmt.Sprintf("stoatpaddle_log_left_out_total{event=%q}", left.Number)).Set(uint64(left.Count))
 	}
 	e.metrics.WritePrometheus(w)
+	e.writeInProgress(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// writeInProgress writes what is in progress at each upstream. They come and go, so that the
+// lines are made at each reading and not kept in a set.
+func (e *Edge) writeInProgress(w io.Writer) {
+	t := e.table.Load()
+	e.engineMu.Lock()
+	list := e.engine.InProgress(clock())
+	e.engineMu.Unlock()
+	for _, x := range list {
+		u := t.Upstream(x.Upstream)
+		if u == nil {
+			continue
+		}
+		label := fmt.Sprintf("{upstream=%q,service=%q}", u.ID, u.Service)
+		ejected := 0
+		if x.Ejected {
+			ejected = 1
+		}
+		// Whoever hung up does not want it any more.
+		_, _ = fmt.Fprintf(w, "stoatpaddle_upstream_flows%s %d\nstoatpaddle_upstream_requests%s %d\n"+
+			"stoatpaddle_upstream_answer_mean_seconds%s %g\nstoatpaddle_upstream_ejected%s %d\n",
+			label, x.Flows, label, x.Requests, label, x.Mean.Seconds(), label, ejected)
+	}
+}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -150,8 +150,11 @@
 			e.doubt(now)
 		}
 	}
-	if a.Late > 0 {
-		e.logFlow(now, EventLate, t, a, p, stoatevent.F("took", a.Late.Round(time.Millisecond).String()), stoatevent.F("busy", strconv.Itoa(a.Busy)))
+	if a.Took > 0 {
+		e.counts.answer.Update(a.Took.Seconds())
+	}
+	if a.Late {
+		e.logFlow(now, EventLate, t, a, p, stoatevent.F("took", a.Took.Round(time.Millisecond).String()), stoatevent.F("busy", strconv.Itoa(a.Busy)))
 	}
 	for _, x := range a.Abandoned {
 		e.abandon(now, t, a.Ejected, x, m)
