stoatecho: an entry whose own network stalls blames no upstream

SP1410 at edge-seeb-16 for two upstreams within 11 ms, silence 0.56 s, both serving all the while; 0.6 s before it had passed a configuration of 1,953 routes on to its children over a link of 10 Mbit/s. Callers' packets waited in the full link, callers repeated themselves, and two repeats and 0.2 s without a sign ejected upstreams that lived; their flows were reset. Ruled out: the upstreams (others forwarded to them meanwhile), the view (standing serving). Change: no upstream is blamed for a silence in which nobody at all gave a sign although others owe one too. TestOwnLinkIsSlow fails without it. A dead upstream among living ones is ejected as before (the earlier tests are unchanged).

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -103,6 +103,7 @@
 	// last is the latest opening of each caller: one that comes back at once was refused.
 	last      map[callerKey]stoatpacket.Tuple
 	handshake handshake
+	sign      time.Time // the last one of any upstream
 	openings  expectations
 	answers   expectations
 }
@@ -275,6 +276,9 @@
 // suspect takes a repeated packet as evidence against its upstream.
 func (e *Engine) suspect(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, a *Action) {
 	silence := h.silence(now)
+	if e.ownTrouble(now, h, silence) {
+		return
+	}
 	if h.repeated(now) {
 		a.Ejected, a.Silence = u, silence
 		e.stats.Ejected++
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -377,6 +377,37 @@
 	}
 }
 
+// This entry's link is full for half a second: it sends a large configuration on. Callers'
+// packets wait in it, so that callers repeat themselves and no answer is acknowledged. Both
+// upstreams live, and no flow there may be reset. Once one answers again and the other stays
+// silent, it is the upstream.
+func TestOwnLinkIsSlow(t *testing.T) {
+	w := newWorld(t)
+	at := map[stoatpaddle.UpstreamID]*caller{}
+	for len(at) < 2 {
+		c := w.caller(feed)
+		at[c.open().ID] = c
+	}
+	w.after(time.Second)
+	at["i-1"].ask()
+	at["i-2"].ask()
+	for _, gap := range []time.Duration{210 * ms, 400 * ms} {
+		w.after(gap)
+		for id, c := range at {
+			if a := c.again(); a.Verdict != stoatecho.Forward || a.Ejected != nil {
+				t.Errorf("%s is blamed for this entry's link: %+v", id, a)
+			}
+		}
+	}
+	at["i-2"].done()
+	w.after(300 * ms)
+	at["i-1"].again()
+	w.after(300 * ms)
+	if a := at["i-1"].again(); a.Ejected == nil {
+		t.Errorf("one that stays silent while the other answers: %+v", a)
+	}
+}
+
 // An upstream takes a request and dies before it answers: the caller has nothing to repeat,
 // so no packet of its flow comes here. When others prove the upstream dead, its caller is
 // told too, if the request may run twice; a pledge that may have run is left alone, and so
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -29,6 +29,9 @@
 	// ejectLeast and ejectMost bound how long it gets no flows; each time doubles it.
 	ejectLeast = time.Second
 	ejectMost  = 8 * time.Second
+	// ownSilence is how long another upstream must owe a sign for the trouble to be this
+	// entry's: longer than a usual answer takes.
+	ownSilence = 100 * time.Millisecond
 	// latencyWeight is the share of the newest sample in the mean.
 	latencyWeight = 0.2
 	// latencyFloor keeps small differences from moving flows: below it all are alike.
@@ -85,6 +88,24 @@
 	return d
 }
 
+// ownTrouble tells whether the silence speaks of this entry rather than of the upstream: for
+// as long as this one has been silent nobody gave a sign, although others owe one too.
+//
+// The load: an entry sends a large configuration on, its link is full for half a second, and
+// callers' packets wait in it. A dozen upstreams look dead at once; their flows would be
+// reset although they serve. A dead upstream among others that live is told by their signs.
+func (e *Engine) ownTrouble(now time.Time, h *health, silence time.Duration) bool {
+	if e.sign.After(now.Add(-silence)) {
+		return false
+	}
+	for _, other := range e.health {
+		if other != h && other.silence(now) > ownSilence {
+			return true
+		}
+	}
+	return false
+}
+
 // slowToAnswer tells whether new flows should rather go elsewhere for now.
 func (h *health) slowToAnswer(now time.Time, patience time.Duration) bool {
 	return h.trial || now.Before(h.shunned) ||
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -29,7 +29,7 @@
 		e.handshake.took(now.Sub(before))
 		h.opening--
 		h.flows++
-		h.heard(now)
+		e.heard(now, h)
 		f.ack = p.Ack
 	}
 	if !f.asked.IsZero() && p.Ack != f.ack {
@@ -46,12 +46,18 @@
 	return a
 }
 
+// heard notes a proof of life of an upstream, which is one of this entry's network too.
+func (e *Engine) heard(now time.Time, h *health) {
+	h.heard(now)
+	e.sign = now
+}
+
 // answered takes in that the caller has an answer.
 func (e *Engine) answered(now time.Time, r *stoatroute.Route, h *health, f *flow, a *Action) {
 	took := now.Sub(f.asked)
 	h.busy--
 	h.answered(now, took)
-	h.heard(now)
+	e.heard(now, h)
 	f.asked = time.Time{}
 	e.stats.Answered++
 	a.Took, a.Busy = took, h.busy
