--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -91,13 +91,13 @@
 	})
 	EventFollows = stoatevent.Register(stoatevent.Entry{
 		Number: 1420, Severity: stoatevent.Info, Since: "0.2",
-		Title: "seed proves for this entry",
-		Text:  "The entry watches replicas of the platform and checks them against what the seed proves, instead of asking the platform exactly by itself.",
+		Title: "another entry tells this one",
+		Text:  "The parent sends what it believes and what changes, and how old that is. Unless this entry is a seed it asks the platform no more while the parent's word is young. Depth counts the entries between a reader of the platform and this one.",
 	})
 	EventFollowsNobody = stoatevent.Register(stoatevent.Entry{
 		Number: 1421, Severity: stoatevent.Warning, Since: "0.2",
-		Title: "no seed proves for this entry",
-		Text:  "Seeds did not answer, or are out of touch themselves. The entry asks the platform exactly by itself until one tells again. If all entries report it, look at the seeds that the settings name, and at the platform's rates.",
+		Title: "the parent tells no more",
+		Text:  "It ended, fell silent, or was left because its word grew old; cause says which. The entry reads the platform by itself until another one tells it. If all entries report it again and again, look at the seeds that the settings name.",
 	})
 	EventLate = stoatevent.Register(stoatevent.Entry{
 		Number: 1422, Severity: stoatevent.Info, Since: "0.2",
@@ -111,7 +111,27 @@
 	})
 	EventNeighbour = stoatevent.Register(stoatevent.Entry{
 		Number: 1417, Severity: stoatevent.Info, Since: "0.2",
-		Title: "neighbour asked",
-		Text:  "The platform did not answer, so another entry was asked what is in force. What it tells is taken in unless something later is known.",
+		Title: "another entry told everything",
+		Text:  "Everything that the neighbour believes was taken in, unless something later is known. Age is how long ago the neighbour was up to date; it is large while the platform is away.",
+	})
+	EventReads = stoatevent.Register(stoatevent.Entry{
+		Number: 1423, Severity: stoatevent.Info, Since: "0.3",
+		Title: "entry reads the platform by itself",
+		Text:  "Nobody tells it what is young enough, or the settings name it as a seed; why says which. It costs calls, so that it should be rare on entries that are no seeds.",
+	})
+	EventSought = stoatevent.Register(stoatevent.Entry{
+		Number: 1424, Severity: stoatevent.Info, Since: "0.3",
+		Title: "no parent found",
+		Text:  "Nobody that this entry knows takes it as a child; cause is the last refusal. It reads the platform by itself and searches again after a second or more.",
+	})
+	EventChild = stoatevent.Register(stoatevent.Entry{
+		Number: 1425, Severity: stoatevent.Info, Since: "0.3",
+		Title: "entry tells another one",
+		Text:  "The child asked to be told and was accepted. Known is the platform's revision up to which it knew everything.",
+	})
+	EventChildGone = stoatevent.Register(stoatevent.Entry{
+		Number: 1426, Severity: stoatevent.Info, Since: "0.3",
+		Title: "entry tells another one no more",
+		Text:  "The child hung up, could not be written to, or this entry stops; cause says which.",
 	})
 )
--- a/stoatedge/control.go
+++ b/stoatedge/control.go
@@ -15,7 +15,7 @@
 // Receive implements actor.Actor.
 func (c *control) Receive(ctx actor.Context) {
 	switch m := ctx.Message().(type) {
-	case started, ticked, ended, told, doubted, rebound, shown:
+	case started, ticked, ended, told, parted, resumed, doubted, rebound:
 		for _, effect := range c.keeper.step(clock(), m) {
 			c.edge.do(effect)
 		}
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,7 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
+	"github.com/stoatpaddle/stoatpaddle/stoattree"
 )
 
 // Config configures an Edge.
@@ -50,10 +53,7 @@
 	stop      stopState
 	pause     pauseWatch
 	inTouch   atomic.Bool // the platform answers
-	board     *board
-	teller    teller
-	known     atomic.Uint64 // the platform's revision up to which everything is known
-	proofSeed int           // which seed is asked; used by one askProof at a time
+	place     *place
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -75,16 +75,22 @@
 		callers: cfg.Settings.Tunnel.Port(),
 		own:     cfg.Settings.Tunnel.Addr(),
 		system:  newSystem(),
-		board:   newBoard(),
+		place: newPlace(stoattree.Config{
+			Self: cfg.Settings.Admin, Centre: cfg.Settings.DataCentre, Seeds: cfg.Settings.Seeds, Share: cfg.Settings.Share, Link: cfg.Settings.Link,
+			Rand: rand.New(rand.NewPCG(seed, 2)),
+		}),
 	}
-	e.pause.tick(uptime())
+	e.pause.ticked.Store(int64(uptime()))
 	e.table.Store(&stoatroute.Table{})
 	e.metrics = e.newMetrics()
 	if err := e.open(); err != nil {
 		e.Kill()
 		return nil, err
 	}
-	k := newKeeper(keeperConfig{Apply: e.set.Apply, Return: e.set.Return, Life: e.set.Life, Follow: followsSeeds(e.set), Seed: seed})
+	others, follows := followsSeeds(e.set)
+	k := newKeeper(keeperConfig{
+		Apply: e.set.Bound(), Return: e.set.Return, Life: e.set.Life, Others: others, Follows: follows, Seed: seed,
+	})
 	e.pid = e.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return &control{edge: e, keeper: k} }))
 	e.log.emit(now, EventStart, stoatevent.F("tunnel", e.set.Tunnel.String()), stoatevent.F("centre", string(e.set.DataCentre)),
 		stoatevent.F("platform", e.set.Platform.String()), stoatevent.F("apply", e.set.Apply.String()))
@@ -93,6 +99,13 @@
 	return e, nil
 }
 
+// followsSeeds tells whether the settings name other entries, and whether they do not name
+// this one, which then goes by what it is told.
+func followsSeeds(set stoatsetting.Settings) (others, follows bool) {
+	named := slices.Contains(set.Seeds, set.Admin)
+	return len(set.Seeds) > 1 || len(set.Seeds) == 1 && !named, len(set.Seeds) > 0 && !named
+}
+
 // addrSeed keeps entries that start in the same nanosecond from choosing alike.
 func addrSeed(a netip.AddrPort) uint64 {
 	v := a.Addr().As16()
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -1,6 +1,8 @@
 package stoatedge
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -46,28 +48,32 @@
 		changes []change
 		cause   error
 	}
-	// told carries what a neighbour has in force; age is how long ago that was proven, known
-	// the revision up to which it knows everything.
+	// told carries what the parent says; age is how long ago that was known to be up to
+	// date (negative: never), known the revision up to which it knows everything. With
+	// whole, upstreams has all there are, otherwise what changed.
 	told struct {
-		known   stoatpaddle.Version
-		from    string
-		changes []change
-		age     time.Duration
-		cause   error
+		serial    int
+		from      string
+		path      []netip.AddrPort // from a reader to the parent
+		known     stoatpaddle.Version
+		age       time.Duration
+		whole     bool
+		amendment *amendment // of the declaration, if it changed
+		upstreams []stoatroute.Told
 	}
+	// parted reports the end of a search that found nobody, or of a parent's telling.
+	parted struct {
+		serial int
+		cause  error
+	}
+	// resumed reports that the process stood still for so long.
+	resumed struct{ gap time.Duration }
 	// doubted tells that traffic met a cookie which is not known here.
 	doubted struct{}
 	// rebound carries changed bounds.
 	rebound struct {
 		apply, back, life time.Duration
-		follow            bool // there are seeds, and this entry is none of them
-	}
-	// shown carries a seed's proof; age is how long ago its question was sent.
-	shown struct {
-		from  string
-		rev   stoatpaddle.Version
-		age   time.Duration
-		cause error
+		others, follows   bool // the settings name other entries; and not this one
 	}
 )
 
@@ -80,25 +86,24 @@
 	}
 	// interrupt gives up the waiting call of a topic; it ends in ended.
 	interrupt struct{ topic topic }
-	// askNeighbours asks other entries what is in force; each answer ends in told.
-	// One that knows everything up to a revision is told only what is later; 0: it has
-	// nothing to serve by. turn says whose turn it is.
-	askNeighbours struct {
-		known stoatpaddle.Version
-		turn  int
+	// seek searches for a parent and listens to it; it ends in parted. Within bounds how old
+	// the parent's word may be; 0: it does not matter.
+	seek struct {
+		serial int
+		known  stoatpaddle.Version
+		within time.Duration
 	}
-	// knows says up to which revision everything is known.
-	knows struct{ rev stoatpaddle.Version }
-	// askProof asks a seed for its next proof, or with wait unset for its last one; it ends
-	// in shown. attempt counts failures in a row.
-	askProof struct {
-		wait    bool
-		attempt int
+	// leave ends the listening of a search.
+	leave struct {
+		serial int
+		why    string
 	}
-	// proved shows others what this entry proved.
-	proved struct {
-		rev  stoatpaddle.Version
-		sent time.Time
+	// stands says what others may rely on.
+	stands struct {
+		known stoatpaddle.Version
+		path  []netip.AddrPort
+		reads bool
+		asOf  time.Time
 	}
 	// touched tells whether the platform answers.
 	touched struct{ answers bool }
@@ -110,3 +115,7 @@
 		fields []stoatevent.Field
 	}
 )
+
+func (s *stands) same(o *stands) bool {
+	return s.known == o.known && s.reads == o.reads && s.asOf.Equal(o.asOf) && slices.Equal(s.path, o.path)
+}
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -18,50 +18,49 @@
 	// settle is how long a replica may take to bring what a proof shows to exist, and the
 	// platform to answer at the start, before somebody is asked: many times an answer's 4 ms.
 	settle = 150 * time.Millisecond
-	// neighbourEvery is how often neighbours are asked while the platform does not answer,
-	// and neighbourFirst how often while there is nothing to serve by: an entry that starts
-	// behind a cut finds out about the cut only when its calls time out.
-	neighbourEvery = time.Second
-	neighbourFirst = 300 * time.Millisecond
 )
 
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
 type keeper struct {
 	book    *stoatroute.Book
 	feeds   [topicCount]*stoatfeed.Feed
-	waiting [topicCount]bool                // a watch is under way that waits for a change
+	reading bool                            // the platform is asked; otherwise the parent tells
+	pending [topicCount]bool                // a call is under way
+	stale   [topicCount]bool                // and what it brings is not wanted any more
+	waiting [topicCount]bool                // it is a watch that waits for a change
 	answers bool                            // the platform does, as last said to touched
 	parked  bool                            // upstreams are not asked for until the other topic is answered
 	listed  map[stoatpaddle.UpstreamID]bool // names in the pages of the list under way
-	seeds   follower
+	follow  follower
 	bound   time.Duration // how soon a change has to be in force
 	open    *proof        // not matched yet
-	// followAt is whether seeds are followed from the start on.
-	followAt bool
-	known    stoatpaddle.Version // everything up to it, of both topics, once ready
-	hearsay  stoatpaddle.Version // the same, as neighbours told
-	turn     int                 // of neighbours
-	heard    time.Time           // when the platform last answered; at first the start
-	asked    time.Time           // when neighbours were
-	ready    bool
-	table    *stoatroute.Table
-	out      []any // effects of the present step
+	rnd     *rand.Rand
+	known   stoatpaddle.Version // everything up to it, of both topics, once ready
+	heard   time.Time           // when the platform last answered; at first the start
+	ready   bool
+	table   *stoatroute.Table
+	said    stands // as last said to others
+	out     []any  // effects of the present step
 }
 
 type keeperConfig struct {
-	Apply  time.Duration
-	Return time.Duration
-	Life   time.Duration
-	Follow bool // there are seeds, and this entry is none of them
-	Seed   uint64
+	Apply   time.Duration
+	Return  time.Duration
+	Life    time.Duration
+	Others  bool // the settings name other entries
+	Follows bool // and not this one
+	Seed    uint64
 }
 
 func newKeeper(cfg keeperConfig) *keeper {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
-	k := &keeper{bound: cfg.Apply, book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life})}
+	k := &keeper{
+		bound: cfg.Apply, rnd: rnd, reading: true,
+		book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life}),
+	}
 	k.feeds[declarations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd})
 	k.feeds[upstreams] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
-	k.followAt = cfg.Follow
+	k.rebind(cfg.Others, cfg.Follows)
 	return k
 }
 
@@ -73,36 +72,49 @@
 		k.heard = now
 		k.ask(declarations)
 		k.ask(upstreams)
-		k.follow(k.followAt)
+		if k.wantsParent(now) {
+			k.seek(now)
+		}
 	case ticked:
 		k.tick(now)
-	case shown:
-		k.shown(now, x)
 	case ended:
 		k.ended(now, x)
 	case told:
 		k.told(now, x)
+	case parted:
+		k.parted(now, x)
+	case resumed:
+		k.resumed(x.gap)
 	case doubted:
 		k.doubt(upstreams)
 	case rebound:
 		k.bound = x.apply
-		k.follow(x.follow)
+		k.rebind(x.others, x.follows)
 		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life})
 		for _, f := range k.feeds {
 			f.SetBound(x.apply)
 		}
 	}
-	if answers := k.ready && k.failing().IsZero(); answers != k.answers {
+	k.publish()
+	k.tell()
+	return k.out
+}
+
+// tell says what others may rely on, if it changed, after what they read is published.
+func (k *keeper) tell() {
+	reads := k.reading && k.ready && k.failing().IsZero()
+	if answers := k.ready && (reads || !k.reading); answers != k.answers {
 		k.answers = answers
 		k.do(touched{answers: answers})
 	}
-	k.publish()
-	own := min(k.feeds[declarations].Revision(), k.feeds[upstreams].Revision())
-	if known := max(own, k.hearsay); k.ready && known != k.known {
-		k.known = known
-		k.do(knows{rev: known})
+	if k.ready {
+		k.known = min(k.feeds[declarations].Revision(), k.feeds[upstreams].Revision())
+	}
+	now := stands{known: k.known, path: k.follow.path, reads: reads, asOf: k.asOf()}
+	if !now.same(&k.said) {
+		k.said = now
+		k.do(now)
 	}
-	return k.out
 }
 
 func (k *keeper) do(effect any) { k.out = append(k.out, effect) }
@@ -113,13 +125,17 @@
 
 func (k *keeper) ask(t topic) {
 	c := k.feeds[t].Next()
-	k.waiting[t] = !c.List && c.Wait > time.Millisecond
+	k.waiting[t], k.pending[t] = !c.List && c.Wait > time.Millisecond, true
 	k.do(ask{topic: t, call: c})
 }
 
 // doubt has a topic asked at once, exactly.
 func (k *keeper) doubt(t topic) {
 	k.feeds[t].Doubt()
+	if !k.reading && !k.pending[t] {
+		k.ask(t)
+		return
+	}
 	k.nudge(t)
 }
 
@@ -135,20 +151,7 @@
 		k.standing(id, "did not come back")
 	}
 	k.press(now)
-	if k.wantsNeighbours(now) {
-		k.asked = now
-		k.turn++
-		k.do(askNeighbours{known: k.known, turn: k.turn})
-	}
-}
-
-func (k *keeper) wantsNeighbours(now time.Time) bool {
-	if !k.ready {
-		// A large list comes in pages; as long as they come, nobody needs to be troubled.
-		return now.Sub(k.heard) > settle && now.Sub(k.asked) >= neighbourFirst
-	}
-	failing := k.failing()
-	return !failing.IsZero() && now.Sub(failing) > settle && now.Sub(k.asked) >= neighbourEvery
+	k.watchParent(now)
 }
 
 // failing tells since when one of the feeds got no answer.
@@ -162,13 +165,18 @@
 }
 
 func (k *keeper) ended(now time.Time, x ended) {
-	k.waiting[x.topic] = false
+	k.waiting[x.topic], k.pending[x.topic] = false, false
+	if k.stale[x.topic] {
+		k.stale[x.topic] = false
+		k.next(x.topic)
+		return
+	}
 	if x.result.Outcome == stoatfeed.Answered {
 		k.heard = now
 	}
 	f := k.feeds[x.topic]
 	failing := f.Failing()
-	v := f.Done(now, x.call, x.result)
+	v := f.Done(now, x.sent, x.call, x.result)
 	if v.Lost {
 		cause := "refused by rate"
 		if x.cause != nil {
@@ -186,6 +194,9 @@
 		k.apply(now, x.topic, x.changes, "platform")
 		k.complete(now, x, v)
 		k.prove(now, x, v)
+		if v.Proof {
+			k.compareParent(now)
+		}
 	}
 	k.next(x.topic)
 }
@@ -193,6 +204,9 @@
 // next asks about a topic again. While the platform answers neither, one question at a
 // time finds out that it is back: each is paid for.
 func (k *keeper) next(t topic) {
+	if !k.reading {
+		return
+	}
 	if t == upstreams && k.lost(upstreams) && k.lost(declarations) {
 		k.parked = true
 		return
@@ -229,12 +243,12 @@
 // prove notes until when the view is proven up to date: by an exact answer about the
 // upstreams, or by replicas' answers that are as new as an exact one.
 func (k *keeper) prove(now time.Time, x ended, v stoatfeed.Verdict) {
+	asOf := x.call.AsOf(x.sent, now, x.result)
 	switch {
 	case x.topic == upstreams && v.Proof:
-		k.book.Prove(x.sent)
+		k.book.Prove(asOf)
 	case x.topic == declarations && v.Proof:
-		k.do(proved{rev: x.result.AsOf, sent: x.sent})
-		k.challenge(proof{sent: x.sent, rev: x.result.AsOf, at: now})
+		k.challenge(proof{asOf: asOf, rev: x.result.AsOf, at: now})
 	}
 	k.match()
 	if k.open != nil && k.open.hurried && k.feeds[x.topic].Revision() < k.open.rev {
@@ -284,22 +298,6 @@
 
 func countOf(n int) string { return strconv.Itoa(n) }
 
-// told takes in what a neighbour has in force. Versions decide what is later, so that a
-// neighbour which is behind can take nothing back.
-func (k *keeper) told(now time.Time, x told) {
-	if x.cause != nil {
-		k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("cause", x.cause.Error()))
-		return
-	}
-	if k.failing().IsZero() && k.ready {
-		return
-	}
-	k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", x.age.String()), stoatevent.F("objects", countOf(len(x.changes))))
-	k.apply(now, upstreams, x.changes, x.from)
-	k.book.Neighbour()
-	k.hearsay = max(k.hearsay, x.known)
-}
-
 func (k *keeper) publish() {
 	t := k.book.Table()
 	if t == k.table {
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -59,12 +59,19 @@
 	}
 	set.NewGauge("stoatpaddle_config_version", func() float64 { return float64(e.table.Load().Declaration.Version) })
 	set.NewGauge("stoatpaddle_view_age_seconds", func() float64 {
-		t := e.table.Load()
-		if t.Proven.IsZero() {
-			return -1
+		if age := e.ViewAge(clock()); age >= 0 {
+			return age.Seconds()
 		}
-		return clock().Sub(t.Proven).Seconds()
+		return -1
 	})
+	set.NewGauge("stoatpaddle_tree_children", func() float64 {
+		e.place.mu.Lock()
+		defer e.place.mu.Unlock()
+		return float64(e.place.tree.Children())
+	})
+	set.NewGauge("stoatpaddle_tree_depth", func() float64 { return float64(e.Depth()) })
+	set.NewGauge(`stoatpaddle_tree_bytes_total{direction="sent"}`, func() float64 { return float64(e.place.sent.Load()) })
+	set.NewGauge(`stoatpaddle_tree_bytes_total{direction="received"}`, func() float64 { return float64(e.place.heard.Load()) })
 	set.NewGauge("stoatpaddle_log_lost_total", func() float64 { return float64(e.log.pipe.Lost()) })
 	return set
 }
--- a/stoatedge/pause.go
+++ b/stoatedge/pause.go
@@ -14,17 +14,39 @@
 // pauseWatch notices that the process stood still: the ticker did not come. It goes by the
 // time since the machine was started, in which a suspended machine's time counts; the
 // steady clock leaves that out, and the time of day jumps for other reasons.
+//
+// Whoever runs first after a pause notices it: the ticker, which leaves the gap for the
+// goroutine that moves packets, or that goroutine.
 type pauseWatch struct {
 	ticked atomic.Int64 // time since the machine's start, at the last tick
+	gap    atomic.Int64 // of a pause that the ticker noticed, until packets were discarded
+	seen   atomic.Int64 // when it did
 }
 
-func (w *pauseWatch) tick(up time.Duration) { w.ticked.Store(int64(up)) }
+// pauseKept is how long a pause that the ticker noticed is remembered: what waited in the
+// socket is read at once, and what comes later is not old.
+const pauseKept = 200 * time.Millisecond
 
-// paused tells for how long the process stood still; 0: it did not.
+// tick notes that the process runs, and returns for how long it stood still; 0: it did not.
+func (w *pauseWatch) tick(up time.Duration) time.Duration {
+	gap := up - time.Duration(w.ticked.Swap(int64(up)))
+	if gap < pausedFor {
+		return 0
+	}
+	w.seen.Store(int64(up))
+	w.gap.Store(int64(gap))
+	return gap
+}
+
+// paused tells for how long the process stood still before this packet was read; 0: it did not.
 func (w *pauseWatch) paused(up time.Duration) time.Duration {
+	if gap := w.gap.Swap(0); gap != 0 && up-time.Duration(w.seen.Load()) < pauseKept {
+		return time.Duration(gap)
+	}
 	gap := up - time.Duration(w.ticked.Load())
 	if gap < pausedFor {
 		return 0
 	}
+	w.ticked.Store(int64(up))
 	return gap
 }
--- /dev/null
+++ b/stoatedge/proof.go
@@ -0,0 +1,57 @@
+package stoatedge
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// proof says which revision the platform had at a time.
+//
+// Replicas cost a tenth and count toward no rate, but may be seconds behind. Of the two
+// topics one is asked exactly: its answer says which revision the platform had, and the
+// replica that tells of the other topic has to reach it.
+type proof struct {
+	asOf time.Time
+	rev  stoatpaddle.Version
+	at   time.Time // when it came
+	// hurried is set once the replicas that are behind were asked for it.
+	hurried bool
+}
+
+// challenge notes a proof that this entry's view has to match, unless it has one already
+// that is not matched: the older one would never be.
+func (k *keeper) challenge(p proof) {
+	if k.open == nil || !k.open.hurried {
+		k.open = &p
+	}
+	k.match()
+}
+
+// match tells whether everything up to the open proof's revision is known here.
+func (k *keeper) match() {
+	if k.open == nil {
+		return
+	}
+	for _, f := range k.feeds {
+		if f.Revision() < k.open.rev {
+			return
+		}
+	}
+	k.book.Prove(k.open.asOf)
+	k.open = nil
+}
+
+// press asks replicas that are behind the open proof: first once more, then around them.
+func (k *keeper) press(now time.Time) {
+	if k.open == nil || k.open.hurried || now.Sub(k.open.at) <= settle {
+		return
+	}
+	k.open.hurried = true
+	for t, f := range k.feeds {
+		if f.Revision() < k.open.rev {
+			f.Hurry()
+			k.nudge(topic(t))
+		}
+	}
+}
--- a/stoatedge/reload.go
+++ b/stoatedge/reload.go
@@ -23,7 +23,8 @@
 	}
 	e.set = next
 	e.log.level(next.Level)
-	e.post(rebound{apply: next.Apply, back: next.Return, life: next.Life, follow: followsSeeds(next)})
+	others, follows := followsSeeds(next)
+	e.post(rebound{apply: next.Bound(), back: next.Return, life: next.Life, others: others, follows: follows})
 	e.log.emit(now, EventReload, stoatevent.F("applied", strings.Join(applied, ",")), stoatevent.F("kept", strings.Join(kept, ",")))
 }
 
@@ -45,12 +46,15 @@
 	}
 	apply("log.level", old.Level != next.Level, func() { out.Level = next.Level })
 	apply("platform.apply", old.Apply != next.Apply, func() { out.Apply = next.Apply })
+	apply("platform.leave", old.Leave != next.Leave, func() { out.Leave = next.Leave })
 	apply("platform.return", old.Return != next.Return, func() { out.Return = next.Return })
 	apply("flow.life", old.Life != next.Life, func() { out.Life = next.Life })
 	apply("stop.deadline", old.Stop != next.Stop, func() { out.Stop = next.Stop })
 	apply("peer.seeds", !sameSeeds(old, next), func() { out.Seeds = next.Seeds })
 	keep("instance.id", old.Instance != next.Instance)
 	keep("instance.centre", old.DataCentre != next.DataCentre)
+	keep("instance.share", old.Share != next.Share)
+	keep("instance.link", old.Link != next.Link)
 	keep("listen.tunnel", old.Tunnel != next.Tunnel)
 	keep("listen.ready", old.Ready != next.Ready)
 	keep("listen.admin", old.Admin != next.Admin)
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/stoatpaddle/stoatpaddle/stoatadmin"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
@@ -12,8 +13,7 @@
 // admin serves operators and neighbours.
 func (e *Edge) admin() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathHolding, e.tellHolding)
-	mux.HandleFunc("GET "+pathProof, e.tellProof)
+	mux.HandleFunc("GET "+pathNews, e.tellNews)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.status()) })
 	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.report()) })
 	mux.HandleFunc("GET /metrics", e.writeMetrics)
@@ -31,13 +31,12 @@
 	_, _ = w.Write(append(data, '\n'))
 }
 
-// provenAge is how long ago the table was proven, ms; -1: never.
-func provenAge(t *stoatroute.Table) int64 {
-	if t.Proven.IsZero() {
-		return -1
-	}
-	return clock().Sub(t.Proven).Milliseconds()
-}
+// ViewAge is how long ago what is believed was known to be up to date; negative: never.
+func (e *Edge) ViewAge(now time.Time) time.Duration { return ageAt(now, e.place.stands.Load().asOf) }
+
+// Depth is the number of entries between a reader of the platform and this one; 0: it is told
+// by nobody.
+func (e *Edge) Depth() int { return len(e.place.stands.Load().path) }
 
 // status is what is in force on this entry. The entries that it names are those of the
 // settings: on this fabric entries need not know each other.
@@ -49,7 +48,7 @@
 		Platform: e.inTouch.Load(), Watching: true,
 		Contracts: []stoatadmin.Summary{}, Instances: []stoatadmin.Instance{},
 		View: &stoatadmin.View{
-			Version: uint64(t.Declaration.Version), Age: provenAge(t), Routes: routes, Serving: n[stoatroute.Serving],
+			Version: uint64(t.Declaration.Version), Age: max(-1, e.ViewAge(clock()).Milliseconds()), Routes: routes, Serving: n[stoatroute.Serving],
 			Leaving: n[stoatroute.Leaving], Missing: n[stoatroute.Missing], Gone: n[stoatroute.Gone],
 		},
 	}
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -19,42 +18,51 @@
 // steady is the steady clock's time since the process started.
 func steady() time.Duration { return time.Since(began) }
 
-// callCancel gives up the call that a topic waits for.
-type callCancel struct {
-	cancel atomic.Pointer[context.CancelFunc]
-	asked  atomic.Bool // by an interrupt, not by a time-out
+// callCancel gives up the call of a topic. Begin and interrupt are effects of one keeper, in
+// its order: an interrupt finds the call that was asked for before it, also in its pause.
+type callCancel struct{ cancel context.CancelFunc }
+
+func (c *callCancel) begin(parent context.Context) context.Context {
+	ctx, cancel := context.WithCancel(parent)
+	c.cancel = cancel
+	return ctx
+}
+
+func (c *callCancel) interrupt() {
+	if c.cancel != nil {
+		c.cancel()
+	}
 }
 
 // do performs one effect; what waits for others runs in the group.
 func (e *Edge) do(effect any) {
 	switch x := effect.(type) {
 	case ask:
+		ctx := e.cancels[x.topic].begin(e.ctx)
 		e.group.Go(func() error {
-			e.call(x)
+			e.call(ctx, x)
 			return nil
 		})
 	case interrupt:
-		c := &e.cancels[x.topic]
-		c.asked.Store(true)
-		if cancel := c.cancel.Load(); cancel != nil {
-			(*cancel)()
-		}
-	case askNeighbours:
-		e.askNeighbours(x)
+		e.cancels[x.topic].interrupt()
+	case seek:
+		ctx, cancel := context.WithCancelCause(e.ctx)
+		e.place.parent.set(x.serial, cancel)
+		e.group.Go(func() error {
+			defer cancel(nil)
+			e.seek(ctx, x)
+			return nil
+		})
+	case leave:
+		e.place.parent.leave(x)
+	case stands:
+		e.place.stands.Store(&x)
+		e.place.bell.ring()
 	case publish:
 		e.table.Store(x.table)
 		if x.table.Ready() {
 			e.release(clock())
 		}
-	case askProof:
-		e.group.Go(func() error {
-			e.askProof(x)
-			return nil
-		})
-	case proved:
-		e.board.post(x.rev, x.sent)
-	case knows:
-		e.known.Store(uint64(x.rev))
 	case touched:
 		e.inTouch.Store(x.answers)
 	case logged:
@@ -69,16 +77,17 @@
 	return platform.KindUpstream
 }
 
-// call does one call to the platform and reports its end.
-func (e *Edge) call(x ask) {
-	if !stoatplatform.Pause(e.ctx, x.call.Pause) {
+// call does one call to the platform and reports its end. given is cancelled when the call
+// is given up.
+func (e *Edge) call(given context.Context, x ask) {
+	if !stoatplatform.Pause(given, x.call.Pause) {
+		if e.ctx.Err() == nil {
+			e.post(ended{topic: x.topic, call: x.call, sent: clock(), result: stoatfeed.Result{Outcome: stoatfeed.Interrupted}})
+		}
 		return
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, x.call.Timeout)
+	ctx, cancel := context.WithTimeout(given, x.call.Timeout)
 	defer cancel()
-	c := &e.cancels[x.topic]
-	c.asked.Store(false)
-	c.cancel.Store(&cancel)
 	q := platform.Query{Kind: kindOf(x.topic), Stale: x.call.Stale}
 	if x.call.List {
 		q.After = x.call.After
@@ -88,13 +97,12 @@
 	sent := clock()
 	answer, err := e.store.Read(ctx, q)
 	took := clock().Sub(sent)
-	c.cancel.Store(nil)
 	if e.ctx.Err() != nil {
 		return
 	}
 	out := ended{topic: x.topic, call: x.call, sent: sent, cause: err}
 	out.result, out.changes = readAnswer(x, answer, err)
-	if err != nil && c.asked.Load() {
+	if err != nil && given.Err() != nil {
 		out.result.Outcome = stoatfeed.Interrupted
 	}
 	e.counts.called(x, out.result.Outcome, took)
--- /dev/null
+++ b/stoatedge/run_follow.go
@@ -0,0 +1,208 @@
+package stoatedge
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoattree"
+)
+
+// seekTimeout bounds one question to another entry: behind a cut it would hang. A slow one
+// answers within some tens of milliseconds.
+const seekTimeout = 500 * time.Millisecond
+
+// followClient asks other entries. A connection is not used again: it may have gone silent.
+var followClient = &http.Client{Transport: &http.Transport{
+	DialContext:       (&net.Dialer{Timeout: seekTimeout}).DialContext,
+	DisableKeepAlives: true, DisableCompression: true,
+}}
+
+// parentCancel ends the listening of one search.
+type parentCancel struct {
+	mu     sync.Mutex
+	serial int
+	cancel context.CancelCauseFunc
+}
+
+func (p *parentCancel) set(serial int, cancel context.CancelCauseFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serial, p.cancel = serial, cancel
+}
+
+func (p *parentCancel) leave(x leave) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.serial == x.serial && p.cancel != nil {
+		p.cancel(&leftError{why: x.why})
+	}
+}
+
+// leftError reports that this entry left its parent.
+type leftError struct{ why string }
+
+// Error tells why.
+func (e *leftError) Error() string { return "left: " + e.why }
+
+// refusedError reports that an entry tells nothing.
+type refusedError struct {
+	addr   netip.AddrPort
+	reason string
+}
+
+// Error names the entry and its reason.
+func (e *refusedError) Error() string { return e.addr.String() + " refused: " + e.reason }
+
+// silentError reports a parent of which nothing was heard.
+type silentError struct{ after time.Duration }
+
+// Error tells for how long.
+func (e *silentError) Error() string { return "silent for " + e.after.String() }
+
+// seek searches for a parent, listens to the first that accepts, and reports the end.
+func (e *Edge) seek(ctx context.Context, x seek) {
+	var cause error = &refusedError{reason: "nobody to ask"}
+	e.place.mu.Lock()
+	e.place.tree.SetSeeds(e.settings().Seeds)
+	e.place.tree.Begin()
+	e.place.mu.Unlock()
+	for ctx.Err() == nil {
+		e.place.mu.Lock()
+		addr, ask, ok := e.place.tree.Next()
+		e.place.mu.Unlock()
+		if !ok {
+			break
+		}
+		ask.Known, ask.Within = x.known, x.within
+		accepted, err := e.hear(ctx, x.serial, addr, ask)
+		cause = err
+		if accepted {
+			break
+		}
+	}
+	if e.ctx.Err() != nil {
+		return
+	}
+	if left := context.Cause(ctx); left != nil {
+		cause = left
+	}
+	e.post(parted{serial: x.serial, cause: cause})
+}
+
+// hear asks one entry, and takes in what it tells until that ends; accepted tells whether
+// it told anything.
+func (e *Edge) hear(parent context.Context, serial int, addr netip.AddrPort, ask stoattree.Ask) (accepted bool, err error) {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(seekTimeout, func() { cancel(&silentError{after: seekTimeout}) })
+	defer watchdog.Stop()
+	res, err := e.askEntry(ctx, addr, ask)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	dec := msgpack.NewDecoder(bufio.NewReader(&countingReader{r: res.Body, n: &e.place.heard}))
+	if res.StatusCode != http.StatusOK {
+		return false, e.refused(addr, dec)
+	}
+	for {
+		h, body, err := readNews(dec)
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = cause
+			}
+			return accepted, &stoatpaddle.UnavailableError{Op: "news of " + addr.String(), Cause: err}
+		}
+		silence := stoatfeed.Share(e.settings().Bound(), silenceShare)
+		watchdog.Stop()
+		watchdog = time.AfterFunc(silence, func() { cancel(&silentError{after: silence}) })
+		accepted = true
+		if err := e.takeNews(serial, addr, h, body); err != nil {
+			return true, err
+		}
+	}
+}
+
+// readNews reads one message; there is no body if nothing changed.
+func readNews(dec *msgpack.Decoder) (*wireHead, *wireBody, error) {
+	h := &wireHead{}
+	if err := dec.Decode(h); err != nil || !h.Body {
+		return h, nil, err
+	}
+	w := &wireBody{}
+	return h, w, dec.Decode(w)
+}
+
+func (e *Edge) askEntry(ctx context.Context, addr netip.AddrPort, ask stoattree.Ask) (*http.Response, error) {
+	url := "http://" + addr.String() + pathNews + "?" + writeAsk(ask)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
+	}
+	res, err := followClient.Do(req)
+	if err != nil {
+		return nil, &stoatpaddle.UnavailableError{Op: "ask " + addr.String(), Cause: err}
+	}
+	return res, nil
+}
+
+// refused takes in whom an entry that refused names instead.
+func (e *Edge) refused(addr netip.AddrPort, dec *msgpack.Decoder) error {
+	var w wireRefusal
+	if err := dec.Decode(&w); err != nil {
+		return &stoatpaddle.DecodeError{What: "a refusal of " + addr.String(), Cause: err}
+	}
+	try, err := parseAddrs(w.Try)
+	if err != nil {
+		return err
+	}
+	e.place.mu.Lock()
+	e.place.tree.Refused(try)
+	e.place.mu.Unlock()
+	return &refusedError{addr: addr, reason: w.Reason}
+}
+
+// takeNews hands a parent's message to the keeper, or tells why the parent is to be left.
+func (e *Edge) takeNews(serial int, addr netip.AddrPort, h *wireHead, w *wireBody) error {
+	x, err := decodeNews(h, w)
+	if err != nil {
+		return err
+	}
+	relatives, err := parseAddrs(h.Relatives)
+	if err != nil {
+		return err
+	}
+	x.serial, x.from = serial, addr.String()
+	e.place.mu.Lock()
+	e.place.tree.Learn(relatives)
+	looped := e.place.tree.Looped(x.path)
+	e.place.mu.Unlock()
+	if looped {
+		return &refusedError{addr: addr, reason: string(stoattree.Loop)}
+	}
+	e.post(x)
+	return nil
+}
+
+// countingReader counts what comes from parents.
+type countingReader struct {
+	r io.Reader
+	n *atomic.Int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/stoatedge/run_tell.go
@@ -0,0 +1,281 @@
+package stoatedge
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+	"github.com/stoatpaddle/stoatpaddle/stoattree"
+)
+
+// pathNews is where an entry tells another one what it believes, for as long as it wants.
+const pathNews = "/v1/news"
+
+// The names of what an entry says when it asks.
+const (
+	askFrom   = "from"
+	askCentre = "centre"
+	askKnown  = "known"
+	askNear   = "near"
+	askWithin = "within" // ms; how old the word may be at most
+	askSkip   = "skip"
+)
+
+const (
+	// keepaliveShare is how much of the bound passes between two messages at most: half of
+	// the silence at which a child gives its parent up.
+	keepaliveShare = 0.36
+	// silenceShare is how long a child hears nothing until it gives its parent up. What is
+	// left of the bound is for asking the platform itself.
+	silenceShare = 0.72
+)
+
+// bell wakes everybody who waits for news.
+type bell struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+func newBell() *bell { return &bell{next: make(chan struct{})} }
+
+func (b *bell) ring() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.next)
+	b.next = make(chan struct{})
+}
+
+// wait returns what is closed at the next ring.
+func (b *bell) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.next
+}
+
+// place is this entry's place among the others.
+type place struct {
+	mu     sync.Mutex // of tree
+	tree   *stoattree.Tree
+	stands atomic.Pointer[stands]
+	bell   *bell
+	bodies bodies
+	sent   atomic.Int64 // bytes to children
+	heard  atomic.Int64 // bytes from parents
+	parent parentCancel
+}
+
+func newPlace(cfg stoattree.Config) *place {
+	p := &place{tree: stoattree.New(cfg), bell: newBell()}
+	p.stands.Store(&stands{})
+	return p
+}
+
+// state is what this entry is to one that asks.
+func (e *Edge) state() stoattree.State {
+	s := e.place.stands.Load()
+	return stoattree.State{
+		Ready: e.table.Load().Ready() && !e.stop.asked(), Known: s.known, Path: s.path, Reads: s.reads,
+		Age: ageAt(clock(), s.asOf),
+	}
+}
+
+// ageAt is how long ago something was; negative: never.
+func ageAt(now, then time.Time) time.Duration {
+	if then.IsZero() {
+		return -1
+	}
+	return now.Sub(then)
+}
+
+// tellNews answers an entry that asks to be told: with a refusal, or with messages until
+// either side ends.
+func (e *Edge) tellNews(w http.ResponseWriter, r *http.Request) {
+	ask, err := readAsk(r.URL.Query())
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.place.mu.Lock()
+	a := e.place.tree.Admit(e.state(), ask)
+	e.place.mu.Unlock()
+	if a.Refusal != stoattree.Accepted {
+		refuseAsk(w, a)
+		return
+	}
+	e.log.emit(clock(), EventChild, stoatevent.F("child", ask.From.String()), stoatevent.F("centre", string(ask.Centre)), stoatevent.F("known", ask.Known.String()))
+	cause := e.tellChild(w, r, ask)
+	e.place.mu.Lock()
+	e.place.tree.Part(ask.From, a.Ticket)
+	e.place.mu.Unlock()
+	e.log.emit(clock(), EventChildGone, stoatevent.F("child", ask.From.String()), stoatevent.F("cause", cause))
+}
+
+func refuseAsk(w http.ResponseWriter, a stoattree.Answer) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	// Whoever hung up asks another one.
+	_ = msgpack.NewEncoder(w).Encode(&wireRefusal{Reason: string(a.Refusal), Try: addrTexts(a.Try)})
+}
+
+// countingWriter counts what goes to children.
+type countingWriter struct {
+	w io.Writer
+	n *atomic.Int64
+}
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// tellChild sends messages until something ends it, and returns what did.
+func (e *Edge) tellChild(w http.ResponseWriter, r *http.Request, ask stoattree.Ask) string {
+	rc := http.NewResponseController(w)
+	out := &countingWriter{w: w, n: &e.place.sent}
+	var child heldBy
+	for {
+		bound := e.settings().Bound()
+		next := e.place.bell.wait()
+		if e.stop.asked() {
+			return "this entry stops"
+		}
+		// First how far everything is known, then the table: it holds that much at least.
+		s, t, now := e.place.stands.Load(), e.table.Load(), clock()
+		body, err := e.place.bodies.of(now, t, child)
+		if err != nil {
+			return err.Error()
+		}
+		head, err := e.headFor(now, s, ask, len(body) > 0)
+		if err != nil {
+			return err.Error()
+		}
+		// A child that stands still must not hold this goroutine.
+		_ = rc.SetWriteDeadline(now.Add(stoatfeed.Share(bound, silenceShare)))
+		if _, err := out.Write(append(head, body...)); err != nil {
+			return err.Error()
+		}
+		if err := rc.Flush(); err != nil {
+			return err.Error()
+		}
+		child = holds(t)
+		timer := time.NewTimer(stoatfeed.Share(bound, keepaliveShare))
+		select {
+		case <-next:
+		case <-timer.C:
+		case <-r.Context().Done():
+			timer.Stop()
+			return "it hung up"
+		case <-e.ctx.Done():
+			timer.Stop()
+			return "this entry ends"
+		}
+		timer.Stop()
+	}
+}
+
+// headFor returns the head of a message to one child, encoded.
+func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool) ([]byte, error) {
+	h := wireHead{
+		Known: uint64(s.known), AgeMS: ageAt(now, s.asOf).Milliseconds(), Body: body,
+		Path: addrTexts(append(s.path[:len(s.path):len(s.path)], e.settings().Admin)),
+	}
+	e.place.mu.Lock()
+	h.Relatives = addrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
+	e.place.mu.Unlock()
+	return encodeWire(&h)
+}
+
+func encodeWire(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// bodies keeps the last body: children that were told the same are told the same next.
+type bodies struct {
+	mu    sync.Mutex
+	table *stoatroute.Table
+	child heldBy
+	made  time.Time
+	text  []byte
+}
+
+// bodyKept is how long a body is told again: how much longer an upstream is cold is said in it.
+const bodyKept = 200 * time.Millisecond
+
+// of returns what t has that a child does not, encoded; nothing if there is nothing.
+func (b *bodies) of(now time.Time, t *stoatroute.Table, child heldBy) ([]byte, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table == t && b.child == child && now.Sub(b.made) < bodyKept {
+		return b.text, nil
+	}
+	var text []byte
+	if w := encodeBody(now, t, child); w != nil {
+		var err error
+		if text, err = encodeWire(w); err != nil {
+			return nil, err
+		}
+	}
+	b.table, b.child, b.made, b.text = t, child, now, text
+	return text, nil
+}
+
+// readAsk reads what an entry says, or returns *stoatpaddle.DecodeError.
+func readAsk(q url.Values) (stoattree.Ask, error) {
+	fail := func(what string, err error) (stoattree.Ask, error) {
+		return stoattree.Ask{}, &stoatpaddle.DecodeError{What: what, Cause: err}
+	}
+	from, err := netip.ParseAddrPort(q.Get(askFrom))
+	if err != nil {
+		return fail(askFrom, err)
+	}
+	known, err := strconv.ParseUint(q.Get(askKnown), 10, 64)
+	if err != nil {
+		return fail(askKnown, err)
+	}
+	within, err := strconv.ParseUint(q.Get(askWithin), 10, 31)
+	if err != nil {
+		return fail(askWithin, err)
+	}
+	a := stoattree.Ask{
+		From: from, Centre: stoatpaddle.DataCentreID(q.Get(askCentre)), Known: stoatpaddle.Version(known),
+		Near: q.Get(askNear) != "", Within: time.Duration(within) * time.Millisecond,
+	}
+	if skip := q.Get(askSkip); skip != "" {
+		if a.Skip, err = parseAddrs(strings.Split(skip, ",")); err != nil {
+			return fail(askSkip, err)
+		}
+	}
+	return a, nil
+}
+
+func writeAsk(a stoattree.Ask) string {
+	q := url.Values{}
+	q.Set(askFrom, a.From.String())
+	q.Set(askCentre, string(a.Centre))
+	q.Set(askKnown, a.Known.String())
+	q.Set(askWithin, strconv.FormatInt(a.Within.Milliseconds(), 10))
+	if a.Near {
+		q.Set(askNear, "1")
+	}
+	q.Set(askSkip, strings.Join(addrTexts(a.Skip), ","))
+	return q.Encode()
+}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -46,6 +46,7 @@
 		now := clock()
 		e.stop.packet(now)
 		if gap := e.pause.paused(uptime()); gap > 0 {
+			e.post(resumed{gap: gap})
 			e.discard(now, gap, m)
 			continue
 		}
@@ -69,7 +70,6 @@
 
 // discard drops the packets that waited while the process stood still.
 func (e *Edge) discard(now time.Time, gap time.Duration, m *mover) {
-	e.pause.tick(uptime())
 	n := 1
 	for e.conn.SetReadDeadline(clock().Add(discardWait)) == nil {
 		if _, err := e.conn.Read(m.buf); err != nil {
@@ -193,17 +193,10 @@
 	if a.Repeats > 0 {
 		fields = append(fields, stoatevent.F("repeats", strconv.Itoa(a.Repeats)))
 	}
-	fields = append(fields, stoatevent.F("version", t.Declaration.Version.String()), stoatevent.F("proven", ageOf(now, t.Proven)))
+	fields = append(fields, stoatevent.F("version", t.Declaration.Version.String()), stoatevent.F("proven", ageText(e.ViewAge(now))))
 	e.log.write(entry, fields...)
 }
 
-func ageOf(now, then time.Time) string {
-	if then.IsZero() {
-		return "never"
-	}
-	return now.Sub(then).Round(time.Millisecond).String()
-}
-
 func (e *Edge) logDrop(now time.Time, p *stoatpacket.Packet, reason stoatpacket.DropReason) {
 	if !e.log.admit(now, EventDropped) {
 		return
@@ -236,7 +229,9 @@
 		case <-t.C:
 		}
 		now := clock()
-		e.pause.tick(uptime())
+		if gap := e.pause.tick(uptime()); gap > 0 {
+			e.post(resumed{gap: gap})
+		}
 		e.post(ticked{})
 		e.giveUp(now)
 		if e.log.account(now) {
--- a/stoatedge/stop.go
+++ b/stoatedge/stop.go
@@ -64,6 +64,8 @@
 	now := clock() // house: the signal comes now
 	deadline := e.settings().Stop
 	if e.stop.begin(now, deadline) {
+		// Children look for another parent while this one still serves.
+		e.place.bell.ring()
 		e.log.emit(now, EventStopping, stoatevent.F("deadline", deadline.String()))
 	}
 }
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -16,7 +16,12 @@
 	// Stale lets watches be answered from a replica: it costs a tenth and counts toward no
 	// rate. Only for a feed that Prove checks against another feed's proof.
 	Stale bool
-	Rand  *rand.Rand // of the pauses
+	// StaleStart lets the first list come from a replica: when all entries start at once,
+	// exact lists would use up the platform's reads for as long as there are entries.
+	StaleStart bool
+	// Prompt is set where others wait for this feed's proofs.
+	Prompt bool
+	Rand   *rand.Rand // of the pauses
 }
 
 const (
@@ -24,6 +29,9 @@
 	// answered 0.15 later is given up, and the rest is left to ask again. Each watch is paid for.
 	waitShare = 0.65
 	hangShare = 0.15
+	// promptShare is waitShare where others are told what this feed learns: a proof of it
+	// has to reach them, through some others, twice within the bound, so that one may be lost.
+	promptShare = 0.45
 	// reliefShare is how much of Bound a replica is watched after a refusal by rate.
 	reliefShare = 0.2
 	// gatherShare is how much of Bound passes between news and the next watch: changes come
@@ -92,6 +100,7 @@
 	cfg      Config
 	rev      stoatpaddle.Version // everything up to it is known
 	listed   bool
+	begun    bool                // there was a complete list, or another entry told as much
 	after    string              // of the list that is under way
 	listFrom stoatpaddle.Version // of its first page
 	failures int
@@ -100,9 +109,10 @@
 	relief   bool      // the next call goes to a replica, since the last was refused by rate
 	away     bool      // the next complete list follows an outage
 	lost     bool
-	exact    bool // the next call must not be answered by a replica
-	hurry    bool // the next call must not wait for a change
-	gather   bool // the last watch brought news
+	exact    bool          // the next call must not be answered by a replica
+	hurry    bool          // the next call must not wait for a change
+	gather   bool          // the last watch brought news
+	age      time.Duration // of the last proof, when it came
 }
 
 // New returns a Feed that has heard nothing.
@@ -117,6 +127,18 @@
 // Revision returns the revision up to which everything is known.
 func (f *Feed) Revision() stoatpaddle.Version { return f.rev }
 
+// Heard takes in that everything up to the revision is known from elsewhere, by somebody
+// who may be out of touch: the platform is asked as before.
+func (f *Feed) Heard(rev stoatpaddle.Version) { f.rev = max(f.rev, rev) }
+
+// Adopt takes in that everything up to the revision is known from elsewhere, and that
+// whoever told it answers for what happened before.
+func (f *Feed) Adopt(rev stoatpaddle.Version) {
+	f.rev = max(f.rev, rev)
+	f.listed, f.begun, f.after, f.away, f.lost, f.relief = true, true, "", false, false, false
+	f.failures, f.failing, f.down = 0, time.Time{}, time.Time{}
+}
+
 // Lost tells whether the platform counts as not answering.
 func (f *Feed) Lost() bool { return f.lost }
 
@@ -127,17 +149,17 @@
 func (f *Feed) Next() Call {
 	c := Call{Timeout: listTimeout, Pause: f.pause()}
 	if !f.listed {
-		c.List, c.After, c.Stale = true, f.after, f.relief
+		c.List, c.After, c.Stale = true, f.after, f.relief || f.cfg.StaleStart && !f.begun
 		return c
 	}
 	c.From = f.rev
-	c.Wait = share(f.cfg.Bound, waitShare)
-	c.Timeout = c.Wait + share(f.cfg.Bound, hangShare)
+	c.Wait = f.wait()
+	c.Timeout = c.Wait + Share(f.cfg.Bound, hangShare)
 	c.Stale = f.cfg.Stale && !f.exact
 	switch {
 	case f.relief:
 		// News goes on while the exact question waits its turn.
-		c.Stale, c.Wait = true, share(f.cfg.Bound, reliefShare)
+		c.Stale, c.Wait = true, Share(f.cfg.Bound, reliefShare)
 	case f.exact || f.hurry || f.failures > 0:
 		// It is wanted now, not when something changes.
 		c.Wait = time.Millisecond
@@ -145,7 +167,27 @@
 	return c
 }
 
-func share(d time.Duration, part float64) time.Duration {
+// wait is how long a watch waits for a change. Where others wait for proofs, one that was
+// old when it came, since its watch was ended by news, is followed by the next one sooner.
+func (f *Feed) wait() time.Duration {
+	if !f.cfg.Prompt {
+		return Share(f.cfg.Bound, waitShare)
+	}
+	return max(Share(f.cfg.Bound, promptShare)-f.age, Share(f.cfg.Bound, gatherShare)).Truncate(time.Millisecond)
+}
+
+// AsOf returns the time as of which an answer, which came at now to a question sent at sent,
+// says what the platform has: when it was sent, for nothing tells when in between it was
+// made. A watch that waited to its end without a change was answered after the wait.
+func (c *Call) AsOf(sent, now time.Time, r Result) time.Time {
+	if end := sent.Add(c.Wait); c.Wait > time.Millisecond && r.Changes == 0 && !end.After(now) {
+		return end
+	}
+	return sent
+}
+
+// Share returns a part of a bound, in whole milliseconds.
+func Share(d time.Duration, part float64) time.Duration {
 	return time.Duration(float64(d) * part).Truncate(time.Millisecond)
 }
 
@@ -153,7 +195,7 @@
 func (f *Feed) pause() time.Duration {
 	switch {
 	case f.failures == 0 && f.gather && !f.exact && !f.hurry:
-		return share(f.cfg.Bound, gatherShare)
+		return Share(f.cfg.Bound, gatherShare)
 	case f.failures == 0:
 		return 0
 	}
@@ -164,8 +206,8 @@
 	return pauseLeast/2 + time.Duration(f.cfg.Rand.Int64N(int64(most)))
 }
 
-// Done takes the end of a call in.
-func (f *Feed) Done(now time.Time, c Call, r Result) Verdict {
+// Done takes the end of a call in that was sent at that time.
+func (f *Feed) Done(now, sent time.Time, c Call, r Result) Verdict {
 	f.relief, f.gather = false, r.Outcome == Answered && !c.List && r.Changes > 0
 	switch r.Outcome {
 	case Forgotten:
@@ -207,7 +249,7 @@
 	f.rev = r.AsOf
 	v.Apply, v.Proof = true, !c.Stale
 	if !c.Stale {
-		f.exact = false
+		f.exact, f.age = false, now.Sub(c.AsOf(sent, now, r))
 	}
 	return v
 }
@@ -245,10 +287,14 @@
 	// first page's revision on.
 	v.Complete, v.Proof, v.Away = true, !c.Stale, f.away
 	f.rev = max(f.rev, f.listFrom)
-	f.listed, f.after, f.away, f.exact = true, "", false, false
+	f.listed, f.begun, f.after, f.away, f.exact = true, true, "", false, false
 	return v
 }
 
+// SetStart tells whether the first list may come from a replica, and whether others wait
+// for what this feed learns.
+func (f *Feed) SetStart(stale, prompt bool) { f.cfg.StaleStart, f.cfg.Prompt = stale, prompt }
+
 // Hurry has the next call answered at once: another feed has proof of a later revision
 // than this one has heard of.
 func (f *Feed) Hurry() { f.hurry = true }
--- a/stoatini/reader.go
+++ b/stoatini/reader.go
@@ -181,6 +181,20 @@
 	return n
 }
 
+// Number returns a number from least to most.
+func (s *Section) Number(key string, standard, least, most float64) float64 {
+	v, ok := s.raw(key)
+	if !ok {
+		return standard
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= least && n <= most) {
+		s.Fault(key, v, fmt.Sprintf("a number from %g to %g", least, most))
+		return standard
+	}
+	return n
+}
+
 // Duration returns a positive duration such as 30s.
 func (s *Section) Duration(key string, standard time.Duration) time.Duration {
 	v, ok := s.raw(key)
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -30,6 +30,7 @@
 type entry struct {
 	up    Upstream
 	until time.Time // Missing: when it counts as gone; Gone: when it is forgotten
+	held  bool      // Missing: another entry said so, and will say what became of it
 }
 
 // Book gathers what the platform says. One goroutine uses it.
@@ -38,10 +39,15 @@
 	decl     stoatpaddle.Declaration
 	revision stoatpaddle.Version // of the declaration
 	routes   map[netip.AddrPort]*Route
+	dropped  map[netip.AddrPort]uint64 // see Table
+	forgot   uint64
 	ups      map[stoatpaddle.UpstreamID]*entry
 	proven   time.Time
 	declared bool
 	listed   bool
+	follows  bool   // another entry says what becomes of missing registrations
+	changes  uint64 // so many so far
+	altered  uint64 // changes when decl was adopted
 	table    *Table
 	dirty    bool // more than proven changed since table was made
 }
@@ -84,10 +90,14 @@
 	}
 	routes := make(map[netip.AddrPort]*Route, len(d.Routes))
 	least := leastUrgent(d.Routes)
+	b.changes++
 	for _, r := range d.Routes {
-		n := &Route{Route: r, Urgent: least.over(&r), had: map[stoatpaddle.ServiceID]bool{}}
+		n := &Route{Route: r, Urgent: least.over(&r), Change: b.changes, had: map[stoatpaddle.ServiceID]bool{}}
 		// A route that moved to another service keeps the open flows at the one before.
 		if old := b.routes[r.Listen]; old != nil {
+			if sameRoute(&old.Route, &r) {
+				n.Change = old.Change
+			}
 			for s := range old.had {
 				n.had[s] = true
 			}
@@ -97,10 +107,46 @@
 		}
 		routes[r.Listen] = n
 	}
+	b.drop(routes)
 	b.decl, b.revision, b.routes, b.declared, b.dirty = d, revision, routes, true, true
+	b.altered = b.changes
 	return true
 }
 
+func sameRoute(a, b *stoatpaddle.Route) bool {
+	return a.Listen == b.Listen && a.Idempotent == b.Idempotent && a.Priority == b.Priority &&
+		a.Objective == b.Objective && slices.Equal(a.Backends, b.Backends)
+}
+
+// maxDropped bounds the memory of routes that were taken out. Whoever knows less than what is
+// forgotten is told everything.
+const maxDropped = 4096
+
+// drop notes which routes the declaration with these takes out.
+func (b *Book) drop(routes map[netip.AddrPort]*Route) {
+	dropped := make(map[netip.AddrPort]uint64, len(b.dropped))
+	for listen, at := range b.dropped {
+		if routes[listen] == nil {
+			dropped[listen] = at
+		}
+	}
+	for listen := range b.routes {
+		if routes[listen] == nil {
+			dropped[listen] = b.changes
+		}
+	}
+	if len(dropped) > maxDropped {
+		dropped, b.forgot = nil, b.changes
+	}
+	b.dropped = dropped
+}
+
+// changed notes that an upstream is not what it was.
+func (b *Book) changed(e *entry) {
+	b.changes++
+	e.up.Change, b.dirty = b.changes, true
+}
+
 // priorityOf holds the least urgent priority, which is the highest number, of the routes to
 // each service.
 type priorityOf map[stoatpaddle.ServiceID]int
@@ -143,7 +189,7 @@
 	if r.Leaving {
 		e.up.Standing = Leaving
 	}
-	b.dirty = true
+	b.changed(e)
 	return fresh || was != e.up.Standing
 }
 
@@ -160,7 +206,7 @@
 
 func (b *Book) end(now time.Time, e *entry) {
 	e.up.Standing, e.up.Ended, e.until = Gone, now, now.Add(b.cfg.Keep)
-	b.dirty = true
+	b.changed(e)
 }
 
 // Listed takes in which registrations a complete list held. Those that it lacks have ended,
@@ -175,7 +221,7 @@
 		}
 		lost = append(lost, id)
 		if away {
-			e.up.Standing, e.until = Missing, now.Add(b.cfg.Return)
+			b.miss(now, e)
 			continue
 		}
 		b.end(now, e)
@@ -184,6 +230,11 @@
 	return lost
 }
 
+func (b *Book) miss(now time.Time, e *entry) {
+	e.up.Standing, e.until, e.held = Missing, now.Add(b.cfg.Return), false
+	b.changed(e)
+}
+
 // Prove notes that the upstreams were up to date when a question was sent at that time.
 func (b *Book) Prove(sent time.Time) {
 	if sent.After(b.proven) {
@@ -201,12 +252,27 @@
 	}
 }
 
+// Follow tells whether another entry, which asks the platform, is mirrored from now on. When
+// none is any more, what is missing has its full time to come back.
+func (b *Book) Follow(now time.Time, follows bool) {
+	if b.follows && !follows {
+		b.Hold(now)
+	}
+	b.follows = follows
+}
+
+// Declaration returns what is in force.
+func (b *Book) Declaration() stoatpaddle.Declaration { return b.decl }
+
+// Proven returns when the question was sent whose answer last proved the upstreams up to date.
+func (b *Book) Proven() time.Time { return b.proven }
+
 // Expire ends what is missing for too long and forgets what ended long ago.
 func (b *Book) Expire(now time.Time) []stoatpaddle.UpstreamID {
 	var ended []stoatpaddle.UpstreamID
 	for id, e := range b.ups {
 		switch {
-		case e.up.Standing < Missing || now.Before(e.until):
+		case e.up.Standing < Missing || now.Before(e.until) || b.follows && e.up.Standing == Missing && e.held:
 		case e.up.Standing == Missing:
 			b.end(now, e)
 			ended = append(ended, id)
@@ -245,12 +311,14 @@
 func (b *Book) build() *Table {
 	t := &Table{
 		Declaration: b.decl, Revision: b.revision, Proven: b.proven, Declared: b.declared, Listed: b.listed,
-		routes: b.routes, byKey: make(map[stoatpaddle.UpstreamKey]*Upstream, len(b.ups)),
+		Change: b.changes, Altered: b.altered,
+		routes: b.routes, dropped: b.dropped, forgot: b.forgot, byKey: make(map[stoatpaddle.UpstreamKey]*Upstream, len(b.ups)),
 		services: map[stoatpaddle.ServiceID][]*Upstream{},
 	}
 	for _, e := range b.ups {
 		u := e.up
 		u.Cap = b.decl.Caps[u.Service]
+		t.held = append(t.held, &u)
 		if other := t.byKey[u.Key]; other == nil || older(&u, other) {
 			t.byKey[u.Key] = &u
 		}
@@ -289,11 +357,3 @@
 	}
 	return "", false
 }
-
-// Neighbour takes in that another entry told all it has. That is enough to serve, but no
-// proof here: its answer may have been long under way.
-func (b *Book) Neighbour() {
-	if !b.listed && b.declared && len(b.ups) > 0 {
-		b.listed, b.dirty = true, true
-	}
-}
--- /dev/null
+++ b/stoatroute/mirror.go
@@ -0,0 +1,83 @@
+package stoatroute
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// Told is an upstream as another entry believes it to be.
+type Told struct {
+	stoatpaddle.Registration
+	Revision stoatpaddle.Version // of its registration
+	Standing Standing
+}
+
+// Telling is what another entry says at once.
+type Telling struct {
+	Upstreams []Told
+	// Whole says that these are all there are.
+	Whole bool
+	// Later says that it knows all that this entry knows. What is not later counts only
+	// where it names a later registration.
+	Later bool
+}
+
+// Mirror takes in what another entry believes, and returns the upstreams whose standing is
+// news here.
+//
+// An upstream that a whole telling lacks is missing, not gone: an entry that started just
+// after the platform returned never heard of a registration that lapsed, and the upstream is
+// about to register again. One that is told to be missing stays so until more is told, since
+// only the entry that asks the platform knows when it returned.
+func (b *Book) Mirror(now time.Time, x Telling) []stoatpaddle.UpstreamID {
+	var news []stoatpaddle.UpstreamID
+	named := make(map[stoatpaddle.UpstreamID]bool, len(x.Upstreams))
+	for i := range x.Upstreams {
+		u := &x.Upstreams[i]
+		named[u.ID] = true
+		if b.mirror(now, u, x.Later) {
+			news = append(news, u.ID)
+		}
+	}
+	if !x.Whole {
+		return news
+	}
+	if !b.listed && b.declared {
+		b.listed, b.dirty = true, true
+	}
+	if !x.Later {
+		return news
+	}
+	for id, e := range b.ups {
+		if !named[id] && e.up.Standing < Missing {
+			b.miss(now, e)
+			news = append(news, id)
+		}
+	}
+	return news
+}
+
+func (b *Book) mirror(now time.Time, x *Told, later bool) bool {
+	e := b.ups[x.ID]
+	if e != nil && (x.Revision < e.up.Revision || x.Revision == e.up.Revision && (!later || x.Standing == e.up.Standing)) {
+		return false
+	}
+	fresh := e == nil
+	if fresh {
+		e = &entry{up: Upstream{Key: KeyOf(x.Target), Warm: now.Add(x.Cold)}}
+		b.ups[x.ID] = e
+	}
+	was := e.up.Standing
+	e.up.Registration, e.up.Revision, e.up.Standing = x.Registration, x.Revision, x.Standing
+	switch x.Standing {
+	case Gone:
+		b.end(now, e)
+	case Missing:
+		b.miss(now, e)
+		e.held = true
+	default:
+		b.changed(e)
+	}
+	return fresh || was != x.Standing
+}
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -31,6 +31,7 @@
 	Standing Standing
 	Cap      int       // flows it may hold; 0: not limited
 	Warm     time.Time // when its slow start ends
+	Change   uint64    // the book's count of changes at its last one
 	Ended    time.Time // Gone: since when
 }
 
@@ -43,6 +44,7 @@
 type Route struct {
 	stoatpaddle.Route
 	Urgent bool                           // a less urgent route shares its service
+	Change uint64                         // the book's count of changes at its last one
 	had    map[stoatpaddle.ServiceID]bool // services that it ever had here
 }
 
@@ -55,12 +57,19 @@
 	Revision    stoatpaddle.Version // of the declaration
 	// Proven is when the question was sent whose answer last proved the upstreams up to
 	// date: whatever is not in the table did not exist then.
-	Proven   time.Time
+	Proven time.Time
+	// Change is the book's count of changes; Altered is what it was when the declaration
+	// was adopted. Both count within one life of the process.
+	Change, Altered uint64
+
 	Declared bool // there is a declaration
 	Listed   bool // the upstreams were listed at least once
 
 	routes   map[netip.AddrPort]*Route
+	dropped  map[netip.AddrPort]uint64 // routes taken out of the declaration, and the change that did
+	forgot   uint64                    // the last change whose dropped routes are forgotten
 	byKey    map[stoatpaddle.UpstreamKey]*Upstream
+	held     []*Upstream // all, also those that have no cookie of their own
 	services map[stoatpaddle.ServiceID][]*Upstream
 }
 
@@ -76,6 +85,39 @@
 // Ready tells whether the table is enough to place flows.
 func (t *Table) Ready() bool { return t.Declared && t.Listed }
 
+// Since returns the upstreams that changed after the book's count was that, also those that
+// are gone, in any order.
+func (t *Table) Since(change uint64) []*Upstream {
+	var out []*Upstream
+	for _, u := range t.held {
+		if u.Change > change {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// RoutesSince returns the routes that changed after the book's count was that, and the
+// addresses that have none any more; known is unset if that was too long ago to tell.
+func (t *Table) RoutesSince(change uint64) (changed []stoatpaddle.Route, removed []netip.AddrPort, known bool) {
+	if change < t.forgot {
+		return nil, nil, false
+	}
+	for _, r := range t.routes {
+		if r.Change > change {
+			changed = append(changed, r.Route)
+		}
+	}
+	for listen, at := range t.dropped {
+		if at > change {
+			removed = append(removed, listen)
+		}
+	}
+	slices.SortFunc(changed, func(a, b stoatpaddle.Route) int { return a.Listen.Compare(b.Listen) })
+	slices.SortFunc(removed, netip.AddrPort.Compare)
+	return changed, removed, true
+}
+
 // Upstreams returns the upstreams that have not ended, ascending by key.
 func (t *Table) Upstreams() []*Upstream {
 	out := make([]*Upstream, 0, len(t.byKey))
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -22,9 +22,12 @@
 	Platform   netip.AddrPort   // the platform's object API, HTTP
 	Seeds      []netip.AddrPort // peers to ask when the platform does not answer
 	Fabric     Fabric           // what the fabric does for the entries
+	Link       float64          // the bandwidth of its link, Mbit/s; echo fabric only; 0: not known
 	Ready      netip.AddrPort   // the fabric's readiness checks, HTTP; echo fabric only
 	Metrics    netip.AddrPort   // metrics alone, HTTP; echo fabric only; invalid: none
 	Apply      time.Duration    // how soon a change has to be in force; echo fabric only
+	Leave      time.Duration    // how soon a leaving upstream gets no new flows; echo fabric only; 0: as Apply
+	Share      float64          // the part of a core that this instance has; echo fabric only; 0: not known
 	Life       time.Duration    // how long a flow lives at most; echo fabric only
 	Return     time.Duration    // how long a lapsed registration may take to come back; echo fabric only
 	Dead       time.Duration    // of silence, until a peer counts as dead
@@ -61,8 +64,18 @@
 	defaultApply    = 3 * time.Second
 	defaultLife     = 60 * time.Second
 	defaultReturn   = 2500 * time.Millisecond
+	maxShare        = 1024
+	maxLink         = 1e6
 )
 
+// Bound is how soon anything that the platform says has to be in force.
+func (s Settings) Bound() time.Duration {
+	if s.Leave > 0 {
+		return min(s.Apply, s.Leave)
+	}
+	return s.Apply
+}
+
 // Parse reads the settings, or returns *stoatpaddle.FaultsError with every fault.
 func Parse(file string, data []byte) (Settings, error) {
 	r := stoatini.Parse(file, data)
@@ -81,6 +94,9 @@
 		Fabric:     Fabric(r.Section("fabric").Choice("kind", string(FabricTunnel), string(FabricEcho))),
 		Ready:      listen.AddrPort("ready", defaultReady),
 		Apply:      r.Section("platform").Duration("apply", defaultApply),
+		Leave:      r.Section("platform").Duration("leave", 0),
+		Share:      instance.Number("share", 0, 0, maxShare),
+		Link:       instance.Number("link", 0, 0, maxLink),
 		Return:     r.Section("platform").Duration("return", defaultReturn),
 		Life:       r.Section("flow").Duration("life", defaultLife),
 		Platform:   r.Section("platform").AddrPort("address", defaultPlatform),
--- /dev/null
+++ b/stoattree/tree.go
@@ -0,0 +1,240 @@
+package stoattree
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+const (
+	// MaxChildren is how many others the ablest entry tells. A message without news is 0.2 kB
+	// with its headers and comes every 1 to 1.5 s, so that eight children take 1.3 of 2 kB a second.
+	MaxChildren = 8
+	// minChildren is what every entry can bear: with one, the tree would be a chain.
+	minChildren = 2
+	// MaxPath bounds the way from a reader to an entry; eight levels of two reach further
+	// than any deployment, and a longer way is a loop that nobody noticed.
+	MaxPath = 16
+	// hints is how many other entries are named to one that is sent on.
+	hints = 3
+)
+
+// Ask is what an entry says when it asks to be told.
+type Ask struct {
+	From   netip.AddrPort
+	Centre stoatpaddle.DataCentreID
+	// Known is the revision up to which it knows everything; 0: it has nothing to serve by,
+	// and so no children that could be above the one it asks.
+	Known stoatpaddle.Version
+	// Near refuses another data centre's entry, since bytes between data centres are dear.
+	Near bool
+	// Within is how old what is told may be; 0: it does not matter, since the platform does
+	// not answer the one that asks.
+	Within time.Duration
+	Skip   []netip.AddrPort // it asked these already
+}
+
+// Refusal says why an entry tells another one nothing.
+type Refusal string
+
+// The refusals.
+const (
+	Accepted  Refusal = ""
+	NotReady  Refusal = "nothing to tell"
+	Behind    Refusal = "knows less"
+	Stale     Refusal = "knows only what is too old"
+	Loop      Refusal = "is told by the one that asks"
+	NoRoot    Refusal = "out of touch, and not the first of its kind"
+	OtherSide Refusal = "in another data centre"
+	Full      Refusal = "tells as many as it can"
+)
+
+// Answer is what becomes of an Ask.
+type Answer struct {
+	Refusal Refusal
+	Try     []netip.AddrPort // ask these instead
+	Ticket  Ticket           // of one that is accepted
+}
+
+// Ticket names one acceptance: a child that lost its connection asks again before the old
+// one is seen to be gone, whose end must not take the new one out.
+type Ticket uint64
+
+type child struct {
+	centre stoatpaddle.DataCentreID
+	ticket Ticket
+}
+
+// State is what an entry is as others see it.
+type State struct {
+	Ready bool
+	Known stoatpaddle.Version
+	// Path leads from a reader to this entry's parent; empty: nobody tells it.
+	Path []netip.AddrPort
+	// Reads tells that it asks the platform itself and is answered.
+	Reads bool
+	Age   time.Duration // of what it believes; negative: never known to be up to date
+}
+
+// Config configures a Tree.
+type Config struct {
+	Self   netip.AddrPort
+	Centre stoatpaddle.DataCentreID
+	Seeds  []netip.AddrPort
+	// Share is the part of a core that this entry has; 0: not known.
+	Share float64
+	// Link is the bandwidth of its link, Mbit/s; 0: not known.
+	Link float64
+	Rand *rand.Rand
+}
+
+// Tree is one entry's place: its children, and whom it may ask. One goroutine uses it at a time.
+type Tree struct {
+	cfg      Config
+	children map[netip.AddrPort]child
+	tickets  Ticket
+	known    []netip.AddrPort // others of this data centre that a parent named
+	round    *round
+}
+
+// New returns a Tree without children.
+func New(cfg Config) *Tree {
+	return &Tree{cfg: cfg, children: map[netip.AddrPort]child{}}
+}
+
+// SetSeeds replaces the seeds for the rounds to come.
+func (t *Tree) SetSeeds(seeds []netip.AddrPort) { t.cfg.Seeds = seeds }
+
+// IsSeed tells whether the settings name this entry.
+func (t *Tree) IsSeed() bool { return slices.Contains(t.cfg.Seeds, t.cfg.Self) }
+
+// Children returns how many are told.
+func (t *Tree) Children() int { return len(t.children) }
+
+// sharePerChild is the part of a core that an entry has for each child: a message without
+// news costs 0.2 ms, so that a child takes a fiftieth of this at most.
+const sharePerChild = 0.03
+
+// farChildren is the room kept for entries of other data centres.
+const farChildren = 2
+
+// linkPerChild is the bandwidth that an entry has for each child, Mbit/s. Everything at once,
+// 2,000 routes and 150 upstreams, is 40 kB, 60 ms on 5 Mbit/s. A link of 10 that told eight
+// at once held callers' packets up for half a second, and their upstreams looked dead.
+const linkPerChild = 5
+
+// capacity is how many children this entry takes: a slow one tells few, so that nobody
+// waits for it, neither children nor callers.
+func (t *Tree) capacity() int {
+	n := MaxChildren
+	if t.cfg.Share > 0 {
+		n = min(n, int(t.cfg.Share/sharePerChild))
+	}
+	if t.cfg.Link > 0 {
+		n = min(n, int(t.cfg.Link/linkPerChild))
+	}
+	return max(minChildren, n)
+}
+
+// Admit decides about an entry that asks to be told. One that is accepted is a child until Part.
+func (t *Tree) Admit(s State, a Ask) Answer {
+	if refusal := t.unfit(s, a); refusal != Accepted {
+		return Answer{Refusal: refusal}
+	}
+	if a.Centre != t.cfg.Centre {
+		// One link between two data centres is enough: the first entry there tells the others.
+		if there := t.childrenIn(a.Centre, a.Skip); len(there) > 0 {
+			return Answer{Refusal: OtherSide, Try: there}
+		}
+		if a.Near {
+			return Answer{Refusal: OtherSide}
+		}
+	}
+	if _, again := t.children[a.From]; !again && len(t.children) >= t.room(a.Centre) {
+		return Answer{Refusal: Full, Try: t.childrenIn(a.Centre, a.Skip)}
+	}
+	t.tickets++
+	t.children[a.From] = child{centre: a.Centre, ticket: t.tickets}
+	return Answer{Ticket: t.tickets}
+}
+
+// room is how many children there may be when one of that data centre is taken. The first
+// ones of others find room beyond the usual: a data centre without a seed has no other way.
+func (t *Tree) room(c stoatpaddle.DataCentreID) int {
+	if c == t.cfg.Centre {
+		return t.capacity()
+	}
+	return t.capacity() + farChildren
+}
+
+// unfit tells why this entry must not tell the one that asks, whatever room it has.
+func (t *Tree) unfit(s State, a Ask) Refusal {
+	switch {
+	case !s.Ready:
+		return NotReady
+	case a.Known > s.Known:
+		return Behind
+	case a.Within > 0 && (s.Age < 0 || s.Age > a.Within):
+		return Stale
+	case a.From == t.cfg.Self || slices.Contains(s.Path, a.From):
+		return Loop
+	case a.Known == 0 || len(s.Path) > 0 || s.Reads && t.IsSeed():
+		return Accepted
+	case order(t.cfg.Self) < order(a.From):
+		// Two that nobody tells would take each other as parents. One order over all
+		// decides, so that they gather below the first of them.
+		return Accepted
+	}
+	return NoRoot
+}
+
+func order(a netip.AddrPort) uint64 { return xxhash.Sum64String(a.String()) }
+
+// childrenIn returns a few children in the data centre, or, when all are elsewhere, any.
+func (t *Tree) childrenIn(c stoatpaddle.DataCentreID, skip []netip.AddrPort) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for a, x := range t.children {
+		switch {
+		case slices.Contains(skip, a):
+		case x.centre == c:
+			near = append(near, a)
+		case c == t.cfg.Centre:
+			far = append(far, a)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	return t.some(near)
+}
+
+// some returns a few of a list, at random, so that the tree grows evenly.
+func (t *Tree) some(list []netip.AddrPort) []netip.AddrPort {
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	t.cfg.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), hints)]
+}
+
+// Part takes a child out, unless it has been accepted anew.
+func (t *Tree) Part(from netip.AddrPort, ticket Ticket) {
+	if t.children[from].ticket == ticket {
+		delete(t.children, from)
+	}
+}
+
+// Relatives returns a few entries for a child to ask when this one is gone: other children
+// in its data centre.
+func (t *Tree) Relatives(of netip.AddrPort, c stoatpaddle.DataCentreID) []netip.AddrPort {
+	var list []netip.AddrPort
+	for a, x := range t.children {
+		if a != of && x.centre == c {
+			list = append(list, a)
+		}
+	}
+	return t.some(list)
+}
