stoatecho, stoatedge: entries of a data centre add up which upstreams fail requests

Cause: an upstream that lets two of five requests hang answers openings and the others, so that its silence never ends; each entry of a grown site sees two of its requests in 4 s. Weighed: a share of failures at each entry alone (too few requests); resets of flows that wait there (a reset ends a flow for sure, and a slow upstream would lose them); a mesh. Counts go up and down the tree that tells what the platform says: 10 bytes an upstream that fails. Now: so many failures, and four times those of its like; one third of a service at most, 4 s doubling to 32 s. Open flows of a failing upstream go on, and their requests may fail. The bodies that parents send are shared again: each proof made a new table, and each table a new body.

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -72,14 +72,17 @@
 
 // flow is what is remembered of a flow, to judge its upstream.
 type flow struct {
-	key     stoatpaddle.UpstreamKey
-	seen    time.Time
-	asked   time.Time // when its request began; zero: none is in progress
-	ack     uint32    // what the caller acknowledged when it began
-	seq     uint32    // last sequence number with data
-	repeats int
-	opening bool
-	awaited bool // it stands in Engine.answers
+	key  stoatpaddle.UpstreamKey
+	seen time.Time
+	// progress is when the caller last sent something new of its request.
+	progress time.Time
+	asked    time.Time // when its request began; zero: none is in progress
+	ack      uint32    // what the caller acknowledged when it began
+	seq      uint32    // last sequence number with data
+	repeats  int
+	opening  bool
+	awaited  bool // it stands in Engine.answers
+	owes     bool // it stands in Engine.owed
 }
 
 // Stats counts what the engine did since its start.
@@ -105,6 +108,8 @@
 	handshake handshake
 	sign      time.Time // the last one of any upstream
 	openings  expectations
+	owed      expectations // requests, until they count as failed
+	together  map[stoatpaddle.UpstreamKey]shared
 	answers   expectations
 }
 
@@ -134,13 +139,14 @@
 	Requests int
 	Mean     time.Duration // of answers
 	Ejected  bool
+	Failing  bool // it gets no new flows since it fails requests
 }
 
 // InProgress returns what is in progress at each upstream that this entry met, in any order.
 func (e *Engine) InProgress(now time.Time) []InProgress {
 	out := make([]InProgress, 0, len(e.health))
 	for k, h := range e.health {
-		out = append(out, InProgress{Upstream: k, Flows: h.flows, Requests: h.busy, Mean: h.latency, Ejected: h.isEjected(now)})
+		out = append(out, InProgress{Upstream: k, Flows: h.flows, Requests: h.busy, Mean: h.latency, Ejected: h.isEjected(now), Failing: now.Before(h.mark.until)})
 	}
 	return out
 }
--- /dev/null
+++ b/stoatecho/evidence.go
@@ -0,0 +1,227 @@
+package stoatecho
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// Upstreams that open flows and fail requests.
+//
+// The load: an upstream whose health is good lets a part of its requests hang. It answers
+// openings and other requests, so that nothing here looks dead; each of thirty entries of a
+// data centre sees two of its requests in four seconds and cannot tell. Callers' requests of
+// that part fail, for hours at night.
+//
+// So each entry counts, for each upstream, the requests that had an answer and those that
+// owe one for too long, and entries of a data centre add their counts up. An upstream that
+// fails clearly more than its like gets no new flows for a while. Flows that are open there
+// go on: whether a request of them would fail is not known, and a reset would end them for sure.
+const (
+	// owedFor is how long a request may owe its answer until it counts as failed: ten times
+	// a usual answer, and half of what a caller with a retry left can wait.
+	owedFor = 500 * time.Millisecond
+	// evidenceSpan is how far back counts go, in evidenceParts buckets: at 15 requests a
+	// second of an upstream over a data centre it holds sixty.
+	evidenceSpan  = 4 * time.Second
+	evidenceParts = 8
+	// failLeast and failShare are what marks an upstream: so many failures, which are such a
+	// part of its requests.
+	failLeast = 5
+	failShare = 0.15
+	// failRatio is how many times the failures of its like come on top: in an overload all
+	// are late, and nothing is gained elsewhere. And when entries restart in turn, half of the
+	// flows go to others in the middle of requests, which looks like two failures at each
+	// upstream in four seconds; one of forty has eight by chance every few days.
+	failRatio = 4
+	// failCap is the part of a service's upstreams in a data centre that may be marked: the
+	// others would not bear the load of more.
+	failCap = 3
+	// holdLeast and holdMost bound how long a mark stays; each that follows soon doubles it.
+	// Then the upstream is tried again: failures of a few flows mark it anew.
+	holdLeast = 4 * time.Second
+	holdMost  = 32 * time.Second
+	// shareDelay is how long the counts of all entries take: up and down four levels.
+	shareDelay = 700 * time.Millisecond
+)
+
+// JudgeEvery is how often Judge has something new to say.
+const JudgeEvery = 250 * time.Millisecond
+
+// Counts are requests of one upstream of late: those answered and those that owe an answer
+// for too long.
+type Counts struct{ Answered, Failed int }
+
+func (c Counts) share() float64 {
+	if c.Failed == 0 {
+		return 0
+	}
+	return float64(c.Failed) / float64(c.Answered+c.Failed)
+}
+
+// Add returns the sum of two.
+func (c Counts) Add(o Counts) Counts {
+	return Counts{Answered: c.Answered + o.Answered, Failed: c.Failed + o.Failed}
+}
+
+// Seen is what entries saw of one upstream.
+type Seen struct {
+	Key stoatpaddle.UpstreamKey
+	Counts
+}
+
+// window counts over evidenceSpan.
+type window struct {
+	parts [evidenceParts]Counts
+	at    int64 // number of the newest part, in parts since the epoch
+}
+
+const evidencePart = evidenceSpan / evidenceParts
+
+func partOf(now time.Time) int64 { return now.UnixNano() / int64(evidencePart) }
+
+// turn empties the parts that are too old.
+func (w *window) turn(now time.Time) {
+	at := partOf(now)
+	for n := min(at-w.at, evidenceParts); n > 0; n-- {
+		w.parts[(at-n+1)%evidenceParts] = Counts{}
+	}
+	w.at = max(w.at, at)
+}
+
+func (w *window) add(now time.Time, c Counts) {
+	w.turn(now)
+	p := &w.parts[w.at%evidenceParts]
+	*p = p.Add(c)
+}
+
+func (w *window) sum(now time.Time) Counts {
+	w.turn(now)
+	var c Counts
+	for _, p := range w.parts {
+		c = c.Add(p)
+	}
+	return c
+}
+
+// mark is the judgement on one upstream.
+type mark struct {
+	until time.Time
+	hold  time.Duration // the last one
+}
+
+// Evidence returns what this entry saw of upstreams that failed requests of late, here or, as
+// suspects names them, elsewhere: those that saw no failure count too. Ascending by key.
+func (e *Engine) Evidence(now time.Time, suspects []stoatpaddle.UpstreamKey) []Seen {
+	var out []Seen
+	for k, h := range e.health {
+		if c := h.window.sum(now); c.Failed > 0 || c.Answered > 0 && slices.Contains(suspects, k) {
+			out = append(out, Seen{Key: k, Counts: c})
+		}
+	}
+	slices.SortFunc(out, func(a, b Seen) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// shared is what the entries of a data centre saw together of one upstream.
+type shared struct {
+	Counts
+	since time.Time // it has been named
+}
+
+// SetEvidence replaces what the entries of this data centre saw together.
+func (e *Engine) SetEvidence(now time.Time, list []Seen) {
+	if len(list) == 0 && len(e.together) == 0 {
+		return
+	}
+	next := make(map[stoatpaddle.UpstreamKey]shared, len(list))
+	for _, s := range list {
+		x := shared{Counts: s.Counts, since: now}
+		if old, known := e.together[s.Key]; known {
+			x.since = old.since
+		}
+		next[s.Key] = x
+	}
+	e.together = next
+}
+
+// Marked is an upstream that gets no new flows for a while, since it fails requests.
+type Marked struct {
+	Upstream *stoatroute.Upstream
+	Counts
+	Hold time.Duration
+}
+
+// Judge looks for upstreams that fail requests, and returns those that are marked now.
+func (e *Engine) Judge(now time.Time, t *stoatroute.Table) []Marked {
+	var out []Marked
+	for _, service := range t.Services() {
+		out = append(out, e.judge(now, t.Service(service))...)
+	}
+	return out
+}
+
+// judge looks at the upstreams of one service in this data centre: others are seen too rarely.
+func (e *Engine) judge(now time.Time, list []*stoatroute.Upstream) []Marked {
+	var own []Marked
+	marked := 0
+	for _, u := range list {
+		if u.DataCentre != e.cfg.DataCentre {
+			continue
+		}
+		h := e.health[u.Key]
+		if h != nil && now.Before(h.mark.until) {
+			marked++
+		}
+		own = append(own, Marked{Upstream: u, Counts: e.together[u.Key].Counts})
+	}
+	if len(own) < failCap {
+		return nil
+	}
+	slices.SortFunc(own, func(a, b Marked) int { return cmp.Compare(b.Failed, a.Failed) })
+	bound := failLeast + failRatio*usualFailures(own)
+	var out []Marked
+	for _, m := range own {
+		if marked >= len(own)/failCap || float64(m.Failed) < bound {
+			break
+		}
+		// Once an upstream is named, those entries that saw no failure need a moment to say so;
+		// until then it would seem to fail most requests.
+		if m.share() < failShare || now.Sub(e.together[m.Upstream.Key].since) < shareDelay {
+			continue
+		}
+		h := e.health.of(m.Upstream.Key)
+		if now.Before(h.mark.until) {
+			continue
+		}
+		m.Hold = h.mark.set(now)
+		marked++
+		out = append(out, m)
+	}
+	return out
+}
+
+// usualFailures is the mean of failures at the upstreams that cannot be marked, since they
+// are not among the worst; list is in descending order.
+func usualFailures(list []Marked) float64 {
+	rest := list[len(list)/failCap:]
+	sum := 0
+	for _, m := range rest {
+		sum += m.Failed
+	}
+	return float64(sum) / float64(len(rest))
+}
+
+// set marks for longer if the last mark ended a short while ago.
+func (m *mark) set(now time.Time) time.Duration {
+	if !m.until.IsZero() && now.Sub(m.until) < 2*evidenceSpan {
+		m.hold = min(holdMost, 2*m.hold)
+	} else {
+		m.hold = holdLeast
+	}
+	m.until = now.Add(m.hold)
+	return m.hold
+}
--- /dev/null
+++ b/stoatecho/evidence_test.go
@@ -0,0 +1,149 @@
+package stoatecho_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// six returns a world with six upstreams of the service here.
+func six(t *testing.T) *world {
+	w := newWorld(t)
+	for i := stoatpaddle.Target(4); i <= 7; i++ {
+		w.register(i, "app", "here")
+	}
+	return w
+}
+
+// told judges by what the entries of the data centre saw, as it stands from then on.
+func (w *world) told(counts map[stoatpaddle.Target]stoatecho.Counts) []stoatpaddle.UpstreamID {
+	var list []stoatecho.Seen
+	for target, c := range counts {
+		list = append(list, stoatecho.Seen{Key: stoatroute.KeyOf(target), Counts: c})
+	}
+	var marked []stoatpaddle.UpstreamID
+	for range 4 {
+		w.e.SetEvidence(w.now, list)
+		for _, m := range w.e.Judge(w.now, w.book.Table()) {
+			marked = append(marked, m.Upstream.ID)
+		}
+		w.after(stoatecho.JudgeEvery)
+	}
+	return marked
+}
+
+// opened returns how many of n new flows go to each upstream.
+func (w *world) opened(n int) map[stoatpaddle.UpstreamID]int {
+	got := map[stoatpaddle.UpstreamID]int{}
+	for range n {
+		got[w.caller(pledge).open().ID]++
+	}
+	return got
+}
+
+// An upstream lets two of five requests hang, answers the others and every opening, and its
+// health is good. No entry sees enough; together they do. It gets no new flows for 4 s, then
+// it is tried, and as it still fails it is marked for twice as long.
+func TestUpstreamThatFailsAPart(t *testing.T) {
+	w := six(t)
+	bad := map[stoatpaddle.Target]stoatecho.Counts{1: {Answered: 36, Failed: 24}, 2: {Answered: 60, Failed: 1}}
+	if got := w.told(bad); len(got) != 1 || got[0] != "i-1" {
+		t.Fatal(got)
+	}
+	if got := w.opened(20); got["i-1"] != 0 {
+		t.Error(got)
+	}
+	w.after(4 * time.Second)
+	if got := w.opened(20); got["i-1"] == 0 {
+		t.Error("never tried again:", got)
+	}
+	if got := w.told(bad); len(got) != 1 {
+		t.Fatal("not marked anew:", got)
+	}
+	w.after(4 * time.Second)
+	if got := w.opened(20); got["i-1"] != 0 {
+		t.Error("the second mark is no longer than the first:", got)
+	}
+}
+
+// What is no upstream's fault marks none: an overload in which all are late; entries that
+// restart, so that flows go to others in the middle of requests and look unanswered, a few at
+// each upstream; one failure here or there.
+func TestNoUpstreamIsToBlame(t *testing.T) {
+	for name, counts := range map[string]map[stoatpaddle.Target]stoatecho.Counts{
+		"overload":          {1: {Answered: 20, Failed: 30}, 2: {Answered: 20, Failed: 24}, 4: {Answered: 20, Failed: 26}, 5: {Answered: 20, Failed: 28}, 6: {Answered: 20, Failed: 22}, 7: {Answered: 20, Failed: 25}},
+		"entries restart":   {1: {Answered: 15, Failed: 5}, 2: {Answered: 15, Failed: 2}, 4: {Answered: 15, Failed: 1}, 5: {Answered: 15, Failed: 2}, 6: {Answered: 15, Failed: 3}, 7: {Answered: 15, Failed: 1}},
+		"a few":             {1: {Answered: 2, Failed: 4}},
+		"few of a thousand": {1: {Answered: 1000, Failed: 20}},
+	} {
+		if got := six(t).told(counts); len(got) != 0 {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// Half of the upstreams fail requests. Without a bound their load would go to the others,
+// which could not bear it: two of six are marked, the worst ones.
+func TestMarksAreBounded(t *testing.T) {
+	got := six(t).told(map[stoatpaddle.Target]stoatecho.Counts{
+		1: {Answered: 40, Failed: 40}, 2: {Answered: 40, Failed: 50}, 4: {Answered: 40, Failed: 15}, 5: {Answered: 60, Failed: 0}, 6: {Answered: 60, Failed: 0}, 7: {Answered: 60, Failed: 0},
+	})
+	if diff := cmp.Diff([]stoatpaddle.UpstreamID{"i-2", "i-1"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// An upstream is named for the first time: those entries that saw no failure have not said
+// yet that they saw answers, so that it seems to fail most of its requests.
+func TestFirstCountsAreNotEnough(t *testing.T) {
+	w := six(t)
+	w.e.SetEvidence(w.now, []stoatecho.Seen{{Key: stoatroute.KeyOf(1), Counts: stoatecho.Counts{Answered: 2, Failed: 6}}})
+	if got := w.e.Judge(w.now, w.book.Table()); len(got) != 0 {
+		t.Error(got)
+	}
+	if got := w.told(map[stoatpaddle.Target]stoatecho.Counts{1: {Answered: 60, Failed: 6}}); len(got) != 0 {
+		t.Error(got)
+	}
+}
+
+// What an entry counts: an answer, a request that hangs for half a second; not an upload that
+// goes on, and after four seconds nothing any more.
+func TestCounts(t *testing.T) {
+	w := newWorld(t)
+	answered, hangs, sends := w.caller(feed), w.caller(pledge), w.caller(upload)
+	key := map[*caller]stoatpaddle.UpstreamKey{}
+	for _, c := range []*caller{answered, hangs, sends} {
+		key[c] = c.open().Key
+		c.ask()
+	}
+	w.after(50 * ms)
+	answered.done()
+	for range 6 {
+		w.after(100 * ms)
+		sends.ask()
+	}
+	w.caller(upload).syn(0) // time passes with packets only
+	seen := w.e.Evidence(w.now, []stoatpaddle.UpstreamKey{key[answered], key[sends]})
+	got := map[stoatpaddle.UpstreamKey]stoatecho.Counts{}
+	for _, s := range seen {
+		got[s.Key] = s.Counts
+	}
+	want := map[stoatpaddle.UpstreamKey]stoatecho.Counts{}
+	want[key[answered]] = stoatecho.Counts{Answered: 1}
+	want[key[hangs]] = want[key[hangs]].Add(stoatecho.Counts{Failed: 1})
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	if seen := w.e.Evidence(w.now, nil); len(seen) != 1 {
+		t.Error("upstreams without failures are reported, and nobody named them:", seen)
+	}
+	w.after(5 * time.Second)
+	if seen := w.e.Evidence(w.now, nil); len(seen) != 0 {
+		t.Error(seen)
+	}
+}
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -74,6 +74,7 @@
 			e.forget(x.tuple)
 		}
 	}
+	e.expireOwed(now)
 	for {
 		x, due := e.answers.due(now, answerExpected)
 		if !due {
@@ -96,3 +97,34 @@
 		f.asked = time.Time{}
 	}
 }
+
+// owe expects an answer soon enough not to count as a failure; a flow stands in the list once.
+func (e *Engine) owe(now time.Time, t stoatpacket.Tuple, f *flow) {
+	if !f.owes {
+		f.owes = true
+		e.owed.add(t, now)
+	}
+}
+
+// expireOwed counts requests that owe their answer for too long. One whose flow sends on,
+// such as an upload, is not asked yet.
+func (e *Engine) expireOwed(now time.Time) {
+	for {
+		x, due := e.owed.due(now, owedFor)
+		if !due {
+			return
+		}
+		f := e.flows[x.tuple]
+		if f == nil {
+			continue
+		}
+		f.owes = false
+		switch {
+		case f.asked.IsZero():
+		case now.Sub(f.progress) < owedFor:
+			e.owe(now, x.tuple, f)
+		default:
+			e.health.of(f.key).window.add(now, Counts{Failed: 1})
+		}
+	}
+}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -56,6 +56,8 @@
 	trial    bool          // it got a flow after an ejection and has not answered
 	shunned  time.Time     // until when it gets no flows while others can take them
 	shun     time.Duration // the last one
+	window   window        // requests of late
+	mark     mark          // it fails requests
 }
 
 // heard notes a proof of life.
@@ -108,7 +110,7 @@
 
 // slowToAnswer tells whether new flows should rather go elsewhere for now.
 func (h *health) slowToAnswer(now time.Time, patience time.Duration) bool {
-	return h.trial || now.Before(h.shunned) ||
+	return h.trial || now.Before(h.shunned) || now.Before(h.mark.until) ||
 		h.opening > 0 && now.Sub(h.openFrom) > patience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
 }
 
@@ -166,6 +168,7 @@
 
 func (h *health) answered(now time.Time, took time.Duration) {
 	h.answer = now
+	h.window.add(now, Counts{Answered: 1})
 	if h.latency == 0 {
 		h.latency, h.base = took, took
 		return
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -83,12 +83,14 @@
 func (e *Engine) data(now, before time.Time, t *stoatroute.Table, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
 	if f.asked.IsZero() {
 		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
+		f.progress = now
 		h.asked(now)
 		e.await(now, p.Tuple, f)
+		e.owe(now, p.Tuple, f)
 		return
 	}
 	if int32(p.Seq-f.seq) > 0 {
-		f.seq, f.repeats = p.Seq, 0
+		f.seq, f.repeats, f.progress = p.Seq, 0, now
 		return
 	}
 	if now.Sub(before) < repeatLeast {
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -114,6 +114,16 @@
 		Title: "another entry told everything",
 		Text:  "Everything that the neighbour believes was taken in, unless something later is known. Age is how long ago the neighbour was up to date; it is large while the platform is away.",
 	})
+	EventFailing = stoatevent.Register(stoatevent.Entry{
+		Number: 1427, Severity: stoatevent.Warning, Since: "0.3",
+		Title: "upstream fails requests, and gets no new flows for a while",
+		Text:  "It answers openings, but of its requests of the last 4 s so many owed an answer for 0.5 s: failed, beside answered, as the entries of this data centre saw it together. That is clearly more than others of its service. Open flows go on. Look at the upstream: its health check may be good all the while.",
+	})
+	EventUnreported = stoatevent.Register(stoatevent.Entry{
+		Number: 1428, Severity: stoatevent.Info, Since: "0.3",
+		Title: "what was seen of upstreams did not reach the parent",
+		Text:  "The next report has it too. A parent that stays silent is left.",
+	})
 	EventReads = stoatevent.Register(stoatevent.Entry{
 		Number: 1423, Severity: stoatevent.Info, Since: "0.3",
 		Title: "entry reads the platform by itself",
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -54,6 +54,8 @@
 	pause     pauseWatch
 	inTouch   atomic.Bool // the platform answers
 	place     *place
+	pool      pool
+	judged    time.Time // used by the ticking goroutine only
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -98,13 +98,16 @@
 			continue
 		}
 		label := fmt.Sprintf("{upstream=%q,service=%q}", u.ID, u.Service)
-		ejected := 0
+		ejected, failing := 0, 0
 		if x.Ejected {
 			ejected = 1
 		}
+		if x.Failing {
+			failing = 1
+		}
 		// Whoever hung up does not want it any more.
 		_, _ = fmt.Fprintf(w, "stoatpaddle_upstream_flows%s %d\nstoatpaddle_upstream_requests%s %d\n"+
-			"stoatpaddle_upstream_answer_mean_seconds%s %g\nstoatpaddle_upstream_ejected%s %d\n",
-			label, x.Flows, label, x.Requests, label, x.Mean.Seconds(), label, ejected)
+			"stoatpaddle_upstream_answer_mean_seconds%s %g\nstoatpaddle_upstream_ejected%s %d\nstoatpaddle_upstream_failing%s %d\n",
+			label, x.Flows, label, x.Requests, label, x.Mean.Seconds(), label, ejected, label, failing)
 	}
 }
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -14,6 +14,7 @@
 func (e *Edge) admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathNews, e.tellNews)
+	mux.HandleFunc("POST "+pathSeen, e.takeSeen)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.status()) })
 	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.report()) })
 	mux.HandleFunc("GET /metrics", e.writeMetrics)
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -94,6 +94,7 @@
 	if e.ctx.Err() != nil {
 		return
 	}
+	e.pool.follow(clock(), netip.AddrPort{}, nil)
 	if left := context.Cause(ctx); left != nil {
 		cause = left
 	}
@@ -191,6 +192,11 @@
 	if looped {
 		return &refusedError{addr: addr, reason: string(stoattree.Loop)}
 	}
+	if stoatpaddle.DataCentreID(h.Centre) == e.settings().DataCentre {
+		e.pool.follow(clock(), addr, decodeSeen(h.Seen))
+	} else {
+		e.pool.follow(clock(), netip.AddrPort{}, nil)
+	}
 	e.post(x)
 	return nil
 }
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
@@ -72,8 +73,9 @@
 	stands atomic.Pointer[stands]
 	bell   *bell
 	bodies bodies
-	sent   atomic.Int64 // bytes to children
-	heard  atomic.Int64 // bytes from parents
+	seen   atomic.Pointer[[]stoatecho.Seen] // the sum over this data centre
+	sent   atomic.Int64                     // bytes to children
+	heard  atomic.Int64                     // bytes from parents
 	parent parentCancel
 }
 
@@ -192,6 +194,10 @@
 		Known: uint64(s.known), AgeMS: ageAt(now, s.asOf).Milliseconds(), Body: body,
 		Path: addrTexts(append(s.path[:len(s.path):len(s.path)], e.settings().Admin)),
 	}
+	h.Centre = string(e.settings().DataCentre)
+	if seen := e.place.seen.Load(); seen != nil && ask.Centre == e.settings().DataCentre {
+		h.Seen = encodeSeen(*seen)
+	}
 	e.place.mu.Lock()
 	h.Relatives = addrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
 	e.place.mu.Unlock()
@@ -211,7 +217,7 @@
 // bodies keeps the last body: children that were told the same are told the same next.
 type bodies struct {
 	mu    sync.Mutex
-	table *stoatroute.Table
+	held  heldBy // of the table that it was made from
 	child heldBy
 	made  time.Time
 	text  []byte
@@ -224,7 +230,7 @@
 func (b *bodies) of(now time.Time, t *stoatroute.Table, child heldBy) ([]byte, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.table == t && b.child == child && now.Sub(b.made) < bodyKept {
+	if b.held == holds(t) && b.child == child && now.Sub(b.made) < bodyKept {
 		return b.text, nil
 	}
 	var text []byte
@@ -234,7 +240,7 @@
 			return nil, err
 		}
 	}
-	b.table, b.child, b.made, b.text = t, child, now, text
+	b.held, b.child, b.made, b.text = holds(t), child, now, text
 	return text, nil
 }
 
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -234,6 +234,7 @@
 		}
 		e.post(ticked{})
 		e.giveUp(now)
+		e.judge(now)
 		if e.log.account(now) {
 			tuneCollector()
 		}
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -82,6 +82,15 @@
 // Service returns the upstreams that may take new flows of the service, ascending by key.
 func (t *Table) Service(id stoatpaddle.ServiceID) []*Upstream { return t.services[id] }
 
+// Services returns the services that have upstreams which may take new flows, in any order.
+func (t *Table) Services() []stoatpaddle.ServiceID {
+	out := make([]stoatpaddle.ServiceID, 0, len(t.services))
+	for id := range t.services {
+		out = append(out, id)
+	}
+	return out
+}
+
 // Ready tells whether the table is enough to place flows.
 func (t *Table) Ready() bool { return t.Declared && t.Listed }
 
