stoatmeasure: how entries that see little of the load choose upstreams, measured

Cause: at 22 to 29 entries a data centre and 40 upstreams of two slots each entry sees one request in 29, and sharing counts between entries was to be weighed. Ruled out: shared counts of any age that a tree can bring: all entries choose the same upstream until the next counts come. Subsets: uneven. Conclusion: the product's choice stays; mean answer times carry the load of others.

--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -123,15 +123,29 @@
 	Seed      uint64  `default:"1" help:"of the random choices"`
 	Only      string  `help:"the experiments whose names begin so, such as 3 or 3a"`
 	Curve     bool    `help:"measure imbalance against the tracked share instead"`
+	Spread    bool    `help:"measure ways of choosing upstreams on an echo fabric instead"`
 	Parallel  int     `default:"4" help:"experiments run at once"`
 	JSON      bool    `arg:"--json" help:"print JSON"`
 }
 
+// Of the experiment with Spread: an upstream's slots and a request's work as on the larger
+// deployments, and long enough for the hundredth part to be some hundreds of requests.
+const (
+	spreadSlots = 2
+	spreadWork  = 45 * time.Millisecond
+	spreadLast  = 30 * time.Second
+)
+
 func (a *measureArgs) run(c *env) error {
 	lean := stoatpaddle.Lean(a.Lean)
 	if a.Entries < 5 || a.Upstreams < 4 || a.Flows < 1 || a.Opens <= 0 || lean != stoatpaddle.LeanFlows && lean != stoatpaddle.LeanBalance {
 		return &UsageError{Problem: "measure needs at least 5 entries, 4 upstreams, 1 flow, a positive rate, and lean = flows or balance"}
 	}
+	if a.Spread {
+		return stoatmeasure.ReportSpread(c.ctx, stoatmeasure.SpreadConfig{
+			Entries: a.Entries, Upstreams: a.Upstreams, Slots: spreadSlots, Work: spreadWork, Last: spreadLast, Seed: a.Seed,
+		}, a.JSON, c.out)
+	}
 	plan := stoatmeasure.Plan{Only: a.Only, Parallel: a.Parallel, Config: stoatmeasure.Config{
 		Entries: a.Entries, Upstreams: a.Upstreams, Flows: a.Flows, Opens: a.Opens, Lean: lean, Gain: a.Gain, Seed: a.Seed,
 	}}
--- /dev/null
+++ b/stoatmeasure/spread.go
@@ -0,0 +1,324 @@
+package stoatmeasure
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// SpreadConfig configures the experiment on how entries choose upstreams on a fabric that
+// brings cookies back: one data centre, a request a flow.
+type SpreadConfig struct {
+	Entries   int
+	Upstreams int
+	Slots     int           // requests that an upstream runs at once
+	Load      float64       // the part of all slots that is asked for
+	Work      time.Duration // of a request, mean; uniform from a half to one and a half of it
+	Last      time.Duration
+	Seed      uint64
+}
+
+const (
+	spreadQueue = 12                   // requests that an upstream keeps waiting
+	spreadTrip  = 6 * time.Millisecond // from a caller to its upstream and back
+	subsetSize  = 8                    // upstreams of an entry that uses few
+)
+
+// Spread is what one way of choosing gave.
+type Spread struct {
+	Way      string
+	Load     float64
+	Asked    int
+	Turned   int // away by a full upstream
+	P50, P99 time.Duration
+	Busiest  float64 // most requests at an upstream over the mean
+}
+
+// spreadModel is a data centre.
+type spreadModel struct {
+	cfg     SpreadConfig
+	q       queue
+	rnd     *rand.Rand
+	running []int
+	waiting [][]func()
+	served  []int
+	own     [][]int // requests in progress, by entry and upstream
+	shared  []int   // the same over all entries, as it was a while ago
+	took    []time.Duration
+	turned  int
+}
+
+// way is one way of choosing an upstream: choose returns it, done tells that its request ended.
+type way struct {
+	name   string
+	age    time.Duration // of shared counts
+	choose func(m *spreadModel, entry int) int
+	engine bool
+}
+
+// ways returns the product's way and those that it was weighed against.
+func ways() []way {
+	least := func(count func(i int) int, m *spreadModel, among []int) int {
+		at := m.rnd.IntN(len(among))
+		best := among[at]
+		for n := range among {
+			if i := among[(at+n)%len(among)]; count(i) < count(best) {
+				best = i
+			}
+		}
+		return best
+	}
+	all := func(m *spreadModel) []int {
+		list := make([]int, m.cfg.Upstreams)
+		for i := range list {
+			list[i] = i
+		}
+		return list
+	}
+	shared := func(m *spreadModel, e int) int {
+		return least(func(i int) int { return m.shared[i] + m.own[e][i] }, m, all(m))
+	}
+	return []way{
+		{name: "product: own requests and times", engine: true},
+		{name: "random", choose: func(m *spreadModel, _ int) int { return m.rnd.IntN(m.cfg.Upstreams) }},
+		{name: "own requests, least", choose: func(m *spreadModel, e int) int {
+			return least(func(i int) int { return m.own[e][i] }, m, all(m))
+		}},
+		{name: "own requests, better of two", choose: func(m *spreadModel, e int) int {
+			two := []int{m.rnd.IntN(m.cfg.Upstreams), m.rnd.IntN(m.cfg.Upstreams)}
+			return least(func(i int) int { return m.own[e][i] }, m, two)
+		}},
+		{name: "own requests, 8 by rendezvous", choose: func(m *spreadModel, e int) int {
+			return least(func(i int) int { return m.own[e][i] }, m, subset(m, e))
+		}},
+		{name: "all requests, at once", age: time.Millisecond, choose: shared},
+		{name: "all requests, 0.1 s ago", age: 100 * time.Millisecond, choose: shared},
+		{name: "all requests, 1 s ago", age: time.Second, choose: shared},
+	}
+}
+
+// subset returns the upstreams that rendezvous hashing gives an entry.
+func subset(m *spreadModel, entry int) []int {
+	list := make([]int, m.cfg.Upstreams)
+	for i := range list {
+		list[i] = i
+	}
+	rank := func(i int) uint64 { return xxhash.Sum64String(fmt.Sprint(entry, " ", i)) }
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(rank(a), rank(b)) })
+	return list[:min(subsetSize, len(list))]
+}
+
+// RunSpread returns what each way of choosing gives.
+func RunSpread(ctx context.Context, cfg SpreadConfig) ([]Spread, error) {
+	var out []Spread
+	for _, w := range ways() {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		out = append(out, runWay(cfg, w))
+	}
+	return out, nil
+}
+
+func runWay(cfg SpreadConfig, w way) Spread {
+	m := &spreadModel{
+		cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), running: make([]int, cfg.Upstreams),
+		waiting: make([][]func(), cfg.Upstreams), served: make([]int, cfg.Upstreams), shared: make([]int, cfg.Upstreams),
+	}
+	for range cfg.Entries {
+		m.own = append(m.own, make([]int, cfg.Upstreams))
+	}
+	if w.age > 0 {
+		m.share(w.age)
+	}
+	offer := m.offerTo(w)
+	rate := cfg.Load * float64(cfg.Upstreams*cfg.Slots) / cfg.Work.Seconds()
+	asked := 0
+	var arrive func()
+	arrive = func() {
+		if m.q.now >= cfg.Last {
+			return
+		}
+		asked++
+		offer(m.rnd.IntN(cfg.Entries))
+		m.q.after(time.Duration(m.rnd.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	arrive()
+	m.q.run(cfg.Last + 10*time.Second)
+	slices.Sort(m.took)
+	sum := 0
+	for _, n := range m.served {
+		sum += n
+	}
+	return Spread{
+		Way: w.name, Load: cfg.Load, Asked: asked, Turned: m.turned, P50: m.took[len(m.took)/2], P99: m.took[len(m.took)*99/100],
+		Busiest: float64(slices.Max(m.served)) * float64(cfg.Upstreams) / float64(max(1, sum)),
+	}
+}
+
+// share copies the counts of all entries each so often.
+func (m *spreadModel) share(age time.Duration) {
+	clear(m.shared)
+	for _, own := range m.own {
+		for i, n := range own {
+			m.shared[i] += n
+		}
+	}
+	if m.q.now < m.cfg.Last {
+		m.q.after(age, func() { m.share(age) })
+	}
+}
+
+// offerTo returns what happens to a request at an entry.
+func (m *spreadModel) offerTo(w way) func(entry int) {
+	if w.engine {
+		return m.engines()
+	}
+	return func(e int) {
+		i := w.choose(m, e)
+		m.own[e][i]++
+		began := m.q.now
+		m.q.after(spreadTrip, func() {
+			m.serve(i, func(ran bool) {
+				m.own[e][i]--
+				m.ended(began, ran)
+			})
+		})
+	}
+}
+
+func (m *spreadModel) ended(began time.Duration, ran bool) {
+	if !ran {
+		m.turned++
+		return
+	}
+	m.took = append(m.took, m.q.now-began)
+}
+
+// serve runs a request at an upstream, now or from its queue, or turns it away.
+func (m *spreadModel) serve(i int, done func(ran bool)) {
+	var begin func()
+	begin = func() {
+		m.running[i]++
+		m.served[i]++
+		m.q.after(time.Duration(float64(m.cfg.Work)*(0.5+m.rnd.Float64())), func() {
+			m.running[i]--
+			if len(m.waiting[i]) > 0 {
+				next := m.waiting[i][0]
+				m.waiting[i] = m.waiting[i][1:]
+				next()
+			}
+			done(true)
+		})
+	}
+	switch {
+	case m.running[i] < m.cfg.Slots:
+		begin()
+	case len(m.waiting[i]) < spreadQueue:
+		m.waiting[i] = append(m.waiting[i], begin)
+	default:
+		done(false)
+	}
+}
+
+var spreadListen = netip.MustParseAddrPort("198.18.0.1:443")
+
+// engines returns what happens to a request at an entry that decides as the product does.
+func (m *spreadModel) engines() func(entry int) {
+	start := time.Unix(1000, 0)
+	b := stoatroute.NewBook(stoatroute.Config{})
+	b.Declare(stoatpaddle.Declaration{Version: 1, Routes: []stoatpaddle.Route{
+		{Listen: spreadListen, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}}},
+	}}, 1)
+	names, at := map[stoatpaddle.UpstreamID]bool{}, map[stoatpaddle.UpstreamKey]int{}
+	for i := range m.cfg.Upstreams {
+		r := stoatpaddle.Registration{ID: stoatpaddle.UpstreamID(fmt.Sprint("i-", i)), Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "a", Slots: m.cfg.Slots}
+		b.Register(start, r, stoatpaddle.Version(i+2))
+		names[r.ID], at[stoatroute.KeyOf(r.Target)] = true, i
+	}
+	b.Listed(start, names, false)
+	table := b.Table()
+	var engines []*stoatecho.Engine
+	for i := range m.cfg.Entries {
+		engines = append(engines, stoatecho.New(stoatecho.Config{DataCentre: "a", Start: start, Seed: m.cfg.Seed + uint64(i)}))
+	}
+	flows := uint32(0)
+	return func(e int) {
+		flows++
+		src := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(flows >> 16), byte(flows >> 8), byte(flows)}), 4000)
+		tuple := stoatpacket.Tuple{Src: src, Dst: spreadListen, Protocol: stoatpaddle.ProtocolTCP}
+		now := func() time.Time { return start.Add(time.Minute + m.q.now) }
+		a := engines[e].Handle(now(), table, &stoatpacket.Packet{Tuple: tuple, Opens: true})
+		began := m.q.now
+		if a.Upstream == nil {
+			m.turned++
+			return
+		}
+		send := func(seq, ack uint32, size int, ends bool) {
+			engines[e].Handle(now(), table, &stoatpacket.Packet{Tuple: tuple, Cookie: a.Upstream.Key, Seq: seq, Ack: ack, Size: size, Ends: ends})
+		}
+		m.q.after(spreadTrip, func() {
+			send(1, 1, 0, false)
+			send(1, 1, 100, false)
+			m.serve(at[a.Upstream.Key], func(ran bool) {
+				send(101, 500, 0, true)
+				m.ended(began, ran)
+			})
+		})
+	}
+}
+
+// spreadLoads are the loads that ReportSpread measures: a calm day, a busy one, a burst.
+var spreadLoads = []float64{0.35, 0.7, 0.9}
+
+// wireSpread is a row in JSON.
+type wireSpread struct {
+	Way     string  `json:"way"`
+	Load    float64 `json:"load"`
+	Asked   int     `json:"asked"`
+	Turned  int     `json:"turned"`
+	P50     float64 `json:"p50"` // ms
+	P99     float64 `json:"p99"` // ms
+	Busiest float64 `json:"busiest"`
+}
+
+// ReportSpread measures each way of choosing under each load, and writes a table or JSON.
+func ReportSpread(ctx context.Context, cfg SpreadConfig, asJSON bool, w io.Writer) error {
+	var rows []wireSpread
+	for _, load := range spreadLoads {
+		cfg.Load = load
+		list, err := RunSpread(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		for _, s := range list {
+			rows = append(rows, wireSpread{
+				Way: s.Way, Load: s.Load, Asked: s.Asked, Turned: s.Turned, Busiest: s.Busiest,
+				P50: float64(s.P50.Microseconds()) / 1000, P99: float64(s.P99.Microseconds()) / 1000,
+			})
+		}
+	}
+	if asJSON {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(rows)
+	}
+	_, _ = fmt.Fprintf(w, "%-34s %6s %8s %8s %8s %8s %8s\n", "way of choosing", "load", "asked", "turned", "p50 ms", "p99 ms", "busiest")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(w, "%-34s %6.2f %8d %8d %8.1f %8.1f %8.3f\n", r.Way, r.Load, r.Asked, r.Turned, r.P50, r.P99, r.Busiest)
+	}
+	return nil
+}
