stoatsoak: the real program as processes under seeded faults

Design: entries are the deployed program with settings files; callers, upstreams, the fabric and the store are stand-ins that speak the published formats, in one process on loopback addresses of the run's own; the store is reached through a proxy for each entry, so that one alone can be refused or silenced. 19 kinds of steps by a seed, planned work and disturbances, which overlap. The checker sees what callers and upstreams see, and each life's own words on the version in force.

--- a/stoatcommand/command.go
+++ b/stoatcommand/command.go
@@ -26,6 +26,7 @@
 	Run      *runArgs      `arg:"subcommand:run" help:"run one entry instance"`
 	Demo     *demoArgs     `arg:"subcommand:demo" help:"run the whole system on loopback addresses and break it"`
 	Measure  *measureArgs  `arg:"subcommand:measure" help:"measure the flow engine against a naive one"`
+	Soak     *soakArgs     `arg:"subcommand:soak" help:"run entries as processes under faults, and check what callers see"`
 	Contract *contractArgs `arg:"subcommand:contract" help:"write, read and remove contracts"`
 	Instance *instanceArgs `arg:"subcommand:instance" help:"mark instances as joining or leaving"`
 	Status   *statusArgs   `arg:"subcommand:status" help:"show what is in force where"`
--- /dev/null
+++ b/stoatcommand/soak.go
@@ -0,0 +1,85 @@
+package stoatcommand
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatsoak"
+)
+
+type soakArgs struct {
+	Seed    uint64        `default:"1" help:"of the first run; the faults follow from it"`
+	Runs    int           `default:"1" help:"runs, with one seed after the other"`
+	Length  time.Duration `default:"1m" help:"of a run"`
+	Entries int           `default:"6" help:"entry processes"`
+	Dir     string        `placeholder:"DIR" help:"where settings and logs are kept; a new one under the system's temporary files by default"`
+	JSON    bool          `arg:"--json" help:"print JSON, a line a run"`
+}
+
+// BreachError reports promises that were broken.
+type BreachError struct {
+	Breaches int
+	Logs     string
+}
+
+// Error tells how many, and where the logs are.
+func (e *BreachError) Error() string {
+	return fmt.Sprintf("%d promises were broken; logs are in %s", e.Breaches, e.Logs)
+}
+
+// The bounds of a soak.
+const (
+	soakApply  = 3 * time.Second  // as on the smaller deployments
+	soakStable = 4 * time.Second  // the same
+	soakSlack  = time.Second      // for a busy machine
+	soakBack   = 12 * time.Second // until requests are served again
+	soakLeast  = 15 * time.Second // a shorter run has no room for a step
+)
+
+func (a *soakArgs) run(c *env) error {
+	if a.Entries < 2 || a.Entries > 100 || a.Runs < 1 || a.Length < soakLeast {
+		return &UsageError{Problem: "soak needs 2 to 100 entries, a run at least, and a length of 15s at least"}
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if a.Dir == "" {
+		if a.Dir, err = os.MkdirTemp("", "stoatpaddle-soak-"); err != nil {
+			return err
+		}
+	}
+	progress := c.err
+	if a.JSON {
+		progress = io.Discard
+	}
+	breaches := 0
+	for n := range a.Runs {
+		seed := a.Seed + uint64(n)
+		dir := filepath.Join(a.Dir, fmt.Sprint("seed-", seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		result, err := stoatsoak.Run(c.ctx, stoatsoak.Config{
+			Program: program, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Out: progress,
+			Bounds: stoatsoak.Bounds{Apply: soakApply, Stable: soakStable, Slack: soakSlack, Back: soakBack},
+		})
+		if err != nil {
+			return err
+		}
+		if err := stoatsoak.Report(c.out, result, a.JSON); err != nil {
+			return err
+		}
+		breaches += len(result.Breaches)
+		if c.ctx.Err() != nil {
+			break
+		}
+	}
+	if breaches > 0 {
+		return &BreachError{Breaches: breaches, Logs: a.Dir}
+	}
+	return nil
+}
--- /dev/null
+++ b/stoatsoak/checker.go
@@ -0,0 +1,215 @@
+package stoatsoak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Promise is one thing that must hold.
+type Promise string
+
+// The promises.
+const (
+	RightService Promise = "route"   // a request is run by a service that its route has or had
+	WholeAnswer  Promise = "mixed"   // an answer belongs to its request and is whole
+	Once         Promise = "twice"   // a request that may not be repeated runs once at most
+	FlowLives    Promise = "flow"    // no open flow is reset while its upstream lives
+	Drained      Promise = "drain"   // a leaving upstream gets no new flows after the bound
+	InForce      Promise = "config"  // a configuration is in force after the bound
+	NeverBack    Promise = "back"    // what is in force never goes back
+	Recovers     Promise = "recover" // requests are served some time after a disturbance
+	Runs         Promise = "runs"    // an entry does not end by itself
+)
+
+// timed tells whether a promise speaks of time: a machine that is slow enough breaks it.
+func (p Promise) timed() bool {
+	return p == FlowLives || p == Drained || p == InForce || p == Recovers
+}
+
+// Breach is a promise that was broken.
+type Breach struct {
+	At      time.Duration
+	Promise Promise
+	What    string
+}
+
+// String says what was broken when.
+func (b Breach) String() string {
+	return fmt.Sprintf("%6.2f s %s: %s", b.At.Seconds(), b.Promise, b.What)
+}
+
+// span is a disturbance; to is 0 while it goes on.
+type span struct{ from, to time.Duration }
+
+// checker gathers what callers and upstreams see. Times count from the start of the run.
+type checker struct {
+	mu       sync.Mutex
+	bounds   Bounds
+	troubles []*span
+	runs     map[string]int // of requests that may not be repeated, by id
+	versions map[string]int // the highest configuration an entry's life said to be in force
+	breaches []Breach
+	counts   Counts
+}
+
+// Bounds are what the promises with a time say.
+type Bounds struct {
+	Apply  time.Duration // of a configuration, and of a leaving upstream
+	Stable time.Duration // how long after a disturbance the promises hold again
+	Slack  time.Duration // for the machine that the run is on
+	Back   time.Duration // how long after a disturbance requests are served again
+	// Untimed leaves out the promises that speak of time, on a machine whose speed is not known.
+	Untimed bool
+}
+
+// Counts are what a run did.
+type Counts struct {
+	Asked, Served, Late, Failed int
+	Flows, Resets               int
+}
+
+func newChecker(b Bounds) *checker {
+	return &checker{bounds: b, runs: map[string]int{}, versions: map[string]int{}}
+}
+
+func (c *checker) breach(now time.Duration, p Promise, format string, args ...any) {
+	if c.bounds.Untimed && p.timed() {
+		return
+	}
+	c.breaches = append(c.breaches, Breach{At: now, Promise: p, What: fmt.Sprintf(format, args...)})
+}
+
+// begin notes a disturbance and returns what ends it.
+func (c *checker) begin(now time.Duration) func(now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &span{from: now}
+	c.troubles = append(c.troubles, s)
+	return func(now time.Duration) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s.to = now
+	}
+}
+
+// calm tells whether nothing disturbed the system from some time before since until now.
+func (c *checker) calm(since, now time.Duration) bool {
+	for _, s := range c.troubles {
+		if s.from <= now && (s.to == 0 || s.to+c.bounds.Stable >= since) {
+			return false
+		}
+	}
+	return true
+}
+
+// ran notes that an upstream of a service began a request for a route of another, or the same.
+func (c *checker) ran(now time.Duration, id, service, wanted string, repeatable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if service != wanted {
+		c.breach(now, RightService, "request %s for %s was run by %s", id, wanted, service)
+	}
+	if repeatable {
+		return
+	}
+	if c.runs[id]++; c.runs[id] == 2 {
+		c.breach(now, Once, "request %s ran twice", id)
+	}
+}
+
+// answered notes an answer.
+func (c *checker) answered(now time.Duration, id, got string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if id != got {
+		c.breach(now, WholeAnswer, "request %s got the answer %q", id, got)
+	}
+}
+
+// wasReset notes that an entry reset an open flow, whose upstream lives all the while.
+func (c *checker) wasReset(now time.Duration, flow, upstream string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Resets++
+	if c.calm(now, now) {
+		c.breach(now, FlowLives, "flow %s was reset while %s lives", flow, upstream)
+	}
+}
+
+// openedAt notes an opening at an upstream that was marked as leaving at that time.
+func (c *checker) openedAt(now, left time.Duration, upstream string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if late := now - left; late > c.bounds.Apply+c.bounds.Slack && c.calm(left, now) {
+		c.breach(now, Drained, "%s got a new flow %s after it was marked as leaving", upstream, late)
+	}
+}
+
+// looked notes what a new flow to a route met at one entry: allowed says whether the
+// configuration, acknowledged at that time, has the route.
+func (c *checker) looked(now, acked time.Duration, entry, route string, allowed, opened bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now-acked > c.bounds.Apply+c.bounds.Slack && c.calm(acked, now) && allowed != opened {
+		c.breach(now, InForce, "%s: route %s: allowed %t, opened %t, %s after the change", entry, route, allowed, opened, now-acked)
+	}
+}
+
+// inForce notes the version that a life of an entry says to be in force.
+func (c *checker) inForce(now time.Duration, life string, version int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version < c.versions[life] {
+		c.breach(now, NeverBack, "%s went back from version %d to %d", life, c.versions[life], version)
+	}
+	c.versions[life] = max(c.versions[life], version)
+}
+
+// ended notes that an entry ended by itself.
+func (c *checker) ended(now time.Duration, entry, how string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.breach(now, Runs, "%s ended by itself: %s", entry, how)
+}
+
+// tried counts a request, and checks that it was served if it may be expected.
+func (c *checker) tried(now, began time.Duration, route string, served, late bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Asked++
+	switch {
+	case served && late:
+		c.counts.Late++
+	case served:
+		c.counts.Served++
+	default:
+		c.counts.Failed++
+		if c.quiet(began, now) {
+			c.breach(now, Recovers, "a request to %s begun at %.2f s was not served", route, began.Seconds())
+		}
+	}
+}
+
+// quiet tells whether a request had nothing against it: no disturbance for longer than
+// recovery may take.
+func (c *checker) quiet(since, now time.Duration) bool {
+	for _, s := range c.troubles {
+		if s.from <= now && (s.to == 0 || s.to+c.bounds.Back >= since) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *checker) opened() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Flows++
+}
+
+func (c *checker) result() (Counts, []Breach) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts, append([]Breach(nil), c.breaches...)
+}
--- /dev/null
+++ b/stoatsoak/checker_test.go
@@ -0,0 +1,129 @@
+package stoatsoak
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const second = time.Second
+
+func testBounds() Bounds {
+	return Bounds{Apply: 3 * second, Stable: 4 * second, Slack: second, Back: 12 * second}
+}
+
+// Each promise: what breaks it, what does not, and what a disturbance excuses.
+func TestPromises(t *testing.T) {
+	for name, try := range map[string]struct {
+		see  func(c *checker)
+		want []Promise
+	}{
+		"another service runs a request": {func(c *checker) { c.ran(0, "r1", "intake", "app", true) }, []Promise{RightService}},
+		"its own service does":           {func(c *checker) { c.ran(0, "r1", "app", "app", true) }, nil},
+		"an answer to another request":   {func(c *checker) { c.answered(0, "r1", "r2") }, []Promise{WholeAnswer}},
+		"its own answer":                 {func(c *checker) { c.answered(0, "r1", "r1") }, nil},
+		"a pledge runs twice": {func(c *checker) {
+			c.ran(0, "r1", "app", "app", false)
+			c.ran(0, "r1", "app", "app", false)
+		}, []Promise{Once}},
+		"a feed request runs twice": {func(c *checker) {
+			c.ran(0, "r1", "app", "app", true)
+			c.ran(0, "r1", "app", "app", true)
+		}, nil},
+		"a flow is reset": {func(c *checker) { c.wasReset(20*second, "f", "u") }, []Promise{FlowLives}},
+		"a flow is reset in a disturbance": {func(c *checker) {
+			c.begin(19 * second)
+			c.wasReset(20*second, "f", "u")
+		}, nil},
+		"a flow is reset just after one": {func(c *checker) {
+			c.begin(15 * second)(17 * second)
+			c.wasReset(20*second, "f", "u")
+		}, nil},
+		"a flow is reset long after one": {func(c *checker) {
+			c.begin(10 * second)(12 * second)
+			c.wasReset(20*second, "f", "u")
+		}, []Promise{FlowLives}},
+		"a leaving upstream gets a flow":       {func(c *checker) { c.openedAt(15*second, 10*second, "u") }, []Promise{Drained}},
+		"a leaving upstream gets one at first": {func(c *checker) { c.openedAt(13*second, 10*second, "u") }, nil},
+		"a new route is refused":               {func(c *checker) { c.looked(15*second, 10*second, "e", "x", true, false) }, []Promise{InForce}},
+		"an old route opens":                   {func(c *checker) { c.looked(15*second, 10*second, "e", "x", false, true) }, []Promise{InForce}},
+		"a new route is refused at first":      {func(c *checker) { c.looked(12*second, 10*second, "e", "x", true, false) }, nil},
+		"a configuration goes back": {func(c *checker) {
+			c.inForce(0, "e#1", 5)
+			c.inForce(0, "e#1", 3)
+		}, []Promise{NeverBack}},
+		"another life starts earlier": {func(c *checker) {
+			c.inForce(0, "e#1", 5)
+			c.inForce(0, "e#2", 3)
+		}, nil},
+		"nobody serves": {func(c *checker) { c.tried(33*second, 30*second, "feed", false, false) }, []Promise{Recovers}},
+		"nobody serves soon after a disturbance": {func(c *checker) {
+			c.begin(10 * second)(20 * second)
+			c.tried(33*second, 30*second, "feed", false, false)
+		}, nil},
+		"an entry ends": {func(c *checker) { c.ended(0, "e", "exit 1") }, []Promise{Runs}},
+	} {
+		c := newChecker(testBounds())
+		try.see(c)
+		_, breaches := c.result()
+		var got []Promise
+		for _, b := range breaches {
+			got = append(got, b.Promise)
+		}
+		if len(got) != len(try.want) || len(got) > 0 && got[0] != try.want[0] {
+			t.Errorf("%s: %v, expected %v", name, got, try.want)
+		}
+	}
+}
+
+// On a machine of unknown speed promises with a time are left out, the others are not.
+func TestUntimed(t *testing.T) {
+	bounds := testBounds()
+	bounds.Untimed = true
+	c := newChecker(bounds)
+	c.wasReset(20*second, "f", "u")
+	c.tried(33*second, 30*second, "feed", false, false)
+	c.answered(0, "r1", "r2")
+	if _, breaches := c.result(); len(breaches) != 1 || breaches[0].Promise != WholeAnswer {
+		t.Error(breaches)
+	}
+}
+
+// A seed always gives the same steps, inside the run; another one gives others.
+func TestPlan(t *testing.T) {
+	text := func(seed uint64) string {
+		var b strings.Builder
+		for _, s := range NewPlan(seed, time.Minute) {
+			b.WriteString(s.String() + "\n")
+			if s.At < warmUp || s.At > time.Minute-coolDown || s.For < second || s.For > longest {
+				t.Error(s)
+			}
+		}
+		return b.String()
+	}
+	if text(1) != text(1) || text(1) == text(2) || strings.Count(text(1), "\n") < 10 {
+		t.Error(text(1), text(2))
+	}
+	kinds := map[Kind]bool{}
+	for seed := range uint64(30) {
+		for _, s := range NewPlan(seed, time.Minute) {
+			kinds[s.Kind] = true
+		}
+	}
+	if len(kinds) != len(planned)+len(disturbances) {
+		t.Error("some kinds never come:", kinds)
+	}
+}
+
+// What led to a breach is shown with it.
+func TestReport(t *testing.T) {
+	var b strings.Builder
+	r := Result{Seed: 7, Steps: []Step{{At: second, Kind: Drain}, {At: 9 * second, Kind: Kill}}, Breaches: []Breach{{At: 5 * second, Promise: Drained, What: "x"}}}
+	if err := Report(&b, r, false); err != nil || !strings.Contains(b.String(), "after   1.00 s drain") || strings.Contains(b.String(), "kill") {
+		t.Error(err, b.String())
+	}
+	b.Reset()
+	if err := Report(&b, r, true); err != nil || !strings.Contains(b.String(), `"faults":{"drain":1,"kill":1}`) {
+		t.Error(err, b.String())
+	}
+}
--- /dev/null
+++ b/stoatsoak/plan.go
@@ -0,0 +1,83 @@
+package stoatsoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is one kind of fault or change.
+type Kind string
+
+// The kinds. The first ones are planned work, under which every promise holds; the others
+// are disturbances.
+const (
+	Terminate Kind = "terminate" // SIGTERM to an entry, which starts again
+	Rolling   Kind = "rolling"   // the same for all, in turn
+	Drain     Kind = "drain"     // an upstream leaves, and another one joins
+	Release   Kind = "release"   // all upstreams of a service are replaced in turn
+	Routes    Kind = "routes"    // a route is added, the one added before is removed
+	Storm     Kind = "storm"     // ten configurations within a second
+	Settings  Kind = "settings"  // the settings file changes, with or without a signal
+
+	Kill      Kind = "kill"    // SIGKILL to an entry
+	KillAll   Kind = "killall" // SIGKILL to all entries at once
+	Freeze    Kind = "freeze"  // SIGSTOP for a while
+	Crash     Kind = "crash"   // an upstream dies; its address goes to the other service
+	StoreDown Kind = "down"    // the store answers nothing; registrations lapse meanwhile
+	StoreSlow Kind = "slow"    // its answers take 200 ms
+	StoreLag  Kind = "lag"     // its replicas stand still
+	StoreMute Kind = "mute"    // its watches tell nothing
+	Forget    Kind = "forget"  // its history is gone
+	Refuse    Kind = "refuse"  // the store refuses one entry
+	Silence   Kind = "silence" // one entry's connections to the store go silent; new ones work
+	Lossy     Kind = "lossy"   // datagrams are lost, doubled and late
+)
+
+var (
+	planned      = []Kind{Terminate, Rolling, Drain, Release, Routes, Storm, Settings}
+	disturbances = []Kind{Kill, KillAll, Freeze, Crash, StoreDown, StoreSlow, StoreLag, StoreMute, Forget, Refuse, Silence, Lossy}
+)
+
+// Planned tells whether every promise holds while it goes on.
+func (k Kind) Planned() bool { return slices.Contains(planned, k) }
+
+// Step is one fault or change of a plan.
+type Step struct {
+	At     time.Duration
+	For    time.Duration
+	Kind   Kind
+	Target int // which entry, upstream or service, modulo their number
+}
+
+// String says what happens when.
+func (s Step) String() string {
+	return fmt.Sprintf("%6.2f s %s %d for %s", s.At.Seconds(), s.Kind, s.Target, s.For)
+}
+
+const (
+	// warmUp passes before the first step: all entries serve and are told by then.
+	warmUp = 3 * time.Second
+	// coolDown passes after the last one: what it broke must be whole by the end.
+	coolDown = 8 * time.Second
+	// stepGap is the mean pause between two steps: they overlap half of the time.
+	stepGap = 3 * time.Second
+	longest = 4 * time.Second
+)
+
+// NewPlan returns the steps of a run, the same for the same seed and length.
+func NewPlan(seed uint64, length time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 11))
+	var steps []Step
+	for at := warmUp; at < length-coolDown; at += stepGap/2 + time.Duration(rnd.Int64N(int64(stepGap))) {
+		kinds := planned
+		if rnd.IntN(2) == 0 {
+			kinds = disturbances
+		}
+		s := Step{At: at, Kind: kinds[rnd.IntN(len(kinds))], Target: rnd.IntN(1000)}
+		s.For = time.Second + time.Duration(rnd.Int64N(int64(longest-time.Second))).Truncate(time.Millisecond)
+		steps = append(steps, s)
+	}
+	return steps
+}
--- /dev/null
+++ b/stoatsoak/run_faults.go
@@ -0,0 +1,214 @@
+package stoatsoak
+
+import (
+	"fmt"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatfake"
+)
+
+// apply begins one step; what lasts goes on in the background.
+func (w *world) apply(s Step) {
+	if w.ctx.Err() != nil {
+		return
+	}
+	_, _ = fmt.Fprintln(w.cfg.Out, s)
+	e := w.entries[s.Target%len(w.entries)]
+	if s.Kind.Planned() {
+		w.plan(s, e)
+		return
+	}
+	ended := w.check.begin(w.now())
+	w.disturb(s, e)
+	w.after(s.For, func() {
+		w.mend(s, e)
+		ended(w.now())
+	})
+}
+
+// plan begins planned work.
+func (w *world) plan(s Step, e *entry) {
+	switch s.Kind {
+	case Terminate:
+		e.signal(syscall.SIGTERM, true)
+	case Rolling:
+		for i, e := range w.entries {
+			w.after(time.Duration(i)*s.For, func() { e.signal(syscall.SIGTERM, true) })
+		}
+	case Drain:
+		w.replace(s.Target)
+	case Release:
+		for i := range appUpstreams {
+			w.after(time.Duration(i)*time.Second, func() { w.replace(0) })
+		}
+	case Routes:
+		w.changeRoutes(s.Target)
+	case Storm:
+		for i := range 10 {
+			w.after(time.Duration(i)*100*time.Millisecond, func() { w.changeRoutes(s.Target + i) })
+		}
+	case Settings:
+		e.mu.Lock()
+		e.level++
+		e.mu.Unlock()
+		if _, err := e.configure(); err == nil && s.Target%2 == 0 {
+			e.signal(syscall.SIGHUP, false)
+		}
+	}
+}
+
+// leaveAfter is how much longer than the bound a leaving upstream serves.
+const leaveAfter = 3 * time.Second
+
+// replace has an upstream of the service leave once another one serves in its place, as
+// planned releases do.
+func (w *world) replace(target int) {
+	u := w.pick(target)
+	if u == nil {
+		return
+	}
+	if _, err := w.newUpstream(u.service, u.centre, netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		return
+	}
+	u.leave(w.now())
+	w.after(w.cfg.Bounds.Apply+leaveAfter, func() { w.endWhenIdle(u, 10) })
+}
+
+// endWhenIdle ends a leaving upstream once its flows have ended, or some time later.
+func (w *world) endWhenIdle(u *upstream, times int) {
+	if u.busy() && times > 0 {
+		w.after(500*time.Millisecond, func() { w.endWhenIdle(u, times-1) })
+		return
+	}
+	if u.busy() {
+		// Callers who kept a flow open all the while lose it; that is no entry's doing.
+		ended := w.check.begin(w.now())
+		w.after(time.Second, func() { ended(w.now()) })
+	}
+	u.end()
+}
+
+// pick returns an upstream that serves, or nil.
+func (w *world) pick(target int) *upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.upstreams {
+		u := w.upstreams[(target+i)%len(w.upstreams)]
+		u.mu.Lock()
+		serves := u.left == 0 && !u.dead.Load()
+		u.mu.Unlock()
+		if serves {
+			return u
+		}
+	}
+	return nil
+}
+
+// changeRoutes adds a route, or removes the one with that name.
+func (w *world) changeRoutes(n int) {
+	name := fmt.Sprint("extra-", n%7)
+	w.configure(func(routes map[string]routed) {
+		listen := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(n % 7)}), 443)
+		routes[name] = routed{listen: listen, allowed: !routes[name].allowed, acked: w.now()}
+	})
+}
+
+// disturb begins a disturbance.
+func (w *world) disturb(s Step, e *entry) {
+	switch s.Kind {
+	case Kill:
+		e.signal(syscall.SIGKILL, true)
+	case KillAll:
+		for _, e := range w.entries {
+			e.signal(syscall.SIGKILL, true)
+		}
+	case Freeze:
+		e.signal(syscall.SIGSTOP, false)
+	case Crash:
+		w.crash(s.Target)
+	case StoreDown:
+		w.store.Set(stoatfake.Trouble{Down: true})
+		w.lapse()
+	case StoreSlow:
+		w.store.Set(stoatfake.Trouble{Slow: 200 * time.Millisecond})
+	case StoreLag:
+		w.store.Set(stoatfake.Trouble{Lagging: true})
+	case StoreMute:
+		w.store.Set(stoatfake.Trouble{SilentWatch: true})
+	case Forget:
+		w.store.Forget()
+	case Refuse:
+		e.store.setRefuse(true)
+	case Silence:
+		e.store.silence()
+	case Lossy:
+		w.setLossy(true)
+	}
+}
+
+// mend ends a disturbance.
+func (w *world) mend(s Step, e *entry) {
+	switch s.Kind {
+	case Freeze:
+		e.signal(syscall.SIGCONT, false)
+	case StoreDown:
+		w.store.Set(stoatfake.Trouble{})
+		w.after(time.Second, w.comeBack)
+	case StoreSlow, StoreLag, StoreMute:
+		w.store.Set(stoatfake.Trouble{})
+	case Refuse:
+		e.store.setRefuse(false)
+	case Lossy:
+		w.setLossy(false)
+	}
+}
+
+func (w *world) setLossy(lossy bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lossy = lossy
+}
+
+// lapse removes half of the registrations, as a store does that is away.
+func (w *world) lapse() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, u := range w.upstreams {
+		if i%2 == 0 {
+			w.store.Remove(platform.KindUpstream, u.id)
+		}
+	}
+}
+
+// comeBack has the upstreams register again.
+func (w *world) comeBack() {
+	for _, u := range w.living() {
+		u.mu.Lock()
+		left := u.left
+		u.mu.Unlock()
+		if left == 0 && !u.dead.Load() {
+			u.register("ready")
+		}
+	}
+}
+
+// crash ends an upstream at once; later another one serves in its place, and its address
+// goes to a life of the other service.
+func (w *world) crash(target int) {
+	u := w.pick(target)
+	if u == nil {
+		return
+	}
+	u.dead.Store(true)
+	_ = u.conn.Close()
+	w.after(2*time.Second, func() {
+		u.end()
+		other := map[string]string{"app": "intake", "intake": "app"}[u.service]
+		// Somebody may have taken the port meanwhile.
+		_, _ = w.newUpstream(other, u.centre, u.addr)
+		_, _ = w.newUpstream(u.service, u.centre, netip.MustParseAddrPort("127.0.0.1:0"))
+	})
+}
--- /dev/null
+++ b/stoatsoak/run_world.go
@@ -0,0 +1,315 @@
+package stoatsoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatfake"
+)
+
+// Config configures a run.
+type Config struct {
+	Program string // the program's file
+	Dir     string // of settings and logs
+	Seed    uint64
+	Length  time.Duration
+	Entries int
+	Bounds  Bounds
+	Plan    []Step // nil: by the seed
+	// Sabotage breaks one promise on purpose, to see that it is noticed.
+	Sabotage Promise
+	Out      io.Writer // progress
+}
+
+// Result is what a run showed.
+type Result struct {
+	Seed     uint64
+	Steps    []Step
+	Counts   Counts
+	Breaches []Breach
+}
+
+// world is the deployment and everything around it.
+type world struct {
+	cfg       Config
+	start     time.Time
+	ctx       context.Context
+	cancel    context.CancelFunc
+	group     *errgroup.Group
+	check     *checker
+	store     *stoatfake.Platform
+	storeAddr string
+	port      uint16 // of the fabric, and of callers
+	entries   []*entry
+	ids       atomic.Uint64
+	lives     atomic.Uint64
+
+	mu        sync.Mutex
+	upstreams []*upstream
+	sockets   []*net.UDPConn // of callers
+	rnd       *rand.Rand
+	lossy     bool
+	version   int
+	routes    map[string]routed
+}
+
+// routed is a route that was added or removed at a time.
+type routed struct {
+	listen  netip.AddrPort
+	allowed bool
+	acked   time.Duration
+}
+
+var (
+	feedAddr   = netip.MustParseAddrPort("198.18.0.1:443")
+	pledgeAddr = netip.MustParseAddrPort("198.18.0.1:80")
+	uploadAddr = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// kinds are what callers ask for.
+func kinds() []*kind {
+	return []*kind{
+		{name: "feed", service: "app", listen: feedAddr, repeatable: true, long: true, parts: 1, every: 150 * time.Millisecond},
+		{name: "pledge", service: "app", listen: pledgeAddr, parts: 1, every: 200 * time.Millisecond},
+		{name: "upload", service: "intake", listen: uploadAddr, repeatable: true, parts: 4, every: 300 * time.Millisecond},
+	}
+}
+
+const (
+	callersPerKind = 4
+	appUpstreams   = 4
+	intakeServers  = 2
+	firstPort      = 8600 // of the fabric
+)
+
+// Run plays one run. A breach is no error.
+func Run(ctx context.Context, cfg Config) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, cfg.Length)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	w := &world{
+		cfg: cfg, start: time.Now(), ctx: ctx, cancel: cancel, group: group, check: newChecker(cfg.Bounds), store: stoatfake.NewPlatform(),
+		port: firstPort + uint16(cfg.Seed%1000), rnd: rand.New(rand.NewPCG(cfg.Seed, 12)), routes: map[string]routed{},
+	}
+	plan := cfg.Plan
+	if plan == nil {
+		plan = NewPlan(cfg.Seed, cfg.Length)
+	}
+	err := w.play(plan)
+	cancel()
+	w.shut()
+	if waited := group.Wait(); err == nil {
+		err = waited
+	}
+	counts, breaches := w.check.result()
+	return Result{Seed: cfg.Seed, Steps: plan, Counts: counts, Breaches: breaches}, err
+}
+
+func (w *world) play(plan []Step) error {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.storeAddr = ln.Addr().String()
+	srv := &http.Server{Handler: w.store, ReadHeaderTimeout: time.Minute}
+	w.group.Go(func() error {
+		_ = srv.Serve(ln)
+		return nil
+	})
+	defer func() { _ = srv.Close() }()
+	w.configure(func(map[string]routed) {})
+	for i := range appUpstreams + intakeServers {
+		service := "app"
+		if i >= appUpstreams {
+			service = "intake"
+		}
+		if _, err := w.newUpstream(service, centreOf(i), netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+			return err
+		}
+	}
+	for n := range w.cfg.Entries {
+		e, err := w.newEntry(n)
+		if err != nil {
+			return err
+		}
+		w.entries = append(w.entries, e)
+	}
+	// The time until all serve is no failure of theirs.
+	settled := w.check.begin(0)
+	for _, e := range w.entries {
+		w.group.Go(e.run)
+		w.group.Go(e.probe)
+	}
+	w.pause(time.Second)
+	settled(w.now())
+	if err := w.callers(); err != nil {
+		return err
+	}
+	w.group.Go(w.look)
+	for _, s := range plan {
+		w.pause(s.At - w.now())
+		w.apply(s)
+	}
+	<-w.ctx.Done()
+	return nil
+}
+
+func (w *world) callers() error {
+	for i, k := range kinds() {
+		for n := range callersPerKind {
+			c, err := w.newCaller(i*callersPerKind + n)
+			if err != nil {
+				return err
+			}
+			w.group.Go(func() error { return c.run(k) })
+		}
+	}
+	return nil
+}
+
+// shut ends what was started, and nothing else.
+func (w *world) shut() {
+	for _, e := range w.entries {
+		e.signal(syscall.SIGCONT, true)
+		e.signal(syscall.SIGKILL, true)
+		e.store.close()
+		_ = e.conn.Close()
+	}
+	w.mu.Lock()
+	for _, conn := range w.sockets {
+		_ = conn.Close()
+	}
+	w.mu.Unlock()
+	for _, u := range w.living() {
+		u.end()
+	}
+}
+
+// net is the second byte of the run's addresses, so that two runs do not meet.
+func (w *world) net() byte { return byte(1 + w.cfg.Seed%250) }
+
+func (w *world) now() time.Duration { return time.Since(w.start) }
+
+// pause waits, and tells whether the run goes on.
+func (w *world) pause(d time.Duration) bool {
+	t := time.NewTimer(max(0, d))
+	defer t.Stop()
+	select {
+	case <-w.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// after does something later, unless the run ends before.
+func (w *world) after(d time.Duration, do func()) {
+	w.group.Go(func() error {
+		if w.pause(d) {
+			do()
+		}
+		return nil
+	})
+}
+
+func (w *world) random() uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rnd.Uint32() >> 1
+}
+
+func (w *world) jitter(d time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return d/2 + time.Duration(w.rnd.Int64N(int64(d)))
+}
+
+// lost tells whether a datagram is lost now.
+func (w *world) lost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lossy && w.rnd.IntN(10) == 0
+}
+
+// configure writes the operators' configuration, changed.
+func (w *world) configure(change func(routes map[string]routed)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 1 + w.rnd.IntN(3)
+	change(w.routes)
+	var routes []map[string]any
+	add := func(name string, listen netip.AddrPort, service, kind string) {
+		routes = append(routes, map[string]any{
+			"name": name, "host": listen.Addr().String(), "path_prefix": "/" + strconv.Itoa(int(listen.Port())) + "/", "type": kind,
+			"service": service, "target_latency_ms": aim.Milliseconds(), "timeout_ms": deadline.Milliseconds(), "priority": 1,
+		})
+	}
+	for _, k := range kinds() {
+		add(k.name, k.listen, k.service, map[bool]string{true: "idempotent", false: "non_idempotent"}[k.repeatable])
+	}
+	for name, r := range w.routes {
+		if r.allowed {
+			add(name, r.listen, "app", "idempotent")
+		}
+	}
+	w.store.Write(platform.KindConfig, platform.NameConfig, map[string]any{
+		"version": w.version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
+		"services": []map[string]any{{"name": "app", "max_conns": 2000}, {"name": "intake", "max_conns": 2000}},
+	})
+}
+
+// living returns the upstreams there are.
+func (w *world) living() []*upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*upstream(nil), w.upstreams...)
+}
+
+// holder returns the upstream that holds the flow, if it lives and is known to be its own.
+func (w *world) holder(f *flow) *upstream {
+	for _, u := range w.living() {
+		u.mu.Lock()
+		s := u.flows[f.tuple[0]]
+		u.mu.Unlock()
+		if s != nil && s.open && !u.dead.Load() {
+			return u
+		}
+	}
+	return nil
+}
+
+func atoi(s string) int {
+	// What is no number was written by nobody here.
+	n, _ := strconv.Atoi(s)
+	return n
+}
+
+// Logs names the files that tell what happened.
+func Logs(dir string) string {
+	list, err := os.ReadDir(dir)
+	if err != nil {
+		return dir
+	}
+	var names []string
+	for _, f := range list {
+		if strings.HasSuffix(f.Name(), ".log") {
+			names = append(names, f.Name())
+		}
+	}
+	return fmt.Sprintf("%s: %s", dir, strings.Join(names, " "))
+}
--- /dev/null
+++ b/stoatsoak/soak_test.go
@@ -0,0 +1,71 @@
+package stoatsoak_test
+
+import (
+	"context"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatcommand"
+	"github.com/stoatpaddle/stoatpaddle/stoatsoak"
+)
+
+// TestMain makes the test's program the one that the runs start as entries.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "run" {
+		os.Exit(stoatcommand.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func run(t *testing.T, cfg stoatsoak.Config) stoatsoak.Result {
+	t.Helper()
+	t.Parallel()
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Program, cfg.Dir, cfg.Out, cfg.Entries = program, t.TempDir(), io.Discard, 3
+	cfg.Bounds = stoatsoak.Bounds{Apply: 3 * time.Second, Stable: 4 * time.Second, Slack: time.Second, Back: 12 * time.Second, Untimed: cfg.Sabotage == ""}
+	r, err := stoatsoak.Run(context.Background(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// A run of planned work and disturbances: what must hold whatever the machine's speed holds.
+func TestRun(t *testing.T) {
+	at := func(s int, k stoatsoak.Kind, target int) stoatsoak.Step {
+		return stoatsoak.Step{At: time.Duration(s) * time.Second, For: time.Second, Kind: k, Target: target}
+	}
+	r := run(t, stoatsoak.Config{Seed: 1, Length: 16 * time.Second, Plan: []stoatsoak.Step{
+		at(3, stoatsoak.Routes, 1), at(3, stoatsoak.Drain, 0), at(4, stoatsoak.Terminate, 0), at(5, stoatsoak.Storm, 2), at(6, stoatsoak.Crash, 1),
+		at(7, stoatsoak.StoreDown, 0), at(8, stoatsoak.Kill, 1), at(10, stoatsoak.Freeze, 2), at(11, stoatsoak.Lossy, 0), at(12, stoatsoak.KillAll, 0),
+	}})
+	for _, b := range r.Breaches {
+		t.Error(b)
+	}
+	if r.Counts.Served+r.Counts.Late == 0 || r.Counts.Flows == 0 {
+		t.Errorf("nothing was served: %+v", r.Counts)
+	}
+}
+
+// The soak can fail: an entry that breaks a promise is noticed.
+func TestBrokenEntryIsNoticed(t *testing.T) {
+	for i, p := range []stoatsoak.Promise{stoatsoak.RightService, stoatsoak.WholeAnswer, stoatsoak.Once, stoatsoak.FlowLives, stoatsoak.Drained, stoatsoak.InForce, stoatsoak.Recovers, stoatsoak.Runs} {
+		t.Run(string(p), func(t *testing.T) {
+			plan := []stoatsoak.Step{
+				{At: 6 * time.Second, Kind: stoatsoak.Drain, Target: 0},
+			}
+			r := run(t, stoatsoak.Config{Seed: uint64(20 + i), Length: 22 * time.Second, Plan: plan, Sabotage: p})
+			for _, b := range r.Breaches {
+				if b.Promise == p {
+					return
+				}
+			}
+			t.Errorf("not noticed among %d breaches", len(r.Breaches))
+		})
+	}
+}
