stoatedge: earlier services are told; counted drops; one reading of counters

A packet that found the hold full was dropped uncounted; each gauge copied the engine's counters under its lock, 60 times a reading; an entry that starts after a route moved did not know the service before, and dropped flows there. Now: counted (TestFullHoldIsCounted); one copy a reading; a parent tells the earlier services (TestEarlierServicesAreTold). A seed that starts after the move still does not know them: the store has only the last configuration. Lines on a parent that ended no longer blame the platform.

--- a/route.go
+++ b/route.go
@@ -15,6 +15,7 @@
 type Route struct {
 	Listen     netip.AddrPort // what callers write into their packets
 	Backends   []Backend
+	Earlier    []ServiceID   // where it sent flows before, as far as another entry told; they go on
 	Idempotent bool          // its requests may run twice
 	Priority   int           // 0 is the most urgent
 	Objective  time.Duration // an answer later than this is late; 0: none is declared
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -19,7 +19,8 @@
 	malformed [stoatpacket.DropCount]atomic.Int64
 	doubted   time.Time // used by the traffic goroutine only
 	set       *metrics.Set
-	answer    *metrics.Histogram // from a request to its caller's acknowledgement of the answer
+	stats     atomic.Pointer[stoatecho.Stats] // as the present reading found them
+	answer    *metrics.Histogram              // from a request to its caller's acknowledgement of the answer
 }
 
 // called counts one call to the platform.
@@ -40,22 +41,23 @@
 	set := metrics.NewSet()
 	e.counts.set = set
 	e.counts.answer = set.NewHistogram("stoatpaddle_request_answer_seconds")
-	stat := func(name string, value func(s stoatecho.Stats) int64) {
-		set.NewGauge(name, func() float64 { return float64(value(e.Stats())) })
+	e.counts.stats.Store(&stoatecho.Stats{})
+	stat := func(name string, value func(s *stoatecho.Stats) int64) {
+		set.NewGauge(name, func() float64 { return float64(value(e.counts.stats.Load())) })
 	}
-	stat("stoatpaddle_flow_opened_total", func(s stoatecho.Stats) int64 { return s.Opened })
-	stat("stoatpaddle_flow_moved_total", func(s stoatecho.Stats) int64 { return s.Moved })
-	stat("stoatpaddle_flow_refused_total", func(s stoatecho.Stats) int64 { return s.Refused })
-	stat("stoatpaddle_request_answered_total", func(s stoatecho.Stats) int64 { return s.Answered })
-	stat("stoatpaddle_request_late_total", func(s stoatecho.Stats) int64 { return s.Late })
-	stat("stoatpaddle_flow_open", func(s stoatecho.Stats) int64 { return int64(s.Flows) })
-	stat("stoatpaddle_upstream_ejected_total", func(s stoatecho.Stats) int64 { return s.Ejected })
-	stat("stoatpaddle_packet_forwarded_total", func(s stoatecho.Stats) int64 { return s.Forwarded })
+	stat("stoatpaddle_flow_opened_total", func(s *stoatecho.Stats) int64 { return s.Opened })
+	stat("stoatpaddle_flow_moved_total", func(s *stoatecho.Stats) int64 { return s.Moved })
+	stat("stoatpaddle_flow_refused_total", func(s *stoatecho.Stats) int64 { return s.Refused })
+	stat("stoatpaddle_request_answered_total", func(s *stoatecho.Stats) int64 { return s.Answered })
+	stat("stoatpaddle_request_late_total", func(s *stoatecho.Stats) int64 { return s.Late })
+	stat("stoatpaddle_flow_open", func(s *stoatecho.Stats) int64 { return int64(s.Flows) })
+	stat("stoatpaddle_upstream_ejected_total", func(s *stoatecho.Stats) int64 { return s.Ejected })
+	stat("stoatpaddle_packet_forwarded_total", func(s *stoatecho.Stats) int64 { return s.Forwarded })
 	for r := stoatpacket.DropShort; r < stoatpacket.DropCount; r++ {
 		set.NewGauge(fmt.Sprintf("stoatpaddle_packet_dropped_total{reason=%q}", r), func() float64 {
-			return float64(e.Stats().Drops[r] + e.counts.malformed[r].Load())
+			return float64(e.counts.stats.Load().Drops[r] + e.counts.malformed[r].Load())
 		})
-		stat(fmt.Sprintf("stoatpaddle_flow_reset_total{reason=%q}", r), func(s stoatecho.Stats) int64 { return s.Resets[r] })
+		stat(fmt.Sprintf("stoatpaddle_flow_reset_total{reason=%q}", r), func(s *stoatecho.Stats) int64 { return s.Resets[r] })
 	}
 	set.NewGauge("stoatpaddle_config_version", func() float64 { return float64(e.table.Load().Declaration.Version) })
 	set.NewGauge("stoatpaddle_view_age_seconds", func() float64 {
@@ -76,7 +78,10 @@
 	return set
 }
 
+// writeMetrics reads the engine's counters once: each reading takes its lock from traffic.
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	stats := e.Stats()
+	e.counts.stats.Store(&stats)
 	for _, left := range e.log.sampler.Total() {
 		e.metrics.GetOrCreateCounter(fmt.Sprintf("stoatpaddle_log_left_out_total{event=%q}", left.Number)).Set(uint64(left.Count))
 	}
--- a/stoatedge/news.go
+++ b/stoatedge/news.go
@@ -46,6 +46,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Listen   []byte   // the address and port in binary: 6 bytes instead of 17 in text
 	Backends []wireBackend
+	Earlier  []int // services
 	Repeat   bool  // its requests may run twice
 	AimMS    int64 // objective
 	Priority int
@@ -161,6 +162,11 @@
 		for _, b := range r.Backends {
 			out.Backends = append(out.Backends, wireBackend{Service: n.of(string(b.Service)), Weight: uint32(b.Weight)})
 		}
+		if held := t.Route(r.Listen); held != nil {
+			for _, s := range held.Earlier() {
+				out.Earlier = append(out.Earlier, n.of(string(s)))
+			}
+		}
 		w.Routes = append(w.Routes, out)
 	}
 	return w
@@ -292,6 +298,9 @@
 		for _, b := range x.Backends {
 			route.Backends = append(route.Backends, stoatpaddle.Backend{Service: stoatpaddle.ServiceID(r.name(b.Service)), Weight: stoatpaddle.Weight(b.Weight)})
 		}
+		for _, place := range x.Earlier {
+			route.Earlier = append(route.Earlier, stoatpaddle.ServiceID(r.name(place)))
+		}
 		a.declaration.Routes = append(a.declaration.Routes, route)
 	}
 	return a
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -1,6 +1,7 @@
 package stoatedge
 
 import (
+	"io"
 	"net/netip"
 	"net/url"
 	"testing"
@@ -11,6 +12,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
@@ -160,6 +163,25 @@
 	return out
 }
 
+// A route moved to another service while flows are open at the one before. An entry that
+// starts afterwards, and is told by one that saw it, forwards their packets too.
+func TestEarlierServicesAreTold(t *testing.T) {
+	b := stoatroute.NewBook(stoatroute.Config{})
+	first, moved := declared(1, 5), declared(2, 9)
+	moved.declaration.Routes[0].Backends[0].Service = "other"
+	b.Declare(*first.declaration, first.revision)
+	b.Declare(*moved.declaration, moved.revision)
+	got, err := decodeNews(&wireHead{}, overTheWire(t, encodeBody(time.Unix(1000, 0), b.Table(), heldBy{})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := stoatroute.NewBook(stoatroute.Config{})
+	later.Declare(got.amendment.declaration, got.amendment.revision)
+	if r := later.Table().Route(listen); !r.Had("app") || !r.Had("other") || r.Had("third") {
+		t.Error(r.Earlier())
+	}
+}
+
 // A configuration of two thousand routes changes: one route is added, one changed, one
 // removed. What is told is those three, and makes the same of the version before.
 func TestDifferenceOfDeclarations(t *testing.T) {
@@ -197,6 +219,23 @@
 	}
 }
 
+// A flood meets an entry that has nothing to serve by yet: what finds no room is counted.
+func TestFullHoldIsCounted(t *testing.T) {
+	e := &Edge{engine: stoatecho.New(stoatecho.Config{Start: clock()}), log: newEventLog(io.Discard, stoatsetting.Settings{})}
+	defer e.log.close()
+	e.table.Store(&stoatroute.Table{})
+	e.place = newPlace(stoattree.Config{})
+	m := newMover()
+	const packets = 3000
+	for i := range packets {
+		p := stoatpacket.Packet{Opens: true, Seq: uint32(i)}
+		e.handle(clock(), m, 31, &p)
+	}
+	if held, dropped := len(e.hold.Take()), e.counts.malformed[stoatpacket.DropYoung].Load(); int64(held)+dropped != packets || dropped == 0 {
+		t.Error(held, dropped)
+	}
+}
+
 // What an entry says when it asks arrives as it was meant; what nobody says is refused.
 func TestAskCodec(t *testing.T) {
 	want := stoattree.Ask{
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -64,6 +64,18 @@
 // Error names the entry and its reason.
 func (e *refusedError) Error() string { return e.addr.String() + " refused: " + e.reason }
 
+// goneError reports an entry that does not answer, or does not go on.
+type goneError struct {
+	addr  netip.AddrPort
+	cause error
+}
+
+// Error names the entry and the cause.
+func (e *goneError) Error() string { return e.addr.String() + " tells nothing: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *goneError) Unwrap() error { return e.cause }
+
 // silentError reports a parent of which nothing was heard.
 type silentError struct{ after time.Duration }
 
@@ -123,7 +135,7 @@
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
-			return accepted, &stoatpaddle.UnavailableError{Op: "news of " + addr.String(), Cause: err}
+			return accepted, &goneError{addr: addr, cause: err}
 		}
 		silence := stoatfeed.Share(e.settings().Bound(), silenceShare)
 		watchdog.Stop()
@@ -149,11 +161,11 @@
 	url := "http://" + addr.String() + pathNews + "?" + writeAsk(ask)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, &stoatpaddle.UnavailableError{Op: url, Cause: err}
+		return nil, &goneError{addr: addr, cause: err}
 	}
 	res, err := followClient.Do(req)
 	if err != nil {
-		return nil, &stoatpaddle.UnavailableError{Op: "ask " + addr.String(), Cause: err}
+		return nil, &goneError{addr: addr, cause: err}
 	}
 	return res, nil
 }
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -89,6 +89,7 @@
 	a := e.engine.Handle(now, t, p)
 	if a.Verdict == stoatecho.Wait && !e.hold.Add(now, p, m.buf[platform.TargetSize:platform.TargetSize+n]) {
 		a.Verdict = stoatecho.Drop
+		e.counts.malformed[a.Reason].Add(1)
 	}
 	e.engineMu.Unlock()
 	e.carryOut(now, t, a, p, m, n)
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -105,6 +105,9 @@
 		for _, s := range r.Backends {
 			n.had[s.Service] = true
 		}
+		for _, s := range r.Earlier {
+			n.had[s] = true
+		}
 		routes[r.Listen] = n
 	}
 	b.drop(routes)
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -51,6 +51,18 @@
 // Had tells whether the route has or had the service: flows that opened there go on.
 func (r *Route) Had(s stoatpaddle.ServiceID) bool { return r.had[s] }
 
+// Earlier returns the services that the route had and has not any more, in order.
+func (r *Route) Earlier() []stoatpaddle.ServiceID {
+	var out []stoatpaddle.ServiceID
+	for s := range r.had {
+		if !slices.ContainsFunc(r.Backends, func(b stoatpaddle.Backend) bool { return b.Service == s }) {
+			out = append(out, s)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Table is a snapshot that traffic reads; it never changes.
 type Table struct {
 	Declaration stoatpaddle.Declaration
