--- /dev/null
+++ b/stoatedge/bench_test.go
@@ -0,0 +1,118 @@
+package stoatedge
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+func bigBook(routes, upstreams int) (*stoatroute.Book, stoatpaddle.Declaration) {
+	d := stoatpaddle.Declaration{Version: 1, Caps: map[stoatpaddle.ServiceID]int{"app": 2000}}
+	for i := range routes {
+		addr := netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)})
+		d.Routes = append(d.Routes, stoatpaddle.Route{
+			Listen: netip.AddrPortFrom(addr, 443), Objective: 200 * ms, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}},
+		})
+	}
+	b := stoatroute.NewBook(stoatroute.Config{})
+	b.Declare(d, 1)
+	for i := range upstreams {
+		c := registered(stoatpaddle.UpstreamID(fmt.Sprintf("i-%010x", i+1)), stoatpaddle.Target(i+1), stoatpaddle.Version(i+2))
+		c.registration.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8080)
+		b.Register(time.Unix(1000, 0), *c.registration, c.revision)
+	}
+	return b, d
+}
+
+// A message without news, as each child gets one with each proof.
+func BenchmarkHead(b *testing.B) {
+	h := &wireHead{
+		Known: 1234567, AgeMS: 40, Path: []string{"10.1.0.10:8166", "10.1.0.77:8166", "10.1.0.78:8166"},
+		Relatives: []string{"10.1.0.80:8166", "10.1.0.81:8166", "10.1.0.82:8166"}, Centre: "ruwi",
+	}
+	b.ReportAllocs()
+	for range b.N {
+		data, err := encodeWire(h)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(data)))
+		var out wireHead
+		if err := msgpack.Unmarshal(data, &out); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := decodeNews(&out, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Everything, as a new child gets it: written once, read and taken in by the child.
+func BenchmarkWhole(b *testing.B) {
+	for _, n := range []int{18, 150, 3000, 43000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			book, _ := bigBook(14, n)
+			t := book.Table()
+			now := time.Unix(1000, 0)
+			b.ReportAllocs()
+			for range b.N {
+				data, err := encodeWire(encodeBody(now, t, heldBy{}))
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.SetBytes(int64(len(data)))
+				var w wireBody
+				if err := msgpack.Unmarshal(data, &w); err != nil {
+					b.Fatal(err)
+				}
+				x, err := decodeNews(&wireHead{}, &w)
+				if err != nil {
+					b.Fatal(err)
+				}
+				stoatroute.NewBook(stoatroute.Config{}).Mirror(now, stoatroute.Telling{Upstreams: x.upstreams, Whole: true, Later: true})
+			}
+		})
+	}
+}
+
+// One route of many changes, and is told.
+func BenchmarkOneRouteChanges(b *testing.B) {
+	for _, n := range []int{14, 489, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			book, d := bigBook(n, 0)
+			_, held := bigBook(n, 0)
+			now := time.Unix(1000, 0)
+			b.ReportAllocs()
+			for i := range b.N {
+				child := holds(book.Table())
+				d.Version++
+				d.Routes[0].Priority = i
+				book.Declare(d, d.Version)
+				data, err := encodeWire(encodeBody(now, book.Table(), child))
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.SetBytes(int64(len(data)))
+				var w wireBody
+				if err := msgpack.Unmarshal(data, &w); err != nil {
+					b.Fatal(err)
+				}
+				x, err := decodeNews(&wireHead{}, &w)
+				if err != nil {
+					b.Fatal(err)
+				}
+				next, fits := x.amendment.onto(&held)
+				if !fits {
+					b.Fatal("does not fit")
+				}
+				held = next
+			}
+		})
+	}
+}
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -184,7 +184,7 @@
 // rely ends reading the platform. The calls under way are given up; what they bring is older
 // than what the parent tells next.
 func (k *keeper) rely() {
-	k.reading, k.parked = false, false
+	k.reading, k.parked, k.unwatched = false, false, false
 	for t := range topicCount {
 		if k.pending[t] {
 			k.stale[t] = true
@@ -193,15 +193,16 @@
 	}
 }
 
-// read begins to read the platform, exactly and at once.
+// read begins to read the platform, exactly and at once. The first question finds out whether
+// it answers this entry at all: in an outage each one is paid for by each entry.
 func (k *keeper) read(why string) {
-	k.reading = true
+	k.reading, k.parked, k.unwatched = true, true, true
 	k.log(EventReads, stoatevent.F("why", why), stoatevent.F("parent", k.follow.parent))
-	for t, f := range k.feeds {
+	for _, f := range k.feeds {
 		f.Doubt()
-		if !k.pending[t] {
-			k.ask(topic(t))
-		}
+	}
+	if !k.pending[declarations] {
+		k.ask(declarations)
 	}
 }
 
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -24,23 +24,26 @@
 type keeper struct {
 	book    *stoatroute.Book
 	feeds   [topicCount]*stoatfeed.Feed
-	reading bool                            // the platform is asked; otherwise the parent tells
-	pending [topicCount]bool                // a call is under way
-	stale   [topicCount]bool                // and what it brings is not wanted any more
-	waiting [topicCount]bool                // it is a watch that waits for a change
-	answers bool                            // the platform does, as last said to touched
-	parked  bool                            // upstreams are not asked for until the other topic is answered
-	listed  map[stoatpaddle.UpstreamID]bool // names in the pages of the list under way
-	follow  follower
-	bound   time.Duration // how soon a change has to be in force
-	open    *proof        // not matched yet
-	rnd     *rand.Rand
-	known   stoatpaddle.Version // everything up to it, of both topics, once ready
-	heard   time.Time           // when the platform last answered; at first the start
-	ready   bool
-	table   *stoatroute.Table
-	said    stands // as last said to others
-	out     []any  // effects of the present step
+	reading bool             // the platform is asked; otherwise the parent tells
+	pending [topicCount]bool // a call is under way
+	stale   [topicCount]bool // and what it brings is not wanted any more
+	waiting [topicCount]bool // it is a watch that waits for a change
+	// unwatched is set until the first answer about upstreams once this entry reads again: what
+	// ended meanwhile may have lapsed in an outage of which it noticed nothing.
+	unwatched bool
+	answers   bool                            // the platform does, as last said to touched
+	parked    bool                            // upstreams are not asked for until the other topic is answered
+	listed    map[stoatpaddle.UpstreamID]bool // names in the pages of the list under way
+	follow    follower
+	bound     time.Duration // how soon a change has to be in force
+	open      *proof        // not matched yet
+	rnd       *rand.Rand
+	known     stoatpaddle.Version // everything up to it, of both topics, once ready
+	heard     time.Time           // when the platform last answered; at first the start
+	ready     bool
+	table     *stoatroute.Table
+	said      stands // as last said to others
+	out       []any  // effects of the present step
 }
 
 type keeperConfig struct {
@@ -124,6 +127,7 @@
 }
 
 func (k *keeper) ask(t topic) {
+	k.feeds[t].SetTold(k.follow.allowed && k.follow.parent != "")
 	c := k.feeds[t].Next()
 	k.waiting[t], k.pending[t] = !c.List && c.Wait > time.Millisecond, true
 	k.do(ask{topic: t, call: c})
@@ -193,6 +197,9 @@
 	if v.Apply {
 		k.apply(now, x.topic, x.changes, "platform")
 		k.complete(now, x, v)
+		if x.topic == upstreams && (v.Complete || !x.call.List) {
+			k.unwatched = false
+		}
 		k.prove(now, x, v)
 		if v.Proof {
 			k.compareParent(now)
@@ -207,14 +214,16 @@
 	if !k.reading {
 		return
 	}
-	if t == upstreams && k.lost(upstreams) && k.lost(declarations) {
+	if t == upstreams && (k.parked || k.lost(upstreams) && k.lost(declarations)) {
 		k.parked = true
 		return
 	}
 	k.ask(t)
-	if k.parked && !k.lost(declarations) {
+	if k.parked && k.feeds[declarations].Failing().IsZero() {
 		k.parked = false
-		k.ask(upstreams)
+		if !k.pending[upstreams] {
+			k.ask(upstreams)
+		}
 	}
 }
 
@@ -234,7 +243,7 @@
 	if !v.Complete {
 		return
 	}
-	for _, id := range k.book.Listed(now, k.listed, v.Away) {
+	for _, id := range k.book.Listed(now, k.listed, v.Away || k.unwatched) {
 		k.standing(id, "not in the list")
 	}
 	k.listed = nil
@@ -268,6 +277,10 @@
 				k.log(EventDeclared, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
 					stoatevent.F("routes", countOf(len(c.declaration.Routes))), stoatevent.F("source", source))
 			}
+		case c.gone && t == upstreams && k.unwatched:
+			if k.book.Lapse(now, stoatpaddle.UpstreamID(c.name), c.revision) {
+				k.standing(stoatpaddle.UpstreamID(c.name), "registration ended while nobody watched")
+			}
 		case c.gone && t == upstreams:
 			if k.book.Remove(now, stoatpaddle.UpstreamID(c.name), c.revision) {
 				k.standing(stoatpaddle.UpstreamID(c.name), "registration ended")
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -43,6 +43,11 @@
 	// for; a second more of an old view after an outage is well within the bounds.
 	pauseLeast = 60 * time.Millisecond
 	pauseMost  = time.Second
+	// pauseTold is the least pause, and the same again at random, while another entry tells
+	// when the platform is back: of 7,500 entries that ask every second each refused call is
+	// paid for. What it costs is time only for an entry that the platform answers again while
+	// it still refuses all that read for others.
+	pauseTold = 2 * time.Second
 	// awayAfter is the least outage in which a registration can lapse: three heartbeats of
 	// a third of a second.
 	awayAfter = time.Second
@@ -112,6 +117,7 @@
 	exact    bool          // the next call must not be answered by a replica
 	hurry    bool          // the next call must not wait for a change
 	gather   bool          // the last watch brought news
+	told     bool          // another entry tells when the platform is back
 	age      time.Duration // of the last proof, when it came
 }
 
@@ -163,10 +169,18 @@
 	case f.exact || f.hurry || f.failures > 0:
 		// It is wanted now, not when something changes.
 		c.Wait = time.Millisecond
+		c.Timeout = f.answerWithin(c.Timeout)
 	}
 	return c
 }
 
+// answerWithin is how long a question may take that waits for nothing: the connection that it
+// takes may have gone silent while it was idle, and the next try gets a new one. A slow
+// platform is given more time each time.
+func (f *Feed) answerWithin(most time.Duration) time.Duration {
+	return min(most, time.Duration(1+f.failures)*Share(f.cfg.Bound, hangShare))
+}
+
 // wait is how long a watch waits for a change. Where others wait for proofs, one that was
 // old when it came, since its watch was ended by news, is followed by the next one sooner.
 func (f *Feed) wait() time.Duration {
@@ -199,6 +213,9 @@
 	case f.failures == 0:
 		return 0
 	}
+	if f.told && f.failures >= 2 {
+		return pauseTold + time.Duration(f.cfg.Rand.Int64N(int64(pauseTold)))
+	}
 	most := pauseMost
 	if f.failures < 5 {
 		most = min(pauseMost, pauseLeast<<f.failures)
@@ -295,6 +312,9 @@
 // for what this feed learns.
 func (f *Feed) SetStart(stale, prompt bool) { f.cfg.StaleStart, f.cfg.Prompt = stale, prompt }
 
+// SetTold tells whether another entry tells when the platform is back.
+func (f *Feed) SetTold(told bool) { f.told = told }
+
 // Hurry has the next call answered at once: another feed has proof of a later revision
 // than this one has heard of.
 func (f *Feed) Hurry() { f.hurry = true }
--- a/stoatfeed/feed_test.go
+++ b/stoatfeed/feed_test.go
@@ -285,3 +285,29 @@
 		t.Error(f.Revision())
 	}
 }
+
+// All open connections go silent for good, also the idle one to the platform, and a question
+// is asked on it in the last quarter of the bound. It is given up in time for another one on
+// a new connection; a platform that answers slowly gets more time with each try.
+func TestQuestionsAreGivenUpSoon(t *testing.T) {
+	f := listed(t, false)
+	f.Doubt()
+	last := time.Duration(0)
+	for range 4 {
+		c := f.Next()
+		if c.Wait > time.Millisecond || c.Timeout <= last {
+			t.Errorf("%+v after %s", c, last)
+		}
+		if last == 0 && c.Timeout > bound/5 {
+			t.Error("the first try takes", c.Timeout)
+		}
+		last = c.Timeout
+		f.Done(start, start, c, stoatfeed.Result{Outcome: stoatfeed.Failed})
+	}
+	for range 10 {
+		f.Done(start, start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Failed})
+	}
+	if c := f.Next(); c.Timeout > bound*85/100 {
+		t.Error(c.Timeout)
+	}
+}
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -207,6 +207,18 @@
 	return true
 }
 
+// Lapse takes in that a registration ended while nobody asked the platform for this entry: it
+// may have lapsed in an outage, and has Config.Return to come back.
+func (b *Book) Lapse(now time.Time, id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
+	e := b.ups[id]
+	if e == nil || revision < e.up.Revision || e.up.Standing >= Missing {
+		return false
+	}
+	e.up.Revision = revision
+	b.miss(now, e)
+	return true
+}
+
 func (b *Book) end(now time.Time, e *entry) {
 	e.up.Standing, e.up.Ended, e.until = Gone, now, now.Add(b.cfg.Keep)
 	b.changed(e)
