--- /dev/null
+++ b/stoatcount/doc.go
@@ -0,0 +1,2 @@
+// Package stoatcount counts the bytes that pass a reader or a writer.
+package stoatcount
--- a/stoatedge/control.go
+++ b/stoatedge/control.go
@@ -1,8 +1,6 @@
 package stoatedge
 
 import (
-	"log/slog" // house: the type that the actor library's configuration asks for
-
 	"github.com/asynkron/protoactor-go/actor"
 )
 
@@ -21,10 +19,3 @@
 		}
 	}
 }
-
-// newSystem returns an actor system that keeps its own log lines to itself: everything a
-// user should see is a numbered event.
-func newSystem() *actor.ActorSystem {
-	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
-	return actor.NewActorSystem(actor.WithLoggerFactory(quiet))
-}
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatactor"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
@@ -76,7 +77,7 @@
 		engine:  stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Start: now, Seed: seed}),
 		callers: cfg.Settings.Tunnel.Port(),
 		own:     cfg.Settings.Tunnel.Addr(),
-		system:  newSystem(),
+		system:  stoatactor.NewSystem(),
 		place: newPlace(stoattree.Config{
 			Self: cfg.Settings.Admin, Centre: cfg.Settings.DataCentre, Seeds: cfg.Settings.Seeds, Share: cfg.Settings.Share, Link: cfg.Settings.Link,
 			Rand: rand.New(rand.NewPCG(seed, 2)),
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -3,17 +3,16 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatcount"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
 )
@@ -125,7 +124,7 @@
 		return false, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	dec := msgpack.NewDecoder(bufio.NewReader(&countingReader{r: res.Body, n: &e.place.heard}))
+	dec := msgpack.NewDecoder(bufio.NewReader(&stoatcount.Reader{R: res.Body, N: &e.place.heard}))
 	if res.StatusCode != http.StatusOK {
 		return false, e.refused(addr, dec)
 	}
@@ -212,15 +211,3 @@
 	e.post(x)
 	return nil
 }
-
-// countingReader counts what comes from parents.
-type countingReader struct {
-	r io.Reader
-	n *atomic.Int64
-}
-
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n.Add(int64(n))
-	return n, err
-}
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -88,11 +88,8 @@
 		e.log.emit(now, EventFailing, stoatevent.F("upstream", string(m.Upstream.ID)), stoatevent.F("service", string(m.Upstream.Service)),
 			stoatevent.F("answered", strconv.Itoa(m.Answered)), stoatevent.F("failed", strconv.Itoa(m.Failed)), stoatevent.F("hold", m.Hold.String()))
 	}
-	if told := e.place.seen.Load(); told == nil || !slices.Equal(keysOf(*told), keysOf(sum)) {
-		e.place.seen.Store(&sum)
+	if told := e.place.seen.Swap(&sum); told == nil || !slices.Equal(keysOf(*told), keysOf(sum)) {
 		e.place.bell.ring()
-	} else {
-		e.place.seen.Store(&sum)
 	}
 	if to.IsValid() {
 		e.group.Go(func() error {
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -15,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatcount"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
@@ -131,63 +131,66 @@
 	_ = msgpack.NewEncoder(w).Encode(&wireRefusal{Reason: string(a.Refusal), Try: addrTexts(a.Try)})
 }
 
-// countingWriter counts what goes to children.
-type countingWriter struct {
-	w io.Writer
-	n *atomic.Int64
-}
-
-func (c *countingWriter) Write(p []byte) (int, error) {
-	n, err := c.w.Write(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
 // tellChild sends messages until something ends it, and returns what did.
 func (e *Edge) tellChild(w http.ResponseWriter, r *http.Request, ask stoattree.Ask) string {
 	rc := http.NewResponseController(w)
-	out := &countingWriter{w: w, n: &e.place.sent}
+	out := &stoatcount.Writer{W: w, N: &e.place.sent}
 	var child heldBy
 	for {
-		bound := e.settings().Bound()
 		next := e.place.bell.wait()
 		if e.stop.asked() {
 			return "this entry stops"
 		}
-		// First how far everything is known, then the table: it holds that much at least.
-		s, t, now := e.place.stands.Load(), e.table.Load(), clock()
-		body, err := e.place.bodies.of(now, t, child)
-		if err != nil {
-			return err.Error()
-		}
-		head, err := e.headFor(now, s, ask, len(body) > 0)
+		now, bound := clock(), e.settings().Bound()
+		text, told, err := e.message(now, ask, child)
 		if err != nil {
 			return err.Error()
 		}
 		// A child that stands still must not hold this goroutine.
 		_ = rc.SetWriteDeadline(now.Add(stoatfeed.Share(bound, silenceShare)))
-		if _, err := out.Write(append(head, body...)); err != nil {
+		if _, err := out.Write(text); err != nil {
 			return err.Error()
 		}
 		if err := rc.Flush(); err != nil {
 			return err.Error()
 		}
-		child = holds(t)
-		timer := time.NewTimer(stoatfeed.Share(bound, keepaliveShare))
-		select {
-		case <-next:
-		case <-timer.C:
-		case <-r.Context().Done():
-			timer.Stop()
-			return "it hung up"
-		case <-e.ctx.Done():
-			timer.Stop()
-			return "this entry ends"
+		child = told
+		if cause := e.waitForNews(r, next, stoatfeed.Share(bound, keepaliveShare)); cause != "" {
+			return cause
 		}
-		timer.Stop()
 	}
 }
 
+// message returns the next one for a child, encoded, and what the child holds with it.
+func (e *Edge) message(now time.Time, ask stoattree.Ask, child heldBy) ([]byte, heldBy, error) {
+	// First how far everything is known, then the table: it holds that much at least.
+	s, t := e.place.stands.Load(), e.table.Load()
+	body, err := e.place.bodies.of(now, t, child)
+	if err != nil {
+		return nil, child, err
+	}
+	head, err := e.headFor(now, s, ask, len(body) > 0)
+	if err != nil {
+		return nil, child, err
+	}
+	return append(head, body...), holds(t), nil
+}
+
+// waitForNews returns when there is some or a message is due anyway, or with what ended the telling.
+func (e *Edge) waitForNews(r *http.Request, next <-chan struct{}, most time.Duration) string {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-next:
+	case <-timer.C:
+	case <-r.Context().Done():
+		return "it hung up"
+	case <-e.ctx.Done():
+		return "this entry ends"
+	}
+	return ""
+}
+
 // headFor returns the head of a message to one child, encoded.
 func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool) ([]byte, error) {
 	h := wireHead{
--- a/stoatentry/control.go
+++ b/stoatentry/control.go
@@ -1,7 +1,6 @@
 package stoatentry
 
 import (
-	"log/slog" // house: the type that the actor library's configuration asks for
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -34,13 +33,6 @@
 	}
 }
 
-// newSystem returns an actor system that keeps its own log lines to itself: everything a
-// user should see is a numbered event.
-func newSystem() *actor.ActorSystem {
-	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
-	return actor.NewActorSystem(actor.WithLoggerFactory(quiet))
-}
-
 // Connected implements stoatpeer.Handler.
 func (e *Entry) Connected(h stoatmessage.Hello) { e.post(stoatnode.Connected{Hello: h}) }
 
--- a/stoatpeer/run.go
+++ b/stoatpeer/run.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatcount"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatmessage"
 )
@@ -289,7 +290,7 @@
 }
 
 func (t *Transport) read(l *link, r *bufio.Reader) {
-	counted := &countingReader{r: r, n: &t.received}
+	counted := &stoatcount.Reader{R: r, N: &t.received}
 	for {
 		_ = l.conn.SetReadDeadline(time.Now().Add(silence))
 		m, err := Read(counted)
@@ -303,14 +304,3 @@
 		t.cfg.Handler.Received(l.id, m)
 	}
 }
-
-type countingReader struct {
-	r io.Reader
-	n *atomic.Int64
-}
-
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n.Add(int64(n))
-	return n, err
-}
