--- a/stoatsoak/checker_test.go
+++ b/stoatsoak/checker_test.go
@@ -127,3 +127,17 @@
 		t.Error(err, b.String())
 	}
 }
+
+// Two runs with one seed on one machine take addresses of their own.
+func TestClaim(t *testing.T) {
+	one, two := &world{cfg: Config{Seed: 77}}, &world{cfg: Config{Seed: 77}}
+	for _, w := range []*world{one, two} {
+		if err := w.claim(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = w.sockets[0].Close() })
+	}
+	if one.net == two.net {
+		t.Error("both use", one.net)
+	}
+}
--- a/stoatsoak/run_caller.go
+++ b/stoatsoak/run_caller.go
@@ -60,7 +60,7 @@
 }
 
 func (w *world) newCaller(n int) (*caller, error) {
-	addr := netip.AddrFrom4([4]byte{127, w.net(), 200, byte(n + 1)})
+	addr := netip.AddrFrom4([4]byte{127, w.net, 200, byte(n + 1)})
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(addr, w.port)))
 	if err != nil {
 		return nil, err
--- a/stoatsoak/run_entry.go
+++ b/stoatsoak/run_entry.go
@@ -45,7 +45,7 @@
 )
 
 func (w *world) newEntry(n int) (*entry, error) {
-	e := &entry{w: w, n: n, name: fmt.Sprintf("entry-%d", n+1), addr: netip.AddrFrom4([4]byte{127, w.net(), byte(100 + n/200), byte(n%200 + 1)})}
+	e := &entry{w: w, n: n, name: fmt.Sprintf("entry-%d", n+1), addr: netip.AddrFrom4([4]byte{127, w.net, byte(100 + n/200), byte(n%200 + 1)})}
 	var err error
 	if e.store, err = newStoreProxy(w); err != nil {
 		return nil, err
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -55,6 +55,7 @@
 	store     *stoatfake.Platform
 	storeAddr string
 	port      uint16 // of the fabric, and of callers
+	net       byte   // the second byte of the run's addresses
 	entries   []*entry
 	ids       atomic.Uint64
 	lives     atomic.Uint64
@@ -121,6 +122,9 @@
 }
 
 func (w *world) play(plan []Step) error {
+	if err := w.claim(); err != nil {
+		return err
+	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -200,8 +204,26 @@
 	}
 }
 
-// net is the second byte of the run's addresses, so that two runs do not meet.
-func (w *world) net() byte { return byte(1 + w.cfg.Seed%250) }
+const (
+	nets     = 250  // 127.1.x.y to 127.250.x.y
+	lockPort = 8599 // of the address that a run holds to itself
+)
+
+// claim finds a part of the loopback addresses that no other run on this machine uses, and
+// keeps it until the sockets are closed.
+func (w *world) claim() error {
+	var last error
+	for i := range uint64(nets) {
+		n := byte(1 + (w.cfg.Seed+i)%nets)
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n, 255, 1}), lockPort)))
+		if err == nil {
+			w.net, w.sockets = n, append(w.sockets, conn)
+			return nil
+		}
+		last = err
+	}
+	return last
+}
 
 func (w *world) now() time.Duration { return time.Since(w.start) }
 
