stoatecho: upstreams that have just started are not marked as failing

A third of a service would get no flows while the others carry its load. Ruled out: restarts of entries (two or three a second at that time leave failures at all upstreams; only new ones were marked); hanging servers (SP1422 shows them answering late). Now: not before 4 s after the upstream should be warm. TestColdUpstreamsAreNotToBlame.

--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -188,6 +188,11 @@
 		if marked >= len(own)/failCap || float64(m.Failed) < bound {
 			break
 		}
+		// One that has just started is slow, and says so: its requests owe their answers for a
+		// while, in each release at a third of a service.
+		if m.Upstream.Started && now.Before(m.Upstream.Warm.Add(evidenceSpan)) {
+			continue
+		}
 		// Once an upstream is named, those entries that saw no failure need a moment to say so;
 		// until then it would seem to fail most requests.
 		if m.share() < failShare || now.Sub(e.together[m.Upstream.Key].since) < shareDelay {
--- a/stoatecho/evidence_test.go
+++ b/stoatecho/evidence_test.go
@@ -1,6 +1,7 @@
 package stoatecho_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,6 +88,28 @@
 	}
 }
 
+// A release: upstreams that have just started are slow, and a third of their requests owe an
+// answer for half a second. They said so when they registered, and are not marked for it;
+// one that still fails four seconds after it should be warm is.
+func TestColdUpstreamsAreNotToBlame(t *testing.T) {
+	w := newWorld(t)
+	for i := stoatpaddle.Target(4); i <= 7; i++ {
+		w.rev++
+		w.book.Register(w.now, stoatpaddle.Registration{
+			ID: stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i)), Target: i, Service: "app", DataCentre: "here", Slots: 3, Born: w.rev, Cold: 5 * time.Second,
+		}, w.rev)
+	}
+	slow := map[stoatpaddle.Target]stoatecho.Counts{4: {Answered: 16, Failed: 8}, 5: {Answered: 60}, 6: {Answered: 60}, 7: {Answered: 60}}
+	w.after(4 * time.Second)
+	if got := w.told(slow); len(got) != 0 {
+		t.Error(got)
+	}
+	w.after(5 * time.Second)
+	if got := w.told(slow); len(got) != 1 {
+		t.Error("not marked when it should be warm:", got)
+	}
+}
+
 // Half of the upstreams fail requests. Without a bound their load would go to the others,
 // which could not bear it: two of six are marked, the worst ones.
 func TestMarksAreBounded(t *testing.T) {
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -9,6 +9,10 @@
 	"github.com/stoatpaddle/stoatpaddle"
 )
 
+func newEntry(now time.Time, r *stoatpaddle.Registration) *entry {
+	return &entry{up: Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold), Started: r.Cold > 0}}
+}
+
 // Config configures a Book; zero values take the defaults.
 type Config struct {
 	// Return is how long after the platform's return a registration that lapsed meanwhile
@@ -179,7 +183,7 @@
 	e := b.ups[r.ID]
 	switch {
 	case e == nil:
-		e = &entry{up: Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold)}}
+		e = newEntry(now, &r)
 		b.ups[r.ID] = e
 	case revision <= e.up.Revision:
 		// Also of one that is gone: a neighbour which is behind must not bring it back.
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -65,7 +65,7 @@
 	}
 	fresh := e == nil
 	if fresh {
-		e = &entry{up: Upstream{Key: KeyOf(x.Target), Warm: now.Add(x.Cold)}}
+		e = newEntry(now, &x.Registration)
 		b.ups[x.ID] = e
 	}
 	was := e.up.Standing
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -31,6 +31,7 @@
 	Standing Standing
 	Cap      int       // flows it may hold; 0: not limited
 	Warm     time.Time // when its slow start ends
+	Started  bool      // it was cold when it was first heard of
 	Change   uint64    // the book's count of changes at its last one
 	Ended    time.Time // Gone: since when
 }
