stoattree, stoatedge: five children at most; a lone seed proves for others

Cause: reading the change and CAPACITY.md. With eight children control takes 2.9 KB/s at the target's rate of changes, for 2; a deployment that names one seed alone had it prove every 0.65 of the bound, and after news as of 1.3 of it, so that each entry it told would read the store by itself at each change (TestLoneSeedProvesForOthers fails before). Now: five, 1.9 KB/s; what the settings say of seeds is one type, and a seed proves promptly whether or not there are others. Ruled out: six, 2.2 KB/s. Depth of a fleet of 2,000 in the model stays within ten.

--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -90,9 +90,8 @@
 		e.Kill()
 		return nil, err
 	}
-	others, follows := followsSeeds(e.set)
 	k := newKeeper(keeperConfig{
-		Apply: e.set.Bound(), Return: e.set.Return, Life: e.set.Life, Others: others, Follows: follows, Seed: seed,
+		Apply: e.set.Bound(), Return: e.set.Return, Life: e.set.Life, Seeds: namedSeeds(e.set), Seed: seed,
 	})
 	e.pid = e.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return &control{edge: e, keeper: k} }))
 	e.log.emit(now, EventStart, stoatevent.F("tunnel", e.set.Tunnel.String()), stoatevent.F("centre", string(e.set.DataCentre)),
@@ -102,11 +101,10 @@
 	return e, nil
 }
 
-// followsSeeds tells whether the settings name other entries, and whether they do not name
-// this one, which then goes by what it is told.
-func followsSeeds(set stoatsetting.Settings) (others, follows bool) {
-	named := slices.Contains(set.Seeds, set.Admin)
-	return len(set.Seeds) > 1 || len(set.Seeds) == 1 && !named, len(set.Seeds) > 0 && !named
+// namedSeeds is what the settings say of seeds.
+func namedSeeds(set stoatsetting.Settings) naming {
+	other := func(seed netip.AddrPort) bool { return seed != set.Admin }
+	return naming{others: slices.ContainsFunc(set.Seeds, other), self: slices.Contains(set.Seeds, set.Admin)}
 }
 
 // addrSeed keeps entries that start in the same nanosecond from choosing alike.
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -73,7 +73,7 @@
 	// rebound carries changed bounds.
 	rebound struct {
 		apply, back, life time.Duration
-		others, follows   bool // the settings name other entries; and not this one
+		seeds             naming
 	}
 )
 
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -47,16 +47,25 @@
 	again   time.Time // when to search next
 }
 
+// naming is what the settings say of seeds.
+type naming struct {
+	others bool // they name other entries
+	self   bool // and this one: it reads the platform for others
+}
+
+// follows tells whether this entry goes by what others tell.
+func (n naming) follows() bool { return n.others && !n.self }
+
 // rebind takes in which entries the settings name.
-func (k *keeper) rebind(others, allowed bool) {
-	k.follow.others, k.follow.allowed = others, allowed
+func (k *keeper) rebind(n naming) {
+	k.follow.others, k.follow.allowed = n.others, n.follows()
 	for _, f := range k.feeds {
-		f.SetStart(allowed, !allowed && others)
+		f.SetStart(n.follows(), n.self)
 	}
-	if !allowed && !k.reading {
+	if !n.follows() && !k.reading {
 		k.read("the settings changed")
 	}
-	if !others {
+	if !n.others {
 		k.leave("the settings name nobody")
 	}
 }
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -47,12 +47,11 @@
 }
 
 type keeperConfig struct {
-	Apply   time.Duration
-	Return  time.Duration
-	Life    time.Duration
-	Others  bool // the settings name other entries
-	Follows bool // and not this one
-	Seed    uint64
+	Apply  time.Duration
+	Return time.Duration
+	Life   time.Duration
+	Seeds  naming
+	Seed   uint64
 }
 
 func newKeeper(cfg keeperConfig) *keeper {
@@ -63,7 +62,7 @@
 	}
 	k.feeds[declarations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd})
 	k.feeds[upstreams] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
-	k.rebind(cfg.Others, cfg.Follows)
+	k.rebind(cfg.Seeds)
 	return k
 }
 
@@ -92,7 +91,7 @@
 		k.doubt(upstreams)
 	case rebound:
 		k.bound = x.apply
-		k.rebind(x.others, x.follows)
+		k.rebind(x.seeds)
 		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life})
 		for _, f := range k.feeds {
 			f.SetBound(x.apply)
--- a/stoatedge/proof_test.go
+++ b/stoatedge/proof_test.go
@@ -1,12 +1,15 @@
 package stoatedge
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
 )
 
 // following returns a session that serves by what a parent tells, as of revision 10.
@@ -290,6 +293,29 @@
 	}
 }
 
+// A deployment whose settings name one seed alone. Others wait for its proofs like for those
+// of three: it proves as often.
+func TestLoneSeedProvesForOthers(t *testing.T) {
+	set := stoatsetting.Settings{Admin: above, Seeds: []netip.AddrPort{above}}
+	if got := namedSeeds(set); got != (naming{self: true}) || got.follows() {
+		t.Error(got)
+	}
+	k := newKeeper(keeperConfig{Apply: 3 * time.Second, Seeds: namedSeeds(set), Seed: 1})
+	s := &session{t: t, now: time.Unix(1000, 0), events: map[stoatevent.Number]int{}, k: k}
+	s.step(started{})
+	s.answer(declarations, 10, declared(1, 5))
+	if c := s.calls[declarations]; c.Wait > 1350*ms {
+		t.Error("others wait for", c.Wait)
+	}
+	set.Admin = belowA
+	if got := namedSeeds(set); !got.follows() {
+		t.Error(got)
+	}
+	if got := namedSeeds(stoatsetting.Settings{Admin: above}); got != (naming{}) {
+		t.Error(got)
+	}
+}
+
 // The settings change and name nobody any more: the entry reads the platform by itself.
 func TestSeedsTakenAway(t *testing.T) {
 	s := following(t)
--- a/stoatedge/reload.go
+++ b/stoatedge/reload.go
@@ -23,8 +23,7 @@
 	}
 	e.set = next
 	e.log.level(next.Level)
-	others, follows := followsSeeds(next)
-	e.post(rebound{apply: next.Bound(), back: next.Return, life: next.Life, others: others, follows: follows})
+	e.post(rebound{apply: next.Bound(), back: next.Return, life: next.Life, seeds: namedSeeds(next)})
 	e.log.emit(now, EventReload, stoatevent.F("applied", strings.Join(applied, ",")), stoatevent.F("kept", strings.Join(kept, ",")))
 }
 
--- a/stoattree/tree.go
+++ b/stoattree/tree.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// MaxChildren is how many others the ablest entry tells. A message without news is 0.2 kB
-	// with its headers and comes every 1 to 1.5 s, so that eight children take 1.3 of 2 kB a second.
-	MaxChildren = 8
+	// MaxChildren is how many others the ablest entry tells. With changes as often as the
+	// largest deployment has them, each child takes 0.32 kB a second and the parent as much:
+	// six of these are 1.9 of the 2 kB that control may take.
+	MaxChildren = 5
 	// minChildren is what every entry can bear: with one, the tree would be a chain.
 	minChildren = 2
 	// MaxPath bounds the way from a reader to an entry; eight levels of two reach further
