stoatsoak: ways to seeds go through proxies; nothing comes back on one entry's ways

Now settings name seeds by proxies of each entry's own; 'silence' and the new 'oneway' reach the ways to the store and to seeds.

--- a/stoatsoak/plan.go
+++ b/stoatsoak/plan.go
@@ -31,13 +31,14 @@
 	StoreMute Kind = "mute"    // its watches tell nothing
 	Forget    Kind = "forget"  // its history is gone
 	Refuse    Kind = "refuse"  // the store refuses one entry
-	Silence   Kind = "silence" // one entry's connections to the store go silent; new ones work
+	Silence   Kind = "silence" // one entry's connections to store and seeds go silent; new ones work
+	OneWay    Kind = "oneway"  // nothing comes back to one entry from store and seeds
 	Lossy     Kind = "lossy"   // datagrams are lost, doubled and late
 )
 
 var (
 	planned      = []Kind{Terminate, Rolling, Drain, Release, Routes, Storm, Settings}
-	disturbances = []Kind{Kill, KillAll, Freeze, Crash, StoreDown, StoreSlow, StoreLag, StoreMute, Forget, Refuse, Silence, Lossy}
+	disturbances = []Kind{Kill, KillAll, Freeze, Crash, StoreDown, StoreSlow, StoreLag, StoreMute, Forget, Refuse, Silence, OneWay, Lossy}
 )
 
 // Planned tells whether every promise holds while it goes on.
--- a/stoatsoak/run_entry.go
+++ b/stoatsoak/run_entry.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,8 +26,9 @@
 	name  string
 	addr  netip.Addr
 	conn  *net.UDPConn // of the fabric, towards this entry
-	store *storeProxy
-	level int // of the log, changed to change the settings
+	store *link
+	seeds []*link // to the entries that the settings name; nil: this one
+	level int     // of the log, changed to change the settings
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -44,12 +46,39 @@
 	probeWithin = 400 * time.Millisecond
 )
 
+// seedCount is how many entries the settings name.
+const seedCount = 3
+
+func (w *world) entryAddr(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, w.net, byte(100 + n/200), byte(n%200 + 1)})
+}
+
+// links returns the ways from this entry to the store and to seeds.
+func (e *entry) links() []*link {
+	list := []*link{e.store}
+	for _, l := range e.seeds {
+		if l != nil {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
 func (w *world) newEntry(n int) (*entry, error) {
-	e := &entry{w: w, n: n, name: fmt.Sprintf("entry-%d", n+1), addr: netip.AddrFrom4([4]byte{127, w.net, byte(100 + n/200), byte(n%200 + 1)})}
+	e := &entry{w: w, n: n, name: fmt.Sprintf("entry-%d", n+1), addr: w.entryAddr(n)}
 	var err error
-	if e.store, err = newStoreProxy(w); err != nil {
+	if e.store, err = w.newLink(w.storeAddr); err != nil {
 		return nil, err
 	}
+	for i := range min(seedCount, w.cfg.Entries) {
+		var l *link
+		if i != n {
+			if l, err = w.newLink(netip.AddrPortFrom(w.entryAddr(i), adminPort).String()); err != nil {
+				return nil, err
+			}
+		}
+		e.seeds = append(e.seeds, l)
+	}
 	if e.conn, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
 		return nil, err
 	}
@@ -64,11 +93,13 @@
 
 // configure writes the settings.
 func (e *entry) configure() (string, error) {
-	seeds := ""
-	for i, s := range e.w.entries {
-		if i < 3 {
-			seeds += map[bool]string{true: "", false: ","}[i == 0] + s.at(adminPort).String()
+	var seeds []string
+	for _, l := range e.seeds {
+		addr := e.at(adminPort)
+		if l != nil {
+			addr = l.addr
 		}
+		seeds = append(seeds, addr.String())
 	}
 	e.mu.Lock()
 	level := []string{"info", "debug"}[e.level%2]
@@ -91,7 +122,7 @@
 level = %s
 [stop]
 deadline = 6s
-`, e.name, e.centre(), e.at(e.w.port), e.at(readyPort), e.at(adminPort), seeds, e.store.addr, e.w.cfg.Bounds.Apply, level)
+`, e.name, e.centre(), e.at(e.w.port), e.at(readyPort), e.at(adminPort), strings.Join(seeds, ","), e.store.addr, e.w.cfg.Bounds.Apply, level)
 	file := filepath.Join(e.w.cfg.Dir, e.name+".ini")
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -143,7 +143,13 @@
 	case Refuse:
 		e.store.setRefuse(true)
 	case Silence:
-		e.store.silence()
+		for _, l := range e.links() {
+			l.silence()
+		}
+	case OneWay:
+		for _, l := range e.links() {
+			l.setOneWay(true)
+		}
 	case Lossy:
 		w.setLossy(true)
 	}
@@ -161,6 +167,10 @@
 		w.store.Set(stoatfake.Trouble{})
 	case Refuse:
 		e.store.setRefuse(false)
+	case OneWay:
+		for _, l := range e.links() {
+			l.setOneWay(false)
+		}
 	case Lossy:
 		w.setLossy(false)
 	}
--- a/stoatsoak/run_store.go
+++ b/stoatsoak/run_link.go
@@ -6,14 +6,16 @@
 	"sync"
 )
 
-// storeProxy stands between one entry and the store.
-type storeProxy struct {
+// link is the way from one entry to the store or to a seed.
+type link struct {
 	w    *world
 	ln   net.Listener
 	addr netip.AddrPort
+	to   string
 
 	mu     sync.Mutex
 	refuse bool // new connections and those open are closed
+	oneWay bool // nothing comes back to the entry
 	conns  map[net.Conn]*carried
 }
 
@@ -29,17 +31,17 @@
 	return c.mute
 }
 
-func newStoreProxy(w *world) (*storeProxy, error) {
+func (w *world) newLink(to string) (*link, error) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &storeProxy{w: w, ln: ln, addr: ln.Addr().(*net.TCPAddr).AddrPort(), conns: map[net.Conn]*carried{}}
+	p := &link{w: w, ln: ln, to: to, addr: ln.Addr().(*net.TCPAddr).AddrPort(), conns: map[net.Conn]*carried{}}
 	w.group.Go(p.accept)
 	return p, nil
 }
 
-func (p *storeProxy) accept() error {
+func (p *link) accept() error {
 	for {
 		in, err := p.ln.Accept()
 		if err != nil {
@@ -52,7 +54,7 @@
 			_ = in.Close()
 			continue
 		}
-		out, err := net.Dial("tcp4", p.w.storeAddr)
+		out, err := net.Dial("tcp4", p.to)
 		if err != nil {
 			_ = in.Close()
 			continue
@@ -66,11 +68,11 @@
 	}
 }
 
-func (p *storeProxy) carry(c *carried, from, to net.Conn, first bool) error {
+func (p *link) carry(c *carried, from, to net.Conn, first bool) error {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !c.isMute() {
+		if n > 0 && !c.isMute() && (first || !p.isOneWay()) {
 			_, _ = to.Write(buf[:n])
 		}
 		if err != nil {
@@ -86,8 +88,21 @@
 	return nil
 }
 
+func (p *link) isOneWay() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.oneWay
+}
+
+// setOneWay has nothing come back any more, or again.
+func (p *link) setOneWay(oneWay bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.oneWay = oneWay
+}
+
 // silence makes the open connections carry nothing any more.
-func (p *storeProxy) silence() {
+func (p *link) silence() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
@@ -98,7 +113,7 @@
 }
 
 // setRefuse closes what is open and refuses what comes, or no more.
-func (p *storeProxy) setRefuse(refuse bool) {
+func (p *link) setRefuse(refuse bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refuse = refuse
@@ -109,7 +124,7 @@
 	}
 }
 
-func (p *storeProxy) close() {
+func (p *link) close() {
 	_ = p.ln.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -191,7 +191,9 @@
 	for _, e := range w.entries {
 		e.signal(syscall.SIGCONT, true)
 		e.signal(syscall.SIGKILL, true)
-		e.store.close()
+		for _, l := range e.links() {
+			l.close()
+		}
 		_ = e.conn.Close()
 	}
 	w.mu.Lock()
