--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -165,6 +165,7 @@
 		return err
 	}
 	w.group.Go(w.look)
+	w.group.Go(w.summarize)
 	for _, s := range plan {
 		w.pause(s.At - w.now())
 		w.apply(s)
@@ -173,6 +174,15 @@
 	return nil
 }
 
+// summarize says each minute what was done so far.
+func (w *world) summarize() error {
+	for w.pause(time.Minute) {
+		c, breaches := w.check.result()
+		_, _ = fmt.Fprintf(w.cfg.Out, "%.0f s: %d requests, %d late, %d failed, %d breaches\n", w.now().Seconds(), c.Asked, c.Late, c.Failed, len(breaches))
+	}
+	return nil
+}
+
 func (w *world) callers() error {
 	for i, k := range kinds() {
 		for n := range callersPerKind {
