stoatecho: no flow is reset for old evidence, nor at an upstream that has just started

Found by reading, each a way to that reset, each with a test that fails before: an upstream that was cut off is ejected for up to 8 s, and an idempotent flow's first packet meanwhile was reset for that old evidence (TestOldEvidenceResetsNoFlow); a cold one's callers repeat themselves while it is at work, and two repeats in 0.2 s ejected it (TestColdUpstreamIsNoDeadOne).

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -285,7 +285,7 @@
 	if e.ownTrouble(now, h, silence) {
 		return
 	}
-	if h.repeated(now) {
+	if h.repeated(now, silenceOf(now, u)) {
 		a.Ejected, a.Silence = u, silence
 		e.stats.Ejected++
 		a.Abandoned = e.abandon(now, t, u)
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -377,6 +377,85 @@
 	}
 }
 
+// An upstream has just started and works slowly: its callers repeat themselves while it is at
+// work, and others answer meanwhile. It lives, and no flow there may be reset; it is ejected
+// only when it has been silent for four times as long.
+func TestColdUpstreamIsNoDeadOne(t *testing.T) {
+	w := newWorld(t)
+	w.rev++
+	w.book.Register(w.now, stoatpaddle.Registration{
+		ID: "i-5", Target: 5, Service: "app", DataCentre: "here", Slots: 3, Born: w.rev, Cold: 5 * time.Second,
+	}, w.rev)
+	var cold []*caller
+	for len(cold) < 2 {
+		if c := w.caller(feed); c.open().ID == "i-5" {
+			cold = append(cold, c)
+		}
+	}
+	for _, c := range cold {
+		c.ask()
+	}
+	w.after(210 * ms)
+	w.caller(feed).open() // others give signs
+	for _, c := range cold {
+		if a := c.again(); a.Verdict != stoatecho.Forward || a.Ejected != nil {
+			t.Errorf("%+v", a)
+		}
+	}
+	w.after(600 * ms)
+	w.caller(pledge).open()
+	var ejected *stoatroute.Upstream
+	for _, c := range cold {
+		if a := c.again(); a.Ejected != nil {
+			ejected = a.Ejected
+		}
+	}
+	if ejected == nil {
+		t.Error("never ejected")
+	}
+}
+
+// An upstream is cut off for seconds, and ejected for longer each time. It has been back for a
+// while when the next request comes on an open flow: the flow lives, and must not be reset for
+// evidence that is that old. If nothing comes back, its own repeat is evidence anew.
+func TestOldEvidenceResetsNoFlow(t *testing.T) {
+	w := newWorld(t)
+	at1 := func() *caller {
+		for {
+			if c := w.caller(feed); c.open().ID == "i-1" {
+				return c
+			}
+		}
+	}
+	one, two, late, idle := at1(), at1(), at1(), at1()
+	eject := func() *stoatroute.Upstream {
+		one.ask()
+		two.ask()
+		w.after(210 * ms)
+		if a := one.again(); a.Ejected != nil {
+			return a.Ejected
+		}
+		return two.again().Ejected
+	}
+	w.after(time.Second)
+	if eject() == nil {
+		t.Fatal("not ejected")
+	}
+	// The ejection ends, and the next one is twice as long.
+	w.after(1100 * ms)
+	if eject() == nil {
+		t.Fatal("not ejected again")
+	}
+	w.after(1500 * ms)
+	if a := late.ask(); a.Verdict != stoatecho.Forward {
+		t.Errorf("reset for what was seen 1.5 s ago: %+v", a)
+	}
+	w.after(210 * ms)
+	late.again()
+	w.after(10 * ms)
+	wantReset(t, idle.ask(), stoatpacket.DropStuck)
+}
+
 // This entry's link is full for half a second: it sends a large configuration on. Callers'
 // packets wait in it, so that callers repeat themselves and no answer is acknowledged. Both
 // upstreams live, and no flow there may be reset. Once one answers again and the other stays
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -26,6 +26,15 @@
 	// packets were repeated, and nothing came back on any flow for so long.
 	ejectRepeats = 2
 	ejectSilence = 200 * time.Millisecond
+	// coldSilence is how many times longer an upstream that has just started may be silent: it
+	// works several times slower, so that its callers repeat themselves while it is at work,
+	// and its flows would be reset although it serves.
+	coldSilence = 4
+	// blameKept is how long the evidence lets flows be reset that were not tried themselves.
+	// An upstream that was cut off for seconds is ejected for up to eight; it may have been
+	// back for most of them, and a flow that comes then lives. Its first packet goes there,
+	// and its first repeat, 0.2 s later, is evidence anew if nothing came back.
+	blameKept = time.Second
 	// ejectLeast and ejectMost bound how long it gets no flows; each time doubles it.
 	ejectLeast = time.Second
 	ejectMost  = 8 * time.Second
@@ -53,6 +62,7 @@
 	repeats  int           // repeated packets since the last sign
 	ejected  time.Time     // until when it gets no flows; zero: a sign came since
 	ejection time.Duration // the last one
+	blamed   time.Time     // when packets were last repeated in silence
 	trial    bool          // it got a flow after an ejection and has not answered
 	shunned  time.Time     // until when it gets no flows while others can take them
 	shun     time.Duration // the last one
@@ -139,10 +149,23 @@
 
 func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejected) }
 
-// repeated notes that a caller repeated a packet, and tells whether that ejects the upstream.
-func (h *health) repeated(now time.Time) bool {
+// silenceOf is how long the upstream may be silent.
+func silenceOf(now time.Time, u *stoatroute.Upstream) time.Duration {
+	if now.Before(u.Warm) {
+		return coldSilence * ejectSilence
+	}
+	return ejectSilence
+}
+
+// repeated notes that a caller repeated a packet, and tells whether that ejects the upstream,
+// which may be silent for so long.
+func (h *health) repeated(now time.Time, silent time.Duration) bool {
 	h.repeats++
-	if h.isEjected(now) || h.repeats < ejectRepeats || h.silence(now) < ejectSilence {
+	if h.repeats < ejectRepeats || h.silence(now) < silent {
+		return false
+	}
+	h.blamed = now
+	if h.isEjected(now) {
 		return false
 	}
 	h.ejection = min(ejectMost, max(ejectLeast, 2*h.ejection))
