--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -93,10 +93,9 @@
 
 // pick returns an upstream that serves, or nil.
 func (w *world) pick(target int) *upstream {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for i := range w.upstreams {
-		u := w.upstreams[(target+i)%len(w.upstreams)]
+	list := w.living()
+	for i := range list {
+		u := list[(target+i)%len(list)]
 		u.mu.Lock()
 		serves := u.left == 0 && !u.dead.Load()
 		u.mu.Unlock()
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -60,6 +60,7 @@
 	ids       atomic.Uint64
 	lives     atomic.Uint64
 
+	// mu is never held while an upstream's is taken: upstreams take it while they answer.
 	mu        sync.Mutex
 	upstreams []*upstream
 	sockets   []*net.UDPConn // of callers
