--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -21,9 +21,9 @@
 // platform itself, at once, until another one tells it.
 
 const (
-	// relyShare is how much of the bound a parent's word may be old before the entry reads
-	// the platform itself: readers prove what they know every 0.45 to 0.5 of it, and after a watch that went
-	// silent at 0.65; what is left is many times what a question takes.
+	// relyShare is how much of the bound a parent's word may be old before the entry reads the
+	// platform itself: readers prove what they know every 0.45 to 0.5 of it, and after a watch
+	// that went silent at 0.65; what is left is many times what a question takes.
 	relyShare = 0.72
 	// seekEvery is the pause between two searches for a parent, and half of it at most is
 	// added at random. An entry that has nothing to serve by does not pause as long.
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -14,7 +14,7 @@
 	// within the bound.
 	Bound time.Duration
 	// Stale lets watches be answered from a replica: it costs a tenth and counts toward no
-	// rate. Only for a feed that Prove checks against another feed's proof.
+	// rate. Only for a feed that is checked against another feed's proof.
 	Stale bool
 	// StaleStart lets the first list come from a replica: when all entries start at once,
 	// exact lists would use up the platform's reads for as long as there are entries.
@@ -127,9 +127,6 @@
 // SetBound changes the bound for the calls to come.
 func (f *Feed) SetBound(d time.Duration) { f.cfg.Bound = d }
 
-// SetStale tells whether watches may be answered by a replica from now on.
-func (f *Feed) SetStale(stale bool) { f.cfg.Stale = stale }
-
 // Revision returns the revision up to which everything is known.
 func (f *Feed) Revision() stoatpaddle.Version { return f.rev }
 
