platform, stoatsoak: stand-ins write the users' objects through the adapter

Cause: the last check found the users' words in stoatsoak, which wrote configurations and registrations by itself; they belong to platform/ alone. Ruled out: stoatfake, which has them in its tests' hands already.

--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -199,7 +199,7 @@
 		left := u.left
 		u.mu.Unlock()
 		if left == 0 && !u.dead.Load() {
-			u.register("ready")
+			u.register(false)
 		}
 	}
 }
--- a/stoatsoak/run_upstream.go
+++ b/stoatsoak/run_upstream.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/platform"
 )
 
@@ -60,20 +61,20 @@
 	w.upstreams = append(w.upstreams, u)
 	w.mu.Unlock()
 	w.group.Go(u.serve)
-	u.register("ready")
+	u.register(false)
 	return u, nil
 }
 
 // register writes what a server says about itself, as servers do without regard to entries.
-func (u *upstream) register(state string) {
-	u.w.store.Write(platform.KindUpstream, u.id, map[string]any{
-		"service": u.service, "address": u.addr.String(), "zone": u.centre, "slots": slots, "state": state, "version": "1",
-	})
+func (u *upstream) register(leaving bool) {
+	u.w.store.Write(platform.KindUpstream, u.id, platform.RegistrationSpec(&stoatpaddle.Registration{
+		Service: stoatpaddle.ServiceID(u.service), Addr: u.addr, DataCentre: stoatpaddle.DataCentreID(u.centre), Slots: slots, Leaving: leaving,
+	}))
 }
 
 // leave marks it; it goes on for the bound and until its flows have ended.
 func (u *upstream) leave(now time.Duration) {
-	u.register("draining")
+	u.register(true)
 	u.mu.Lock()
 	u.left = max(now, 1)
 	u.mu.Unlock()
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatfake"
 )
@@ -287,25 +288,24 @@
 	defer w.mu.Unlock()
 	w.version += 1 + w.rnd.IntN(3)
 	change(w.routes)
-	var routes []map[string]any
-	add := func(name string, listen netip.AddrPort, service, kind string) {
-		routes = append(routes, map[string]any{
-			"name": name, "host": listen.Addr().String(), "path_prefix": "/" + strconv.Itoa(int(listen.Port())) + "/", "type": kind,
-			"service": service, "target_latency_ms": aim.Milliseconds(), "timeout_ms": deadline.Milliseconds(), "priority": 1,
+	d := stoatpaddle.Declaration{
+		Version: stoatpaddle.Version(w.version), Idle: 15 * time.Second, Caps: map[stoatpaddle.ServiceID]int{"app": 2000, "intake": 2000},
+	}
+	add := func(listen netip.AddrPort, service string, repeatable bool) {
+		d.Routes = append(d.Routes, stoatpaddle.Route{
+			Listen: listen, Backends: []stoatpaddle.Backend{{Service: stoatpaddle.ServiceID(service), Weight: 1}},
+			Idempotent: repeatable, Objective: aim, Priority: 1,
 		})
 	}
 	for _, k := range kinds() {
-		add(k.name, k.listen, k.service, map[bool]string{true: "idempotent", false: "non_idempotent"}[k.repeatable])
+		add(k.listen, k.service, k.repeatable)
 	}
-	for name, r := range w.routes {
+	for _, r := range w.routes {
 		if r.allowed {
-			add(name, r.listen, "app", "idempotent")
+			add(r.listen, "app", true)
 		}
 	}
-	w.store.Write(platform.KindConfig, platform.NameConfig, map[string]any{
-		"version": w.version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
-		"services": []map[string]any{{"name": "app", "max_conns": 2000}, {"name": "intake", "max_conns": 2000}},
-	})
+	w.store.Write(platform.KindConfig, platform.NameConfig, platform.DeclarationSpec(&d))
 }
 
 // living returns the upstreams there are.
