--- a/deploy/play.sh
+++ b/deploy/play.sh
@@ -25,6 +25,11 @@
 
 # show prints the line of each day in a report, and remembers what must not be.
 show() {
+	# A site without that kind of trouble cannot play its day.
+	if grep -q 'is not open$' "$1"; then
+		grep 'is not open$' "$1"
+		return
+	fi
 	grep -E ' [0-9]+/[0-9]+ +[0-9]' "$1" | cut -c1-110
 	if ! grep -qE ' [0-9]+/[0-9]+ +[0-9]' "$1" || grep -qE '^(CONFIG|FLOW|DRAIN|ROUTE|MIXED|UNASKED|RECOVER)|BROKEN|breaks|fault:' "$1"; then
 		failed=1
@@ -45,6 +50,7 @@
 	;;
 days)
 	for day in deploy/days/*.toml; do
+		echo "-- $(basename "$day" .toml)"
 		"$bench" run "$kit/sites/$3.toml" "$day" --jobs "${4:-4}" --why "days of our own" >"$work/out" 2>&1
 		show "$work/out"
 	done
