stoatroute, stoatecho, platform: lives of an upstream under one id; entries of other writers

Cause, found by reading: a server may start again under its id. born was not decoded, and the store's creation revision stood under that name; a known id kept warm, started and born of its earlier life; the engine's health and flows went on, so that the new life looked full and silent with requests that had died. Change: Registration has Incarnation and Created; stoatroute.Life tells same, earlier and later lives and writes that no life can have made, by incarnation first and revision second; a later life starts with fresh health and no remembered flows, without a reset of ours, for which life a flow opened at only the server knows; answers are read object by object when one is bad; a bad write over a live server's entry stops new flows there and nothing else; relay messages carry the incarnation; SP1429. Ruled out: resetting waiting flows at a restart (flows that opened at the new life carry the same cookie, and the registration may come seconds after the start).

--- a/route.go
+++ b/route.go
@@ -43,5 +43,10 @@
 	Slots      int
 	Leaving    bool
 	Cold       time.Duration // how much longer it is slow after its start
-	Born       Version       // the platform's revision at which it registered
+	// Incarnation is when it started, Unix ms by its own clock: a server that starts again under
+	// its id holds nothing of before. 0: it does not say.
+	Incarnation Incarnation
+	// Created is the platform's revision at which its registration was created. One that lapsed
+	// in an outage is created anew by the same incarnation.
+	Created Version
 }
--- a/stoatecho/bench_test.go
+++ b/stoatecho/bench_test.go
@@ -19,7 +19,7 @@
 	for i := range n {
 		id := stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i+1))
 		names[id] = true
-		b.Register(start, stoatpaddle.Registration{ID: id, Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "here", Slots: 3, Born: stoatpaddle.Version(i + 2)}, stoatpaddle.Version(i+2))
+		b.Register(start, stoatpaddle.Registration{ID: id, Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "here", Slots: 3, Created: stoatpaddle.Version(i + 2)}, stoatpaddle.Version(i+2))
 	}
 	b.Listed(start, names, false)
 	return b.Table()
--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -35,7 +35,7 @@
 	var own, other, last pick
 	patience := e.handshake.patience()
 	for _, u := range t.Service(e.backend(r)) {
-		h := e.health.of(u.Key)
+		h := e.health.of(u)
 		if u.Cap > 0 && h.flows >= u.Cap {
 			continue
 		}
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -217,7 +217,7 @@
 	if a.Upstream == nil {
 		return e.refuse(a, stoatpacket.DropNoUpstream)
 	}
-	h := e.health.of(a.Upstream.Key)
+	h := e.health.of(a.Upstream)
 	a.Busy, a.Mean, a.Bound = h.busy+h.opening, h.latency, admitBound(h, r)
 	if !admits(h, r) {
 		return e.refuse(a, stoatpacket.DropOverload)
@@ -274,7 +274,7 @@
 	if now.Sub(f.seen) < repeatLeast {
 		return true
 	}
-	h := e.health.of(f.key)
+	h := e.health.of(u)
 	e.suspect(now, t, u, h, a)
 	return h.sign.After(f.seen) && !h.isEjected(now)
 }
@@ -308,7 +308,7 @@
 	}
 	// A registration ends too when its upstream alone cannot reach the platform. One that
 	// goes on answering keeps its open flows, and gets no new ones.
-	if u.Standing == stoatroute.Gone && !e.health.of(u.Key).answer.After(u.Ended) {
+	if u.Standing == stoatroute.Gone && !e.health.of(u).answer.After(u.Ended) {
 		e.forget(p.Tuple)
 		return Action{Verdict: Reset, Upstream: u, Reason: stoatpacket.DropGone}
 	}
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -58,7 +58,7 @@
 func (w *world) register(target stoatpaddle.Target, service stoatpaddle.ServiceID, centre stoatpaddle.DataCentreID) {
 	w.rev++
 	w.book.Register(w.now, stoatpaddle.Registration{
-		ID: stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", target)), Target: target, Service: service, DataCentre: centre, Slots: 3, Born: w.rev,
+		ID: stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", target)), Target: target, Service: service, DataCentre: centre, Slots: 3, Created: w.rev,
 	}, w.rev)
 }
 
@@ -384,7 +384,7 @@
 	w := newWorld(t)
 	w.rev++
 	w.book.Register(w.now, stoatpaddle.Registration{
-		ID: "i-5", Target: 5, Service: "app", DataCentre: "here", Slots: 3, Born: w.rev, Cold: 5 * time.Second,
+		ID: "i-5", Target: 5, Service: "app", DataCentre: "here", Slots: 3, Created: w.rev, Cold: 5 * time.Second,
 	}, w.rev)
 	var cold []*caller
 	for len(cold) < 2 {
--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -188,17 +188,21 @@
 		if marked >= len(own)/failCap || float64(m.Failed) < bound {
 			break
 		}
+		h := e.health.of(m.Upstream)
 		// One that has just started is slow, and says so: its requests owe their answers for a
 		// while, in each release at a third of a service.
 		if m.Upstream.Started && now.Before(m.Upstream.Warm.Add(evidenceSpan)) {
 			continue
 		}
+		// What entries saw of the life before is in the counts for so long.
+		if !h.renewed.IsZero() && now.Sub(h.renewed) < evidenceSpan+shareDelay {
+			continue
+		}
 		// Once an upstream is named, those entries that saw no failure need a moment to say so;
 		// until then it would seem to fail most requests.
 		if m.share() < failShare || now.Sub(e.together[m.Upstream.Key].since) < shareDelay {
 			continue
 		}
-		h := e.health.of(m.Upstream.Key)
 		if now.Before(h.mark.until) {
 			continue
 		}
--- a/stoatecho/evidence_test.go
+++ b/stoatecho/evidence_test.go
@@ -96,7 +96,7 @@
 	for i := stoatpaddle.Target(4); i <= 7; i++ {
 		w.rev++
 		w.book.Register(w.now, stoatpaddle.Registration{
-			ID: stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i)), Target: i, Service: "app", DataCentre: "here", Slots: 3, Born: w.rev, Cold: 5 * time.Second,
+			ID: stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i)), Target: i, Service: "app", DataCentre: "here", Slots: 3, Created: w.rev, Cold: 5 * time.Second,
 		}, w.rev)
 	}
 	slow := map[stoatpaddle.Target]stoatecho.Counts{4: {Answered: 16, Failed: 8}, 5: {Answered: 60}, 6: {Answered: 60}, 7: {Answered: 60}}
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -70,7 +70,7 @@
 			break
 		}
 		if f := e.flows[x.tuple]; f != nil && f.opening && f.seen.Equal(x.since) {
-			e.health.of(f.key).missed(now, f.seen)
+			e.health[f.key].missed(now, f.seen)
 			e.forget(x.tuple)
 		}
 	}
@@ -93,7 +93,7 @@
 			e.await(now, x.tuple, f)
 			continue
 		}
-		e.health.of(f.key).busy--
+		e.health[f.key].busy--
 		f.asked = time.Time{}
 	}
 }
@@ -124,7 +124,7 @@
 		case now.Sub(f.progress) < owedFor:
 			e.owe(now, x.tuple, f)
 		default:
-			e.health.of(f.key).window.add(now, Counts{Failed: 1})
+			e.health[f.key].window.add(now, Counts{Failed: 1})
 		}
 	}
 }
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -68,6 +68,8 @@
 	shun     time.Duration // the last one
 	window   window        // requests of late
 	mark     mark          // it fails requests
+	life     stoatroute.Life
+	renewed  time.Time // when it was heard of that the upstream started again; zero: it did not
 }
 
 // heard notes a proof of life.
@@ -233,11 +235,11 @@
 // healths holds the health of every upstream that this entry met.
 type healths map[stoatpaddle.UpstreamKey]*health
 
-func (m healths) of(k stoatpaddle.UpstreamKey) *health {
-	h := m[k]
+func (m healths) of(u *stoatroute.Upstream) *health {
+	h := m[u.Key]
 	if h == nil {
-		h = &health{}
-		m[k] = h
+		h = &health{life: stoatroute.LifeOf(&u.Registration)}
+		m[u.Key] = h
 	}
 	return h
 }
--- a/stoatecho/load_test.go
+++ b/stoatecho/load_test.go
@@ -81,7 +81,7 @@
 		id := stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i+1))
 		m.servers[id] = &modelServer{}
 		m.book.Register(m.now, stoatpaddle.Registration{
-			ID: id, Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "here", Slots: modelSlots, Born: stoatpaddle.Version(i + 2),
+			ID: id, Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "here", Slots: modelSlots, Created: stoatpaddle.Version(i + 2),
 		}, stoatpaddle.Version(i+2))
 	}
 	m.book.Listed(m.now, map[stoatpaddle.UpstreamID]bool{"i-1": true, "i-2": true, "i-3": true, "i-4": true}, false)
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -15,7 +16,7 @@
 // upstream's answers do not pass here.
 func (e *Engine) track(now time.Time, t *stoatroute.Table, r *stoatroute.Route, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
 	a := Action{Verdict: Forward, Upstream: u}
-	f, h := e.flows[p.Tuple], e.health.of(u.Key)
+	f, h := e.flows[p.Tuple], e.health.of(u)
 	if f == nil || f.key != u.Key {
 		e.forget(p.Tuple)
 		if f = e.adopt(now, u, p); f == nil {
@@ -74,7 +75,7 @@
 	}
 	f := &flow{key: u.Key, seen: now, ack: p.Ack}
 	e.flows[p.Tuple] = f
-	e.health.of(u.Key).flows++
+	e.health.of(u).flows++
 	return f
 }
 
@@ -137,7 +138,7 @@
 	if f == nil {
 		return
 	}
-	h := e.health.of(f.key)
+	h := e.health[f.key]
 	if f.opening {
 		h.opening--
 	} else {
@@ -180,11 +181,53 @@
 	}
 }
 
-// Retain forgets the health of upstreams that are not in the table any more.
-func (e *Engine) Retain(t *stoatroute.Table) {
+// Retain forgets the health of upstreams that are not in the table any more, and of those that
+// started again under the name that they had.
+func (e *Engine) Retain(now time.Time, t *stoatroute.Table) {
+	renewed := map[stoatpaddle.UpstreamKey]bool{}
 	for k, h := range e.health {
-		if t.Upstream(k) == nil && h.flows+h.opening+h.busy == 0 {
-			delete(e.health, k)
+		u := t.Upstream(k)
+		if u == nil {
+			if h.flows+h.opening+h.busy == 0 {
+				delete(e.health, k)
+			}
+			continue
+		}
+		life := stoatroute.LifeOf(&u.Registration)
+		if h.life.Same(life) {
+			h.life = life
+			continue
+		}
+		e.health[k] = &health{life: life, renewed: now}
+		renewed[k] = true
+	}
+	if len(renewed) > 0 {
+		e.renew(now, renewed)
+	}
+}
+
+// renew forgets the flows that were remembered at upstreams which started again.
+//
+// The failure: an upstream crashes with thirty requests in progress and starts again. Counted
+// on, they would make it look full and silent for a second, and what it answers late since it
+// is cold would be evidence against it: it would be ejected, and flows that opened there since
+// would be reset although they live.
+//
+// Which life a flow opened at is not known here: the upstream may have started long before its
+// registration arrived, and the cookie is the same. So no flow is reset for the restart. Its
+// packets go on to the upstream, which resets what it does not hold: at the caller's next
+// repeat, 0.2 s after its request at first. A request that may not repeat is not sent again by
+// its caller then, since its flow had opened; whether it ran nobody can tell.
+//
+// Openings stay: they wait for an answer of whoever lives there now.
+func (e *Engine) renew(now time.Time, renewed map[stoatpaddle.UpstreamKey]bool) {
+	for tuple, f := range e.flows {
+		switch {
+		case !renewed[f.key]:
+		case f.opening:
+			e.health[f.key].opened(now)
+		default:
+			delete(e.flows, tuple)
 		}
 	}
 }
--- /dev/null
+++ b/stoatedge/answer_test.go
@@ -0,0 +1,62 @@
+package stoatedge
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// A page of a list ends with an object whose name cannot be read. The list goes on after the last
+// name that can; where there is none, the question would come back for ever, and counts as failed.
+func TestPageEdge(t *testing.T) {
+	named := func(name string) platform.Object { return platform.Object{Meta: platform.Meta{Name: name}} }
+	broken := platform.Object{Fault: &stoatpaddle.DecodeError{What: "an object"}}
+	for name, c := range map[string]struct {
+		after string
+		items []platform.Object
+		more  bool
+		last  string
+		want  stoatfeed.Outcome
+	}{
+		"last":            {"", []platform.Object{named("i-1"), broken}, true, "i-1", stoatfeed.Answered},
+		"first":           {"i-0", []platform.Object{broken, named("i-1")}, true, "i-1", stoatfeed.Answered},
+		"alone":           {"", []platform.Object{broken}, true, "", stoatfeed.Failed},
+		"alone, later":    {"i-1", []platform.Object{broken}, true, "", stoatfeed.Failed},
+		"again the same":  {"i-1", []platform.Object{named("i-1")}, true, "i-1", stoatfeed.Failed},
+		"alone, complete": {"", []platform.Object{broken}, false, "", stoatfeed.Answered},
+	} {
+		r, changes := readAnswer(ask{topic: upstreams, call: stoatfeed.Call{List: true, After: c.after}}, platform.Answer{Items: c.items, More: c.more}, nil)
+		if r.Outcome != c.want || r.Last != c.last || (r.Outcome == stoatfeed.Answered) != (len(changes) == len(c.items)) {
+			t.Errorf("%s: %+v, %d changes", name, r, len(changes))
+		}
+	}
+}
+
+// A parent's message carries an upstream's incarnation: without it, a child would take a start
+// for a heartbeat.
+func TestIncarnationIsTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := stoatroute.NewBook(stoatroute.Config{})
+	r := registered("i-1", 1, 5).registration
+	r.Incarnation, r.Cold, r.Addr = 1_790_000_000_000, 3*time.Second, netip.MustParseAddrPort("10.0.0.1:80")
+	b.Register(now, *r, 5)
+	data, err := encodeWire(encodeBody(now, b.Table(), heldBy{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var w wireBody
+	if err := msgpack.Unmarshal(data, &w); err != nil {
+		t.Fatal(err)
+	}
+	x, err := decodeNews(&wireHead{}, &w)
+	if err != nil || len(x.upstreams) != 1 || x.upstreams[0].Registration != *r {
+		t.Errorf("%v %+v", err, x.upstreams)
+	}
+}
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -124,6 +124,11 @@
 		Title: "what was seen of upstreams did not reach the parent",
 		Text:  "The next report has it too. A parent that stays silent is left.",
 	})
+	EventLife = stoatevent.Register(stoatevent.Entry{
+		Number: 1429, Severity: stoatevent.Info, Since: "0.4",
+		Title: "an upstream's entry is of another incarnation, or of another writer",
+		Text:  "Known and read are incarnation (Unix ms of its start; 0: not said), service and address. Restarted: it started again under its id and holds nothing of before; what was seen of the earlier life is forgotten. Outdated: an earlier life wrote it, and it is ignored. Contradicted: the upstream cannot have written it; it gets no new flows until a good entry comes, and keeps its open ones.",
+	})
 	EventReads = stoatevent.Register(stoatevent.Entry{
 		Number: 1423, Severity: stoatevent.Info, Since: "0.3",
 		Title: "entry reads the platform by itself",
--- a/stoatedge/edge_test.go
+++ b/stoatedge/edge_test.go
@@ -70,7 +70,8 @@
 
 func (r *rig) register(i int, state string) {
 	r.store.Write(platform.KindUpstream, names[i], map[string]any{
-		"service": "app", "address": r.upstream[i].LocalAddr().String(), "zone": "here", "slots": 3, "state": state,
+		"service": "app", "address": r.upstream[i].LocalAddr().String(), "zone": "here", "version": "v1", "slots": 3, "state": state,
+		"cold_remaining_ms": 0, "seq": 1,
 	})
 }
 
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -34,6 +34,7 @@
 	answers   bool                            // the platform does, as last said to touched
 	parked    bool                            // upstreams are not asked for until the other topic is answered
 	listed    map[stoatpaddle.UpstreamID]bool // names in the pages of the list under way
+	nameless  bool                            // an object in these pages has a name that cannot be read
 	follow    follower
 	bound     time.Duration // how soon a change has to be in force
 	open      *proof        // not matched yet
@@ -234,15 +235,17 @@
 		return
 	}
 	if x.call.After == "" || k.listed == nil {
-		k.listed = map[stoatpaddle.UpstreamID]bool{}
+		k.listed, k.nameless = map[stoatpaddle.UpstreamID]bool{}, false
 	}
 	for _, c := range x.changes {
 		k.listed[stoatpaddle.UpstreamID(c.name)] = true
+		k.nameless = k.nameless || c.name == ""
 	}
 	if !v.Complete {
 		return
 	}
-	for _, id := range k.book.Listed(now, k.listed, v.Away || k.unwatched) {
+	// What the list lacks may be the object without a name: it is given time to come back.
+	for _, id := range k.book.Listed(now, k.listed, v.Away || k.unwatched || k.nameless) {
 		k.standing(id, "not in the list")
 	}
 	k.listed = nil
@@ -271,6 +274,9 @@
 		switch {
 		case c.fault != nil:
 			k.log(EventInvalid, stoatevent.F("object", c.name), stoatevent.F("revision", c.revision.String()), stoatevent.F("cause", c.fault.Error()))
+			if t == upstreams && k.book.Spoil(stoatpaddle.UpstreamID(c.name), c.revision) {
+				k.standing(stoatpaddle.UpstreamID(c.name), "its entry cannot be read")
+			}
 		case c.declaration != nil:
 			if k.book.Declare(*c.declaration, c.revision) {
 				k.log(EventDeclared, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
@@ -285,14 +291,33 @@
 				k.standing(stoatpaddle.UpstreamID(c.name), "registration ended")
 			}
 		case c.registration != nil:
-			if k.book.Register(now, *c.registration, c.revision) {
-				k.standing(c.registration.ID, source)
-				k.clash(c.registration.ID)
-			}
+			k.register(now, c, source)
+		}
+	}
+}
+
+// register takes in what an upstream says about itself.
+func (k *keeper) register(now time.Time, c *change, source string) {
+	before, _ := k.book.Registered(c.registration.ID)
+	switch outcome := k.book.Register(now, *c.registration, c.revision); outcome {
+	case stoatroute.Unchanged:
+	case stoatroute.Changed:
+		k.standing(c.registration.ID, source)
+		k.clash(c.registration.ID)
+	case stoatroute.Restarted, stoatroute.Outdated, stoatroute.Contradicted:
+		k.log(EventLife, stoatevent.F("upstream", string(c.registration.ID)), stoatevent.F("outcome", outcome.String()),
+			stoatevent.F("known", lifeText(&before.Registration)), stoatevent.F("read", lifeText(c.registration)), stoatevent.F("revision", c.revision.String()))
+		if outcome != stoatroute.Outdated {
+			k.standing(c.registration.ID, outcome.String())
 		}
 	}
 }
 
+// lifeText tells a registration's incarnation, and what an upstream keeps for all of it.
+func lifeText(r *stoatpaddle.Registration) string {
+	return strconv.FormatUint(uint64(r.Incarnation), 10) + " " + string(r.Service) + " " + r.Addr.String()
+}
+
 // standing logs what an upstream's standing is now, and why.
 func (k *keeper) standing(id stoatpaddle.UpstreamID, why string) {
 	u, _ := k.book.Registered(id)
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -107,7 +107,7 @@
 
 func registered(id stoatpaddle.UpstreamID, target stoatpaddle.Target, revision stoatpaddle.Version) change {
 	return change{name: string(id), revision: revision, registration: &stoatpaddle.Registration{
-		ID: id, Target: target, Service: "app", DataCentre: "here", Slots: 3, Born: revision,
+		ID: id, Target: target, Service: "app", DataCentre: "here", Slots: 3, Created: revision,
 	}}
 }
 
@@ -344,3 +344,91 @@
 		t.Error(w)
 	}
 }
+
+// bad is an object of that name which cannot be read.
+func bad(name string, revision stoatpaddle.Version) change {
+	return change{name: name, revision: revision, fault: &stoatpaddle.DecodeError{What: "upstream " + name}}
+}
+
+// Another writer writes over the entries of servers that live: in a watch first, in the middle,
+// last and alone. Each time the others are taken in, the server gets no new flows, and its next
+// own write makes it good. A cookie of it is still known: its open flows go on.
+func TestBadEntryAmongOthers(t *testing.T) {
+	good := func() []change { return []change{registered("i-3", 3, 12), registered("i-4", 4, 13)} }
+	for name, changes := range map[string][]change{
+		"first":  append([]change{bad("i-1", 11)}, good()...),
+		"middle": {good()[0], bad("i-1", 14), good()[1]},
+		"last":   append(good(), bad("i-1", 14)),
+		"alone":  {bad("i-1", 11)},
+	} {
+		s := running(t)
+		s.answer(upstreams, 14, changes...)
+		if got := s.table.Upstream(stoatroute.KeyOf(1)); got == nil || got.Standing != stoatroute.Leaving || got.Addr != (netip.AddrPort{}) {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if got := len(s.table.Service("app")); got != len(changes) {
+			t.Error(name, got, "take new flows")
+		}
+		if s.events[EventInvalid.Number] != 1 {
+			t.Error(name, s.events)
+		}
+		s.answer(upstreams, 15, registered("i-1", 1, 15))
+		if got := s.table.Upstream(stoatroute.KeyOf(1)); got.Standing != stoatroute.Serving {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
+
+// The same in a list, after the history was lost. A bad entry there is no sign that its server
+// ended; one without a name may be any that the list lacks, which is given time to come back.
+func TestBadEntryInAList(t *testing.T) {
+	for name, c := range map[string]struct {
+		object change
+		want   stoatroute.Standing
+	}{
+		"named":    {bad("i-1", 11), stoatroute.Leaving},
+		"nameless": {bad("", 0), stoatroute.Missing},
+	} {
+		s := running(t)
+		s.end(upstreams, stoatfeed.Result{Outcome: stoatfeed.Forgotten})
+		s.end(upstreams, stoatfeed.Result{AsOf: 12, More: true, Last: "i-1", Changes: 1}, c.object)
+		s.answer(upstreams, 12, registered("i-2", 2, 7))
+		if got := s.table.Upstream(stoatroute.KeyOf(1)); got == nil || got.Standing != c.want {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if got := s.table.Upstream(stoatroute.KeyOf(2)); got == nil || got.Standing != stoatroute.Serving {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
+
+// The configuration is written over with something else: the last good one stays in force, and
+// the next good one is adopted.
+func TestBadConfiguration(t *testing.T) {
+	s := running(t)
+	s.answer(declarations, 11, bad("main", 11))
+	if s.table.Declaration.Version != 1 || s.events[EventInvalid.Number] != 1 {
+		t.Error(s.table.Declaration.Version, s.events)
+	}
+	s.answer(declarations, 12, declared(2, 12))
+	if s.table.Declaration.Version != 2 {
+		t.Error(s.table.Declaration.Version)
+	}
+}
+
+// A server starts again under its id: a line says so, and names both lives. A write of the
+// earlier life that took effect late is named too, and ignored.
+func TestRestartIsLogged(t *testing.T) {
+	s := running(t)
+	born := func(life stoatpaddle.Incarnation, revision stoatpaddle.Version) change {
+		c := registered("i-1", 1, revision)
+		c.registration.Incarnation = life
+		return c
+	}
+	s.answer(upstreams, 11, born(5, 11))
+	s.answer(upstreams, 12, born(7, 12))
+	s.answer(upstreams, 13, born(5, 13))
+	if got := s.table.Upstream(stoatroute.KeyOf(1)); got.Incarnation != 7 || got.Revision != 12 || s.events[EventLife.Number] != 2 {
+		t.Errorf("%+v %v", got, s.events)
+	}
+}
--- a/stoatedge/log.go
+++ b/stoatedge/log.go
@@ -33,7 +33,7 @@
 	l.sampler = stoatevent.NewSampler(map[stoatevent.Number]int{
 		EventOpened.Number: flowLines, EventReset.Number: flowLines,
 		EventDropped.Number: flowLines, EventEjected.Number: flowLines,
-		EventLate.Number: flowLines,
+		EventLate.Number: flowLines, EventInvalid.Number: flowLines, EventLife.Number: flowLines,
 	})
 	l.level(set.Level)
 	l.group.Go(func() error { return l.pipe.Run(w) })
--- a/stoatedge/news.go
+++ b/stoatedge/news.go
@@ -74,9 +74,10 @@
 	Slots    int
 	Leaving  bool
 	Revision uint64
-	Born     uint64
+	Created  uint64
 	Standing uint8
-	ColdMS   int64 // how much longer it is slow
+	ColdMS   int64  // how much longer it is slow
+	Life     uint64 // its incarnation
 }
 
 // wireRefusal says why an entry tells nothing, and whom to ask instead.
@@ -126,8 +127,8 @@
 		r := &u.Registration
 		w.Upstreams = append(w.Upstreams, wireHeld{
 			ID: string(r.ID), Target: uint64(r.Target), Service: n.of(string(r.Service)), Centre: n.of(string(r.DataCentre)),
-			Addr: packAddr(r.Addr), Slots: r.Slots, Leaving: r.Leaving, Revision: uint64(u.Revision), Born: uint64(r.Born),
-			Standing: uint8(u.Standing), ColdMS: max(0, u.Warm.Sub(now).Milliseconds()),
+			Addr: packAddr(r.Addr), Slots: r.Slots, Leaving: r.Leaving, Revision: uint64(u.Revision), Created: uint64(r.Created),
+			Standing: uint8(u.Standing), ColdMS: max(0, u.Warm.Sub(now).Milliseconds()), Life: uint64(r.Incarnation),
 		})
 	}
 	w.Names = n.list
@@ -271,7 +272,8 @@
 		Registration: stoatpaddle.Registration{
 			ID: stoatpaddle.UpstreamID(u.ID), Target: stoatpaddle.Target(u.Target), Service: stoatpaddle.ServiceID(r.name(u.Service)),
 			DataCentre: stoatpaddle.DataCentreID(r.name(u.Centre)), Addr: r.addr(u.Addr), Slots: u.Slots, Leaving: u.Leaving,
-			Born: stoatpaddle.Version(u.Born), Cold: time.Duration(u.ColdMS) * time.Millisecond,
+			Created: stoatpaddle.Version(u.Created), Cold: time.Duration(u.ColdMS) * time.Millisecond,
+			Incarnation: stoatpaddle.Incarnation(u.Life),
 		},
 	}
 }
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -130,12 +130,18 @@
 	var changes []change
 	for i := range a.Items {
 		changes = append(changes, readChange(x.topic, &a.Items[i], false))
-		r.Last = a.Items[i].Meta.Name
+		if name := a.Items[i].Meta.Name; name != "" {
+			r.Last = name
+		}
 	}
 	for i := range a.Events {
 		changes = append(changes, readChange(x.topic, &a.Events[i].Object, a.Events[i].Deleted))
 	}
 	r.Changes = len(changes)
+	if r.More && (r.Last == "" || r.Last == x.call.After) {
+		// No name of the page can be read: the next question would bring it again, for ever.
+		r.Outcome, changes = stoatfeed.Failed, nil
+	}
 	return r, changes
 }
 
@@ -145,10 +151,13 @@
 	if gone {
 		return c
 	}
+	if c.fault = o.Fault; c.fault != nil {
+		return c
+	}
 	if t == upstreams {
 		r, err := platform.Registration(o.Meta.Name, o.Spec)
 		if c.fault = err; err == nil {
-			r.Born = stoatpaddle.Version(o.Meta.CreateRev)
+			r.Created = stoatpaddle.Version(o.Meta.CreateRev)
 			c.registration = &r
 		}
 		return c
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -99,7 +99,7 @@
 func (e *Edge) release(now time.Time) {
 	e.engineMu.Lock()
 	held := e.hold.Take()
-	e.engine.Retain(e.table.Load())
+	e.engine.Retain(now, e.table.Load())
 	e.engineMu.Unlock()
 	e.replay(now, held)
 }
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -178,28 +178,6 @@
 	return false
 }
 
-// Register takes in what an upstream says about itself and tells whether its standing is news.
-func (b *Book) Register(now time.Time, r stoatpaddle.Registration, revision stoatpaddle.Version) bool {
-	e := b.ups[r.ID]
-	switch {
-	case e == nil:
-		e = newEntry(now, &r)
-		b.ups[r.ID] = e
-	case revision <= e.up.Revision:
-		// Also of one that is gone: a neighbour which is behind must not bring it back.
-		return false
-	}
-	was := e.up.Standing
-	fresh := e.up.Revision == 0
-	e.up.Registration, e.up.Revision = r, revision
-	e.up.Standing = Serving
-	if r.Leaving {
-		e.up.Standing = Leaving
-	}
-	b.changed(e)
-	return fresh || was != e.up.Standing
-}
-
 // Remove takes in that a registration ended while the platform answered.
 func (b *Book) Remove(now time.Time, id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
 	e := b.ups[id]
@@ -357,8 +335,8 @@
 // first, for it may have flows. The other gets none, or its packets would go to the first.
 // Targets longer than 32 bits can meet so; of 43,000 upstreams two do one time in five.
 func older(a, b *Upstream) bool {
-	if a.Born != b.Born {
-		return a.Born < b.Born
+	if a.Created != b.Created {
+		return a.Created < b.Created
 	}
 	return a.ID < b.ID
 }
--- a/stoatroute/book_test.go
+++ b/stoatroute/book_test.go
@@ -22,7 +22,7 @@
 }
 
 func registration(target stoatpaddle.Target, id stoatpaddle.UpstreamID) stoatpaddle.Registration {
-	return stoatpaddle.Registration{ID: id, Target: target, Service: "app", Slots: 3, Born: stoatpaddle.Version(target)}
+	return stoatpaddle.Registration{ID: id, Target: target, Service: "app", Slots: 3, Created: stoatpaddle.Version(target)}
 }
 
 func standingOf(t *testing.T, b *stoatroute.Book, id stoatpaddle.UpstreamID) stoatroute.Standing {
@@ -125,7 +125,7 @@
 	b.Register(start, registration(1, "i-1"), 2)
 	leaving := registration(1, "i-1")
 	leaving.Leaving = true
-	if !b.Register(start, leaving, 4) || b.Register(start, registration(1, "i-1"), 3) {
+	if b.Register(start, leaving, 4) != stoatroute.Changed || b.Register(start, registration(1, "i-1"), 3) != stoatroute.Unchanged {
 		t.Error("an older entry was taken in")
 	}
 	if standingOf(t, b, "i-1") != stoatroute.Leaving || len(b.Table().Service("app")) != 0 {
@@ -141,7 +141,7 @@
 // its flows, whatever the order in which an entry hears of them; the second gets none.
 func TestSharedCookie(t *testing.T) {
 	first, second := registration(0x7f00000001, "i-7f00000001"), registration(0x7e00000000, "i-7e00000000")
-	first.Born, second.Born = 5, 6
+	first.Created, second.Created = 5, 6
 	if stoatroute.KeyOf(first.Target) != stoatroute.KeyOf(second.Target) {
 		t.Fatal("they do not share one")
 	}
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -64,9 +64,16 @@
 		return false
 	}
 	fresh := e == nil
-	if fresh {
+	switch {
+	case fresh:
 		e = newEntry(now, &x.Registration)
 		b.ups[x.ID] = e
+	case x.Incarnation < e.up.Incarnation:
+		// The parent has not heard of the later incarnation.
+		return false
+	case LifeOf(&e.up.Registration).compare(LifeOf(&x.Registration)) == laterLife:
+		*e = *newEntry(now, &x.Registration)
+		fresh = true
 	}
 	was := e.up.Standing
 	e.up.Registration, e.up.Revision, e.up.Standing = x.Registration, x.Revision, x.Standing
--- /dev/null
+++ b/stoatroute/register.go
@@ -0,0 +1,94 @@
+package stoatroute
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// Outcome is what became of a registration that was taken in.
+type Outcome uint8
+
+// The outcomes of Register.
+const (
+	// Unchanged: it is older than what is known, or changes nothing that anybody has to be told.
+	Unchanged Outcome = iota
+	// Changed: the upstream is new, or its standing is.
+	Changed
+	// Restarted: the upstream started again under its id, and holds nothing of before.
+	Restarted
+	// Outdated: an earlier incarnation wrote it than the one that is known.
+	Outdated
+	// Contradicted: it cannot come from the upstream, which gets no new flows until a good one comes.
+	Contradicted
+)
+
+// String returns the word used in logs.
+func (o Outcome) String() string {
+	return [...]string{"unchanged", "changed", "restarted", "outdated", "contradicted"}[o]
+}
+
+// Register takes in what an upstream says about itself.
+//
+// A server may start again under the id that it had. Its incarnation tells: one that is later
+// than the known one supersedes all that is known of the upstream. An earlier one never does,
+// although its revision is later: a write that was under way when its server died may take
+// effect seconds later, and the server that lives would look dead, or cold, or elsewhere.
+func (b *Book) Register(now time.Time, r stoatpaddle.Registration, revision stoatpaddle.Version) Outcome {
+	e := b.ups[r.ID]
+	if e == nil {
+		e = newEntry(now, &r)
+		b.ups[r.ID] = e
+		b.adopt(e, r, revision, standingOf(&r))
+		return Changed
+	}
+	if revision <= e.up.Revision {
+		// Also of one that is gone: a neighbour which is behind must not bring it back.
+		return Unchanged
+	}
+	was := e.up.Standing
+	switch LifeOf(&e.up.Registration).compare(LifeOf(&r)) {
+	case earlierLife:
+		return Outdated
+	case laterLife:
+		*e = *newEntry(now, &r)
+		b.adopt(e, r, revision, standingOf(&r))
+		return Restarted
+	case otherWriter:
+		b.Spoil(r.ID, revision)
+		return Contradicted
+	case sameLife:
+	}
+	b.adopt(e, r, revision, standingOf(&r))
+	if was != e.up.Standing {
+		return Changed
+	}
+	return Unchanged
+}
+
+func standingOf(r *stoatpaddle.Registration) Standing {
+	if r.Leaving {
+		return Leaving
+	}
+	return Serving
+}
+
+// adopt makes a registration and a standing what is known of an upstream.
+func (b *Book) adopt(e *entry, r stoatpaddle.Registration, revision stoatpaddle.Version, s Standing) {
+	e.up.Registration, e.up.Revision, e.up.Standing = r, revision, s
+	b.changed(e)
+}
+
+// Spoil takes in that an upstream's entry was written over with something that names no server,
+// and tells whether that is news. The upstream may live: its open flows go on. Until it writes
+// again it gets no new ones, since the platform does not say any more that it serves.
+func (b *Book) Spoil(id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
+	e := b.ups[id]
+	if e == nil || revision <= e.up.Revision || e.up.Standing == Gone {
+		return false
+	}
+	was := e.up.Standing
+	e.up.Leaving = true
+	b.adopt(e, e.up.Registration, revision, Leaving)
+	return was != Leaving
+}
