stoatedge: nothing of a parent's message counts whose difference does not fit

Cause, found by the last reading: told() left the parent but adopted its revision, so that the configuration would not have been read again until the next change. Test: TestDifferenceThatDoesNotFit looks at the revision and at the next question; it failed before (known up to 30 instead of 10, asked from 30).

--- a/stoatedge/answer_test.go
+++ b/stoatedge/answer_test.go
@@ -60,3 +60,34 @@
 		t.Errorf("%v %+v", err, x.upstreams)
 	}
 }
+
+// A call is given up while it still pauses, since the parent tells now: it ends at once, without
+// a question to the platform.
+func TestInterruptDuringAPause(t *testing.T) {
+	e := &Edge{ctx: t.Context(), events: newMailbox()}
+	var c callCancel
+	given := c.begin(t.Context())
+	c.interrupt()
+	e.call(given, ask{topic: upstreams, call: stoatfeed.Call{Pause: time.Hour}})
+	list := e.events.take()
+	if x, ok := list[0].(ended); len(list) != 1 || !ok || x.result.Outcome != stoatfeed.Interrupted {
+		t.Errorf("%+v", list)
+	}
+}
+
+// Events reach the control goroutine in their order, also those that it posts itself, and
+// nothing that is posted late blocks its sender.
+func TestMailbox(t *testing.T) {
+	m := newMailbox()
+	m.post(1)
+	m.post(2)
+	if list := m.take(); len(list) != 2 || list[0] != 1 || list[1] != 2 {
+		t.Error(list)
+	}
+	m.post(3)
+	m.close()
+	m.post(4)
+	if list := m.take(); len(list) != 0 {
+		t.Error("taken after the end:", list)
+	}
+}
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -127,6 +127,13 @@
 			stoatevent.F("revision", x.known.String()), stoatevent.F("age", ageText(x.age)))
 	}
 	f.path = x.path
+	if current := k.book.Declaration().Version; !x.amendment.fits(current) {
+		// This entry read a version of its own in between. None of the message counts: had it
+		// been taken for known, the configuration would stay as it is until the next change.
+		// Everything is told anew after a new search.
+		k.leave("its change does not fit version " + current.String())
+		return
+	}
 	later := x.known >= k.known
 	if later && x.age >= 0 {
 		f.fresh = now.Add(-x.age)
@@ -168,12 +175,7 @@
 	if x.amendment.declaration.Version <= current.Version {
 		return
 	}
-	d, fits := x.amendment.onto(&current)
-	if !fits {
-		// This entry read a version of its own in between. Everything is told anew after a new search.
-		k.leave("its change does not fit version " + current.Version.String())
-		return
-	}
+	d := x.amendment.onto(&current)
 	k.apply(now, declarations, []change{{revision: x.amendment.revision, declaration: &d}}, x.from)
 }
 
--- a/stoatedge/news.go
+++ b/stoatedge/news.go
@@ -181,15 +181,17 @@
 	removed     []netip.AddrPort
 }
 
-// onto returns the declaration that the amendment makes of one, and whether it fits: a
-// difference from another version would leave out what changed in between.
-func (a *amendment) onto(d *stoatpaddle.Declaration) (stoatpaddle.Declaration, bool) {
+// fits tells whether the amendment can be made of the version in force: a difference from
+// another one would leave out what changed in between. One that is not later changes nothing.
+func (a *amendment) fits(current stoatpaddle.Version) bool {
+	return a == nil || a.base == 0 || a.base == current || a.declaration.Version <= current
+}
+
+// onto returns the declaration that the amendment makes of one that it fits.
+func (a *amendment) onto(d *stoatpaddle.Declaration) stoatpaddle.Declaration {
 	out := a.declaration
 	if a.base == 0 {
-		return out, true
-	}
-	if d.Version != a.base {
-		return stoatpaddle.Declaration{}, false
+		return out
 	}
 	replaced := make(map[netip.AddrPort]bool, len(a.declaration.Routes)+len(a.removed))
 	for i := range a.declaration.Routes {
@@ -205,7 +207,7 @@
 		}
 	}
 	out.Routes = append(out.Routes, a.declaration.Routes...)
-	return out, true
+	return out
 }
 
 // placeError reports a name that a body does not have.
--- a/stoatedge/proof_test.go
+++ b/stoatedge/proof_test.go
@@ -167,6 +167,18 @@
 	if s.table.Declaration.Version != 1 || s.left != 1 {
 		t.Error(s.table.Declaration.Version, s.left)
 	}
+	// Nothing of the message counts as known: the configuration would not be asked for again
+	// until the next change, and upstreams that the message does not name would seem told.
+	if got := s.k.feeds[declarations].Revision(); got != 10 || s.k.known != 10 {
+		t.Error("the configuration counts as known up to", got, s.k.known)
+	}
+	began := s.now
+	for s.calls[declarations] == nil && s.now.Sub(began) < 3*time.Second {
+		s.pass(100 * ms)
+	}
+	if c := s.calls[declarations]; c == nil || c.From != 10 {
+		t.Errorf("not read: %+v", c)
+	}
 	s = following(t)
 	s.step(told{serial: 1, from: "parent", known: 30, amendment: &amendment{revision: 30, base: 1, declaration: *d.declaration}})
 	if s.table.Declaration.Version != 4 || s.left != 0 {
