stoatsoak: upstreams start again under their id, and another writer writes entries

Restart (soon or late, at the same address or another one) is a disturbance; foreign, which writes over a live upstream's entry and adds a bad one, counts as planned work: every promise holds under it. Each life is an upstream value of its own, so that the checker knows whose flows live.

--- a/stoatsoak/plan.go
+++ b/stoatsoak/plan.go
@@ -20,11 +20,13 @@
 	Routes    Kind = "routes"    // a route is added, the one added before is removed
 	Storm     Kind = "storm"     // ten configurations within a second
 	Settings  Kind = "settings"  // the settings file changes, with or without a signal
+	Foreign   Kind = "foreign"   // another writer writes over an upstream's entry, and adds one
 
 	Kill      Kind = "kill"    // SIGKILL to an entry
 	KillAll   Kind = "killall" // SIGKILL to all entries at once
 	Freeze    Kind = "freeze"  // SIGSTOP for a while
 	Crash     Kind = "crash"   // an upstream dies; its address goes to the other service
+	Restart   Kind = "restart" // an upstream dies and starts again under its id, soon or late, there or elsewhere
 	StoreDown Kind = "down"    // the store answers nothing; registrations lapse meanwhile
 	StoreSlow Kind = "slow"    // its answers take 200 ms
 	StoreLag  Kind = "lag"     // its replicas stand still
@@ -37,8 +39,8 @@
 )
 
 var (
-	planned      = []Kind{Terminate, Rolling, Drain, Release, Routes, Storm, Settings}
-	disturbances = []Kind{Kill, KillAll, Freeze, Crash, StoreDown, StoreSlow, StoreLag, StoreMute, Forget, Refuse, Silence, OneWay, Lossy}
+	planned      = []Kind{Terminate, Rolling, Drain, Release, Routes, Storm, Settings, Foreign}
+	disturbances = []Kind{Kill, KillAll, Freeze, Crash, Restart, StoreDown, StoreSlow, StoreLag, StoreMute, Forget, Refuse, Silence, OneWay, Lossy}
 )
 
 // Planned tells whether every promise holds while it goes on.
--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -50,6 +50,8 @@
 		for i := range 10 {
 			w.after(time.Duration(i)*100*time.Millisecond, func() { w.changeRoutes(s.Target + i) })
 		}
+	case Foreign:
+		w.spoil(s)
 	case Settings:
 		e.mu.Lock()
 		e.level++
@@ -128,6 +130,8 @@
 		e.signal(syscall.SIGSTOP, false)
 	case Crash:
 		w.crash(s.Target)
+	case Restart:
+		w.restart(s.Target)
 	case StoreDown:
 		w.store.Set(stoatfake.Trouble{Down: true})
 		w.lapse()
@@ -221,3 +225,56 @@
 		_, _ = w.newUpstream(u.service, u.centre, netip.MustParseAddrPort("127.0.0.1:0"))
 	})
 }
+
+// Restarts take so long, soon and late: before an upstream's silence is noticed, and after.
+const (
+	restartSoon = 50 * time.Millisecond
+	restartLate = 2500 * time.Millisecond
+)
+
+// restart ends an upstream at once and starts it again under its id; its entry stands meanwhile.
+func (w *world) restart(target int) {
+	u := w.pick(target)
+	if u == nil {
+		return
+	}
+	u.dead.Store(true)
+	_ = u.conn.Close()
+	pause, at := restartSoon, u.addr
+	if target%2 == 0 {
+		pause = restartLate
+	}
+	if target%3 == 0 {
+		at = netip.MustParseAddrPort("127.0.0.1:0")
+	}
+	w.after(pause, func() {
+		u.drop()
+		// Somebody may have taken the port meanwhile.
+		_, _ = w.startUpstream(u.target, u.service, u.centre, at)
+	})
+}
+
+// spoil writes over an upstream's entry, and adds an entry, with what names no server. The
+// upstream writes its own again a while later, as the next heartbeat does.
+func (w *world) spoil(s Step) {
+	specs := []any{
+		nil, "ready",
+		map[string]any{"service": "app", "slots": "three"},
+		map[string]any{"service": "app", "address": "127.0.0.1:9", "zone": "a", "version": "v1", "slots": 3, "state": "resting", "cold_remaining_ms": 0, "seq": 1},
+	}
+	spec := specs[s.Target%len(specs)]
+	w.store.Write(platform.KindUpstream, fmt.Sprintf("i-0bad%04x", s.Target), spec)
+	u := w.pick(s.Target)
+	if u == nil {
+		return
+	}
+	w.store.Write(platform.KindUpstream, u.id, spec)
+	w.after(s.For, func() {
+		u.mu.Lock()
+		left := u.left
+		u.mu.Unlock()
+		if !u.dead.Load() {
+			u.register(left > 0)
+		}
+	})
+}
--- a/stoatsoak/run_upstream.go
+++ b/stoatsoak/run_upstream.go
@@ -19,6 +19,7 @@
 	w       *world
 	id      string
 	target  uint64
+	born    stoatpaddle.Incarnation
 	service string
 	centre  string
 	conn    *net.UDPConn
@@ -48,13 +49,21 @@
 
 // newUpstream starts one life at the address, which is free; port 0 takes any.
 func (w *world) newUpstream(service, centre string, at netip.AddrPort) (*upstream, error) {
+	return w.startUpstream(firstTarget+w.lives.Add(1), service, centre, at)
+}
+
+// firstTarget is the number of the first upstream's id.
+const firstTarget = 0x5000_0000
+
+// startUpstream starts a life of the upstream with that number.
+func (w *world) startUpstream(target uint64, service, centre string, at netip.AddrPort) (*upstream, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, err
 	}
-	n := w.lives.Add(1)
 	u := &upstream{
-		w: w, id: fmt.Sprintf("i-%08x", 0x5000_0000+n), target: 0x5000_0000 + n, service: service, centre: centre, conn: conn,
+		w: w, id: fmt.Sprintf("i-%08x", target), target: target, service: service, centre: centre, conn: conn,
+		born: stoatpaddle.Incarnation(time.Now().UnixMilli()),
 		addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), flows: map[netip.AddrPort]*served{},
 	}
 	w.mu.Lock()
@@ -68,7 +77,7 @@
 // register writes what a server says about itself, as servers do without regard to entries.
 func (u *upstream) register(leaving bool) {
 	u.w.store.Write(platform.KindUpstream, u.id, platform.RegistrationSpec(&stoatpaddle.Registration{
-		Service: stoatpaddle.ServiceID(u.service), Addr: u.addr, DataCentre: stoatpaddle.DataCentreID(u.centre), Slots: slots, Leaving: leaving,
+		Service: stoatpaddle.ServiceID(u.service), Addr: u.addr, DataCentre: stoatpaddle.DataCentreID(u.centre), Slots: slots, Leaving: leaving, Incarnation: u.born,
 	}))
 }
 
@@ -85,6 +94,11 @@
 	u.dead.Store(true)
 	_ = u.conn.Close()
 	u.w.store.Remove(platform.KindUpstream, u.id)
+	u.drop()
+}
+
+// drop takes its life out of those that there are.
+func (u *upstream) drop() {
 	u.w.mu.Lock()
 	defer u.w.mu.Unlock()
 	for i, other := range u.w.upstreams {
