--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -7,12 +7,12 @@
 	EventStart = stoatevent.Register(stoatevent.Entry{
 		Number: 1401, Severity: stoatevent.Info, Since: "0.2",
 		Title: "entry starts",
-		Text:  "The sockets are open. The entry is not ready yet: it places flows once it has a configuration and a list of upstreams.",
+		Text:  "The socket for packets is open; they wait in it. The entry is not ready yet: it places flows once it has a configuration and a list of upstreams.",
 	})
 	EventReady = stoatevent.Register(stoatevent.Entry{
 		Number: 1402, Severity: stoatevent.Info, Since: "0.2",
 		Title: "entry serves",
-		Text:  "The entry has a configuration and a list of upstreams. Source says whether they came from the platform or from a neighbour.",
+		Text:  "The entry has a configuration and a list of upstreams: so many serve and so many are leaving; names has 64 of them at most. From now on each change is a line of its own (SP1407).",
 	})
 	EventStopping = stoatevent.Register(stoatevent.Entry{
 		Number: 1403, Severity: stoatevent.Info, Since: "0.2",
@@ -37,7 +37,7 @@
 	EventUpstream = stoatevent.Register(stoatevent.Entry{
 		Number: 1407, Severity: stoatevent.Info, Since: "0.2",
 		Title: "upstream changed standing",
-		Text:  "Serving takes new flows; leaving keeps its open ones; missing lapsed while the platform was away and goes on as before; gone has ended, and flows there are reset.",
+		Text:  "Those that an entry learns of at its start are named by SP1402 instead. Serving takes new flows; leaving keeps its open ones; missing lapsed while the platform was away and goes on as before; gone has ended, and flows there are reset.",
 	})
 	EventPlatformLost = stoatevent.Register(stoatevent.Entry{
 		Number: 1408, Severity: stoatevent.Warning, Since: "0.2",
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -164,8 +164,7 @@
 		k.amend(now, x)
 	}
 	for _, id := range k.book.Mirror(now, stoatroute.Telling{Upstreams: x.upstreams, Whole: x.whole, Later: later}) {
-		k.standing(id, x.from)
-		k.clash(id)
+		k.newcomer(id, x.from)
 	}
 }
 
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -302,8 +303,7 @@
 	switch outcome := k.book.Register(now, *c.registration, c.revision); outcome {
 	case stoatroute.Unchanged:
 	case stoatroute.Changed:
-		k.standing(c.registration.ID, source)
-		k.clash(c.registration.ID)
+		k.newcomer(c.registration.ID, source)
 	case stoatroute.Restarted, stoatroute.Outdated, stoatroute.Contradicted:
 		k.log(EventLife, stoatevent.F("upstream", string(c.registration.ID)), stoatevent.F("outcome", outcome.String()),
 			stoatevent.F("known", lifeText(&before.Registration)), stoatevent.F("read", lifeText(c.registration)), stoatevent.F("revision", c.revision.String()))
@@ -313,6 +313,15 @@
 	}
 }
 
+// newcomer logs an upstream that is new, or whose standing is. Before the entry is ready there
+// would be a line for each that there is; SP1402 names them in one.
+func (k *keeper) newcomer(id stoatpaddle.UpstreamID, why string) {
+	if k.ready {
+		k.standing(id, why)
+	}
+	k.clash(id)
+}
+
 // lifeText tells a registration's incarnation, and what an upstream keeps for all of it.
 func lifeText(r *stoatpaddle.Registration) string {
 	return strconv.FormatUint(uint64(r.Incarnation), 10) + " " + string(r.Service) + " " + r.Addr.String()
@@ -333,6 +342,22 @@
 	}
 }
 
+// maxNames bounds the names in one line.
+const maxNames = 64
+
+// namesOf names the upstreams of a table, as many as fit in a line.
+func namesOf(t *stoatroute.Table) string {
+	var names []string
+	for _, u := range t.Upstreams() {
+		if len(names) == maxNames {
+			names = append(names, "and more")
+			break
+		}
+		names = append(names, string(u.ID))
+	}
+	return strings.Join(names, " ")
+}
+
 func countOf(n int) string { return strconv.Itoa(n) }
 
 func (k *keeper) publish() {
@@ -345,6 +370,7 @@
 	if t.Ready() && !k.ready {
 		k.ready = true
 		_, n := t.Counts()
-		k.log(EventReady, stoatevent.F("version", t.Declaration.Version.String()), stoatevent.F("upstreams", countOf(n[stoatroute.Serving])))
+		k.log(EventReady, stoatevent.F("version", t.Declaration.Version.String()), stoatevent.F("upstreams", countOf(n[stoatroute.Serving])),
+			stoatevent.F("leaving", countOf(n[stoatroute.Leaving])), stoatevent.F("names", namesOf(t)))
 	}
 }
