stoatecho: admission by the answer that is expected, on the queue and not on what this entry has in progress

An entry is one of nine and has nothing in progress at most upstreams at most moments; that counted as an empty queue, so that most new flows were admitted unjudged. Hypothesis: judged, the bounds hold the queue.

--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -26,13 +26,25 @@
 	}
 }
 
-// choose returns the upstream for a new flow, or nil when none may take it. except is left
-// out as long as there is another one.
+// offers are the best upstreams for a new flow, by what speaks for or against them.
+type offers struct {
+	own       pick // in this data centre
+	ownFull   pick // there, but one more flow would be answered late
+	other     pick // in another data centre
+	otherFull pick
+	last      pick // ejected, or the one that is left out
+}
+
+// choose returns the upstream for a new flow and whether it may get one, or nil when there is
+// none. except is left out as long as there is another one.
 //
-// The own data centre goes first. Ejected upstreams are the last resort: if all are
-// ejected the evidence speaks of this entry's network rather than of them.
-func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) *stoatroute.Upstream {
-	var own, other, last pick
+// The own data centre goes first, and in it those that would answer in time: the one with the
+// least load may be full for all entries while another one is not. Under an overload others
+// are as full; a flow goes there only as it would without (spills), since what comes back from
+// there fills the next. Ejected upstreams are the last resort: if all are ejected the evidence
+// speaks of this entry's network rather than of them.
+func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) (*stoatroute.Upstream, bool) {
+	var o offers
 	patience := e.handshake.patience()
 	for _, u := range t.Service(e.backend(r)) {
 		h := e.health.of(u)
@@ -41,24 +53,38 @@
 		}
 		// The order of equals must differ from entry to entry, or all would start with the same.
 		cost := h.cost(now, u, patience) * (1 + jitter*e.rnd.Float64())
-		switch {
+		full := !admits(now, h, e.groups[groupOf(u)], r)
+		switch home := u.DataCentre == e.cfg.DataCentre; {
 		case h.isEjected(now) || u.Key == except:
-			last.offer(u, h, cost)
-		case u.DataCentre == e.cfg.DataCentre:
-			own.offer(u, h, cost)
+			o.last.offer(u, h, cost)
+		case home && full:
+			o.ownFull.offer(u, h, cost)
+		case home:
+			o.own.offer(u, h, cost)
+		case full:
+			o.otherFull.offer(u, h, cost)
 		default:
-			other.offer(u, h, cost)
+			o.other.offer(u, h, cost)
 		}
 	}
+	return o.best(now, patience)
+}
+
+// best returns the upstream to use, and whether it may get the flow.
+func (o *offers) best(now time.Time, patience time.Duration) (*stoatroute.Upstream, bool) {
 	switch {
-	case own.up == nil && other.up == nil:
-		return last.up
-	case own.up == nil:
-		return other.up
-	case other.up != nil && spills(now, patience, &own, &other):
-		return other.up
+	case o.own.up != nil && o.other.up != nil && spills(now, patience, &o.own, &o.other):
+		return o.other.up, true
+	case o.own.up != nil:
+		return o.own.up, true
+	case o.ownFull.up != nil:
+		return o.ownFull.up, false
+	case o.other.up != nil:
+		return o.other.up, true
+	case o.otherFull.up != nil:
+		return o.otherFull.up, false
 	}
-	return own.up
+	return o.last.up, true
 }
 
 // spills tells whether a flow goes to another data centre although the own one could take
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -52,8 +52,8 @@
 	// more than its route's objective.
 	Took time.Duration
 	Late bool
-	// Busy and Mean are what the upstream had in progress from here and its mean answer time,
-	// where they decided; Bound is what Mean may be for the flow to be admitted.
+	// Busy and Mean are what the upstream had in progress from here and the answer time that was
+	// expected of it (0: not known), where they decided; Bound is what Mean may be for the flow to be admitted.
 	Busy  int
 	Mean  time.Duration
 	Bound time.Duration
@@ -80,6 +80,7 @@
 	ack      uint32    // what the caller acknowledged when it began
 	seq      uint32    // last sequence number with data
 	repeats  int
+	beside   int // requests in progress at its upstream when its own began, itself included
 	opening  bool
 	awaited  bool // it stands in Engine.answers
 	owes     bool // it stands in Engine.owed
@@ -111,6 +112,7 @@
 	owed      expectations // requests, until they count as failed
 	together  map[stoatpaddle.UpstreamKey]shared
 	answers   expectations
+	groups    map[groupKey]group
 }
 
 // New returns an Engine.
@@ -119,7 +121,7 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, health: healths{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, health: healths{}, groups: map[groupKey]group{}, flows: map[stoatpacket.Tuple]*flow{},
 		unproven: map[stoatpaddle.UpstreamKey]time.Time{}, last: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
@@ -213,13 +215,13 @@
 	if p.Copies == 0 {
 		except = e.refusedBefore(now, p)
 	}
-	a.Upstream = e.choose(now, t, r, except)
-	if a.Upstream == nil {
+	u, admitted := e.choose(now, t, r, except)
+	if a.Upstream = u; u == nil {
 		return e.refuse(a, stoatpacket.DropNoUpstream)
 	}
-	h := e.health.of(a.Upstream)
-	a.Busy, a.Mean, a.Bound = h.busy+h.opening, h.latency, admitBound(h, r)
-	if !admits(h, r) {
+	h := e.health.of(u)
+	a.Busy, a.Mean, a.Bound = h.busy+h.opening, expectedAnswer(now, h, e.groups[groupOf(u)]), admitBound(h, r)
+	if !admitted {
 		return e.refuse(a, stoatpacket.DropOverload)
 	}
 	a.Moved = a.Moved && a.Upstream.Key != except
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -58,6 +58,7 @@
 	openFrom time.Time     // since when an opening waits, without a sign since
 	busyFrom time.Time     // since when a request waits, without a sign since
 	latency  time.Duration // mean from a request to its answer
+	beside   float64       // mean of requests in progress from here, itself included, when it was asked
 	base     time.Duration // the least mean of late, rising slowly
 	repeats  int           // repeated packets since the last sign
 	ejected  time.Time     // until when it gets no flows; zero: a sign came since
@@ -191,13 +192,14 @@
 	h.busy++
 }
 
-func (h *health) answered(now time.Time, took time.Duration) {
+func (h *health) answered(now time.Time, took time.Duration, beside int) {
 	h.answer = now
 	h.window.add(now, Counts{Answered: 1})
 	if h.latency == 0 {
-		h.latency, h.base = took, took
+		h.latency, h.base, h.beside = took, took, float64(beside)
 		return
 	}
+	h.beside += latencyWeight * (float64(beside) - h.beside)
 	h.latency += time.Duration(latencyWeight * float64(took-h.latency))
 	h.base = min(h.latency, time.Duration(baseGrowth*float64(h.base)))
 }
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -57,7 +57,10 @@
 func (e *Engine) answered(now time.Time, r *stoatroute.Route, h *health, f *flow, a *Action) {
 	took := now.Sub(f.asked)
 	h.busy--
-	h.answered(now, took)
+	h.answered(now, took, f.beside)
+	g := e.groups[groupOf(a.Upstream)]
+	g.answered(now, took)
+	e.groups[groupOf(a.Upstream)] = g
 	e.heard(now, h)
 	f.asked = time.Time{}
 	e.stats.Answered++
@@ -86,6 +89,7 @@
 		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
 		f.progress = now
 		h.asked(now)
+		f.beside = h.busy + h.opening
 		e.await(now, p.Tuple, f)
 		e.owe(now, p.Tuple, f)
 		return
