stoatecho, stoatedge: a full queue is no silence, and an entry behind its socket takes no evidence

Cause, by the entries' logs: 16 upstreams ejected within 25 ms by an entry with 0.061 of a core, silence 203 to 224 ms. Two things look like death there: a full queue answers after 0.3 s while callers repeat after 0.2 s, and an entry that reads its socket late finds repeats of requests whose answers are acknowledged in packets behind them.

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -113,6 +113,7 @@
 	together  map[stoatpaddle.UpstreamKey]shared
 	answers   expectations
 	groups    map[groupKey]*recent
+	drained   time.Time // when everything that had come was handled; zero: always
 }
 
 // New returns an Engine.
@@ -153,6 +154,16 @@
 	return out
 }
 
+// Drained takes in when everything that had come to this entry was handled: what has come since
+// may be waiting for it.
+func (e *Engine) Drained(at time.Time) { e.drained = at }
+
+// behind tells whether this entry handles packets so late that the silence of an upstream may be
+// its own: an answer's acknowledgement may be among what waits.
+func (e *Engine) behind(now time.Time) bool {
+	return !e.drained.IsZero() && now.Sub(e.drained) > ownSilence
+}
+
 // Handle decides about one packet.
 func (e *Engine) Handle(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
 	e.sweep(now)
@@ -287,7 +298,7 @@
 	if e.ownTrouble(now, h, silence) {
 		return
 	}
-	if h.repeated(now, silenceOf(now, u)) {
+	if h.repeated(now, e.silenceOf(now, u)) {
 		a.Ejected, a.Silence = u, silence
 		e.stats.Ejected++
 		a.Abandoned = e.abandon(now, t, u)
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -121,7 +121,7 @@
 		f.owes = false
 		switch {
 		case f.asked.IsZero():
-		case now.Sub(f.progress) < owedFor:
+		case now.Sub(f.progress) < owedFor || e.behind(now):
 			e.owe(now, x.tuple, f)
 		default:
 			e.health[f.key].window.add(now, Counts{Failed: 1})
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -30,6 +30,9 @@
 	// works several times slower, so that its callers repeat themselves while it is at work,
 	// and its flows would be reset although it serves.
 	coldSilence = 4
+	// queueSilence is how many mean answer times of its like an upstream may be silent: a queue
+	// that is full takes two or three times as long as the mean one.
+	queueSilence = 3
 	// blameKept is how long the evidence lets flows be reset that were not tried themselves.
 	// An upstream that was cut off for seconds is ejected for up to eight; it may have been
 	// back for most of them, and a flow that comes then lives. Its first packet goes there,
@@ -110,7 +113,13 @@
 // The load: an entry sends a large configuration on, its link is full for half a second, and
 // callers' packets wait in it. A dozen upstreams look dead at once; their flows would be
 // reset although they serve. A dead upstream among others that live is told by their signs.
+//
+// An entry that is behind with its own packets sees signs of others among them, as old as the
+// repeats that look like evidence; so it takes none.
 func (e *Engine) ownTrouble(now time.Time, h *health, silence time.Duration) bool {
+	if e.behind(now) {
+		return true
+	}
 	if e.sign.After(now.Add(-silence)) {
 		return false
 	}
@@ -153,12 +162,21 @@
 
 func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejected) }
 
-// silenceOf is how long the upstream may be silent.
-func silenceOf(now time.Time, u *stoatroute.Upstream) time.Duration {
+// silenceOf is how long the upstream may be silent: longer where its like take long to answer.
+//
+// The load: a burst of six times the traffic before 120 upstreams. Each has a dozen requests
+// in its queue and answers after 0.3 s; callers repeat after 0.2 s, and one of sixteen entries
+// hears of an answer of it three times a second. Upstreams that work at full speed would be
+// ejected, and their flows reset.
+func (e *Engine) silenceOf(now time.Time, u *stoatroute.Upstream) time.Duration {
+	silence := ejectSilence
 	if now.Before(u.Warm) {
-		return coldSilence * ejectSilence
+		silence *= coldSilence
+	}
+	if g := e.group(u); g.weightAt(now) >= knownLeast {
+		silence = max(silence, queueSilence*g.mean)
 	}
-	return ejectSilence
+	return silence
 }
 
 // repeated notes that a caller repeated a packet, and tells whether that ejects the upstream,
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -126,7 +126,7 @@
 // once and is placed elsewhere. Only where a request may run twice: the caller of another
 // may not ask again, so its only hope is that the upstream comes back.
 func (e *Engine) leaveStuck(now time.Time, r *stoatroute.Route, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
-	if !r.Idempotent || !h.isEjected(now) || now.Sub(h.blamed) > blameKept || h.sign.After(f.asked) {
+	if !r.Idempotent || e.behind(now) || !h.isEjected(now) || now.Sub(h.blamed) > blameKept || h.sign.After(f.asked) {
 		return
 	}
 	e.forget(p.Tuple)
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -19,8 +19,9 @@
 
 // mover is what one goroutine needs to carry decisions out; nothing in it is shared.
 type mover struct {
-	buf   []byte // TargetSize bytes of room, then the packet
-	reset []byte
+	buf     []byte // TargetSize bytes of room, then the packet
+	reset   []byte
+	drained time.Time // when the socket was last known to be empty; zero: the packet did not wait there
 }
 
 func newMover() *mover {
@@ -35,8 +36,12 @@
 func (e *Edge) traffic() error {
 	m := newMover()
 	var p stoatpacket.Packet
+	in, err := newReader(e.conn)
+	if err != nil {
+		return err
+	}
 	for {
-		n, err := e.conn.Read(m.buf[platform.TargetSize:])
+		n, err := in.read(m.buf[platform.TargetSize:])
 		if err != nil {
 			if e.ctx.Err() != nil {
 				return nil
@@ -45,6 +50,7 @@
 		}
 		now := clock()
 		e.stop.packet(now)
+		m.drained = in.drained
 		if gap := e.pause.paused(uptime()); gap > 0 {
 			e.post(resumed{gap: gap})
 			e.discard(now, gap, m)
@@ -86,6 +92,9 @@
 func (e *Edge) handle(now time.Time, m *mover, n int, p *stoatpacket.Packet) {
 	e.engineMu.Lock()
 	t := e.table.Load()
+	if !m.drained.IsZero() {
+		e.engine.Drained(m.drained)
+	}
 	a := e.engine.Handle(now, t, p)
 	if a.Verdict == stoatecho.Wait && !e.hold.Add(now, p, m.buf[platform.TargetSize:platform.TargetSize+n]) {
 		a.Verdict = stoatecho.Drop
