--- a/stoatedge/reader.go
+++ b/stoatedge/reader.go
@@ -15,8 +15,14 @@
 // long ago is acknowledged in it: all of them look silent.
 type reader struct {
 	raw     syscall.RawConn
-	drained time.Time // when the socket was last known to be empty
-	waits   bool      // it was, at the last attempt
+	attempt func(fd uintptr) bool // made once: a closure for each datagram would be garbage
+	drained time.Time             // when the socket was last known to be empty
+	waits   bool                  // it was, at the last attempt
+
+	// Of the read under way.
+	buf    []byte
+	n      int
+	failed error
 }
 
 func newReader(conn *net.UDPConn) (*reader, error) {
@@ -24,31 +30,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reader{raw: raw, drained: clock()}, nil
+	r := &reader{raw: raw, drained: clock()}
+	r.attempt = r.try
+	return r, nil
 }
 
 // read waits for a datagram, as the connection's Read does.
 func (r *reader) read(buf []byte) (int, error) {
-	var n int
-	var failed error
-	err := r.raw.Read(func(fd uintptr) bool {
-		if r.waits {
-			// It was empty until whatever woke this goroutine came.
-			r.drained, r.waits = clock(), false
-		}
-		for {
-			if n, failed = syscall.Read(int(fd), buf); !errors.Is(failed, syscall.EINTR) {
-				break
-			}
-		}
-		if errors.Is(failed, syscall.EAGAIN) {
-			r.drained, r.waits = clock(), true
-			return false
-		}
-		return true
-	})
-	if err != nil {
+	r.buf, r.n, r.failed = buf, 0, nil
+	if err := r.raw.Read(r.attempt); err != nil {
 		return 0, err
 	}
-	return max(0, n), failed
+	return max(0, r.n), r.failed
+}
+
+// try reads once, and tells whether that ended the read.
+func (r *reader) try(fd uintptr) bool {
+	if r.waits {
+		// It was empty until whatever woke this goroutine came.
+		r.drained, r.waits = clock(), false
+	}
+	for {
+		r.n, r.failed = syscall.Read(int(fd), r.buf)
+		if !errors.Is(r.failed, syscall.EINTR) {
+			break
+		}
+	}
+	if errors.Is(r.failed, syscall.EAGAIN) {
+		r.drained, r.waits = clock(), true
+		return false
+	}
+	return true
 }
