--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -39,9 +39,9 @@
 // none. except is left out as long as there is another one.
 //
 // The own data centre goes first, and in it those that would answer in time: the one with the
-// least load may be full for all entries while another one is not. Under an overload others
-// are as full; a flow goes there only as it would without (spills), since what comes back from
-// there fills the next. Ejected upstreams are the last resort: if all are ejected the evidence
+// least load may be full for all entries while another one is not. Where none would, the flow is
+// refused: sent to another data centre, it fills that one next when all have too much. Ejected
+// upstreams are the last resort: if all are ejected the evidence
 // speaks of this entry's network rather than of them.
 func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) (*stoatroute.Upstream, bool) {
 	var o offers
