--- a/stoatsoak/soak_test.go
+++ b/stoatsoak/soak_test.go
@@ -60,6 +60,12 @@
 			plan := []stoatsoak.Step{
 				{At: 6 * time.Second, Kind: stoatsoak.Drain, Target: 0},
 			}
+			if p == stoatsoak.Recovers {
+				// Requests that are never answered keep the leaving upstream busy, and its end at 17 s
+				// is a disturbance: on a machine that stands still for 1.5 s at the start, nothing
+				// would be expected to be served from 14.5 s to then, nor after it.
+				plan = []stoatsoak.Step{}
+			}
 			r := run(t, stoatsoak.Config{Seed: uint64(20 + i), Length: 22 * time.Second, Plan: plan, Sabotage: p})
 			for _, b := range r.Breaches {
 				if b.Promise == p {
