--- a/stoatedge/pause.go
+++ b/stoatedge/pause.go
@@ -21,6 +21,7 @@
 	ticked atomic.Int64 // time since the machine's start, at the last tick
 	gap    atomic.Int64 // of a pause that the ticker noticed, until packets were discarded
 	seen   atomic.Int64 // when it did
+	last   atomic.Int64 // the time between the last two ticks
 }
 
 // pauseKept is how long a pause that the ticker noticed is remembered: what waited in the
@@ -30,6 +31,7 @@
 // tick notes that the process runs, and returns for how long it stood still; 0: it did not.
 func (w *pauseWatch) tick(up time.Duration) time.Duration {
 	gap := up - time.Duration(w.ticked.Swap(int64(up)))
+	w.last.Store(int64(gap))
 	if gap < pausedFor {
 		return 0
 	}
@@ -38,6 +40,16 @@
 	return gap
 }
 
+// starvedFor is how long after a tick the next one counts as late: twice the time between two,
+// which is a share of a core that was used up, or a machine that is busy.
+const starvedFor = 2 * tickEvery
+
+// starved tells whether the process lately did not run for a while: packets may have waited
+// though the socket was empty when it last looked.
+func (w *pauseWatch) starved(up time.Duration) bool {
+	return max(up-time.Duration(w.ticked.Load()), time.Duration(w.last.Load())) > starvedFor
+}
+
 // paused tells for how long the process stood still before this packet was read; 0: it did not.
 func (w *pauseWatch) paused(up time.Duration) time.Duration {
 	if gap := w.gap.Swap(0); gap != 0 && up-time.Duration(w.seen.Load()) < pauseKept {
--- a/stoatedge/reader.go
+++ b/stoatedge/reader.go
@@ -18,6 +18,7 @@
 	attempt func(fd uintptr) bool // made once: a closure for each datagram would be garbage
 	drained time.Time             // when the socket was last known to be empty
 	waits   bool                  // it was, at the last attempt
+	starved func() bool           // whether the process lately did not run for a while
 
 	// Of the read under way.
 	buf    []byte
@@ -25,12 +26,12 @@
 	failed error
 }
 
-func newReader(conn *net.UDPConn) (*reader, error) {
+func newReader(conn *net.UDPConn, starved func() bool) (*reader, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{raw: raw, drained: clock()}
+	r := &reader{raw: raw, starved: starved, drained: clock()}
 	r.attempt = r.try
 	return r, nil
 }
@@ -46,10 +47,11 @@
 
 // try reads once, and tells whether that ended the read.
 func (r *reader) try(fd uintptr) bool {
-	if r.waits {
+	if r.waits && !r.starved() {
 		// It was empty until whatever woke this goroutine came.
-		r.drained, r.waits = clock(), false
+		r.drained = clock()
 	}
+	r.waits = false
 	for {
 		r.n, r.failed = syscall.Read(int(fd), r.buf)
 		if !errors.Is(r.failed, syscall.EINTR) {
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -36,7 +36,7 @@
 func (e *Edge) traffic() error {
 	m := newMover()
 	var p stoatpacket.Packet
-	in, err := newReader(e.conn)
+	in, err := newReader(e.conn, func() bool { return e.pause.starved(uptime()) })
 	if err != nil {
 		return err
 	}
