stoatecho, stoatedge, stoatentry: an upstream's health knows its group; what one user needs stands there

A group goes when no upstream of it is left, instead of after 20 s without an answer, when it weighs nothing either way. Ruled out: skipping faded answers' exponentials (would change sums).

--- a/stoatactor/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package stoatactor starts the actor library as this project uses it.
-package stoatactor
--- a/stoatecho/admit.go
+++ b/stoatecho/admit.go
@@ -58,17 +58,6 @@
 	centre  stoatpaddle.DataCentreID
 }
 
-// group returns how the upstreams that share a load with this one answered of late.
-func (e *Engine) group(u *stoatroute.Upstream) *recent {
-	k := groupKey{service: u.Service, centre: u.DataCentre}
-	g := e.groups[k]
-	if g == nil {
-		g = &recent{}
-		e.groups[k] = g
-	}
-	return g
-}
-
 // recent is a mean of answer times in which each one fades.
 type recent struct {
 	mean   time.Duration
@@ -88,18 +77,18 @@
 
 // expectedAnswer is how long an answer of the upstream takes now, as far as this entry can
 // tell; 0: it cannot, and flows have to find out, as after a start.
-func expectedAnswer(now time.Time, h *health, g *recent) time.Duration {
-	own, others := h.recent.weightAt(now), min(groupWeight, g.weightAt(now))
+func expectedAnswer(now time.Time, h *health) time.Duration {
+	own, others := h.recent.weightAt(now), min(groupWeight, h.group.weightAt(now))
 	if own+others < knownLeast || h.beside == 0 {
 		return 0
 	}
-	mean := (own*float64(h.recent.mean) + others*float64(g.mean)) / (own + others)
+	mean := (own*float64(h.recent.mean) + others*float64(h.group.mean)) / (own + others)
 	return time.Duration(mean * max(leastScale, float64(h.busy+h.opening)/h.beside))
 }
 
 // admits tells whether the upstream may get one more flow of the route.
-func admits(now time.Time, h *health, g *recent, r *stoatroute.Route) bool {
-	return r.Objective == 0 || expectedAnswer(now, h, g) <= admitBound(h, r)
+func admits(now time.Time, h *health, r *stoatroute.Route) bool {
+	return r.Objective == 0 || expectedAnswer(now, h) <= admitBound(h, r)
 }
 
 // admitBound is what an answer may take for one more flow of the route to be admitted.
--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -41,19 +41,19 @@
 // The own data centre goes first, and in it those that would answer in time: the one with the
 // least load may be full for all entries while another one is not. Where none would, the flow is
 // refused: sent to another data centre, it fills that one next when all have too much. Ejected
-// upstreams are the last resort: if all are ejected the evidence
-// speaks of this entry's network rather than of them.
+// upstreams are the last resort: if all are ejected the evidence speaks of this entry's network
+// rather than of them.
 func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) (*stoatroute.Upstream, bool) {
 	var o offers
 	patience := e.handshake.patience()
 	for _, u := range t.Service(e.backend(r)) {
-		h := e.health.of(u)
+		h := e.healthOf(u)
 		if u.Cap > 0 && h.flows >= u.Cap {
 			continue
 		}
 		// The order of equals must differ from entry to entry, or all would start with the same.
 		cost := h.cost(now, u, patience) * (1 + jitter*e.rnd.Float64())
-		full := !admits(now, h, e.group(u), r)
+		full := !admits(now, h, r)
 		switch home := u.DataCentre == e.cfg.DataCentre; {
 		case h.isEjected(now) || u.Key == except:
 			o.last.offer(u, h, cost)
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -98,7 +98,7 @@
 // Engine decides for one entry. One goroutine uses it at a time.
 type Engine struct {
 	cfg      Config
-	health   healths
+	health   map[stoatpaddle.UpstreamKey]*health // of upstreams that this entry met
 	flows    map[stoatpacket.Tuple]*flow
 	unproven map[stoatpaddle.UpstreamKey]time.Time // since when a cookie waits for proof
 	rnd      *rand.Rand
@@ -122,7 +122,7 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, health: healths{}, groups: map[groupKey]*recent{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*recent{}, flows: map[stoatpacket.Tuple]*flow{},
 		unproven: map[stoatpaddle.UpstreamKey]time.Time{}, last: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
@@ -230,8 +230,8 @@
 	if a.Upstream = u; u == nil {
 		return e.refuse(a, stoatpacket.DropNoUpstream)
 	}
-	h := e.health.of(u)
-	a.Busy, a.Mean, a.Bound = h.busy+h.opening, expectedAnswer(now, h, e.group(u)), admitBound(h, r)
+	h := e.healthOf(u)
+	a.Busy, a.Mean, a.Bound = h.busy+h.opening, expectedAnswer(now, h), admitBound(h, r)
 	if !admitted {
 		return e.refuse(a, stoatpacket.DropOverload)
 	}
@@ -287,7 +287,7 @@
 	if now.Sub(f.seen) < repeatLeast {
 		return true
 	}
-	h := e.health.of(u)
+	h := e.healthOf(u)
 	e.suspect(now, t, u, h, a)
 	return h.sign.After(f.seen) && !h.isEjected(now)
 }
@@ -321,7 +321,7 @@
 	}
 	// A registration ends too when its upstream alone cannot reach the platform. One that
 	// goes on answering keeps its open flows, and gets no new ones.
-	if u.Standing == stoatroute.Gone && !e.health.of(u).answer.After(u.Ended) {
+	if u.Standing == stoatroute.Gone && !e.healthOf(u).answer.After(u.Ended) {
 		e.forget(p.Tuple)
 		return Action{Verdict: Reset, Upstream: u, Reason: stoatpacket.DropGone}
 	}
--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -188,7 +188,7 @@
 		if marked >= len(own)/failCap || float64(m.Failed) < bound {
 			break
 		}
-		h := e.health.of(m.Upstream)
+		h := e.healthOf(m.Upstream)
 		// One that has just started is slow, and says so: its requests owe their answers for a
 		// while, in each release at a third of a service.
 		if m.Upstream.Started && now.Before(m.Upstream.Warm.Add(evidenceSpan)) {
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -74,6 +73,7 @@
 	window   window        // requests of late
 	mark     mark          // it fails requests
 	life     stoatroute.Life
+	group    *recent   // answers of the upstreams that share a load with it
 	renewed  time.Time // when it was heard of that the upstream started again; zero: it did not
 }
 
@@ -173,7 +173,7 @@
 	if now.Before(u.Warm) {
 		silence *= coldSilence
 	}
-	if g := e.group(u); g.weightAt(now) >= knownLeast {
+	if g := e.healthOf(u).group; g.weightAt(now) >= knownLeast {
 		silence = max(silence, queueSilence*g.mean)
 	}
 	return silence
@@ -254,14 +254,22 @@
 	return c
 }
 
-// healths holds the health of every upstream that this entry met.
-type healths map[stoatpaddle.UpstreamKey]*health
-
-func (m healths) of(u *stoatroute.Upstream) *health {
-	h := m[u.Key]
+// healthOf returns the health of an upstream, which is kept for each one that this entry met.
+func (e *Engine) healthOf(u *stoatroute.Upstream) *health {
+	h := e.health[u.Key]
 	if h == nil {
-		h = &health{life: stoatroute.LifeOf(&u.Registration)}
-		m[u.Key] = h
+		h = e.newHealth(u)
+		e.health[u.Key] = h
 	}
 	return h
 }
+
+func (e *Engine) newHealth(u *stoatroute.Upstream) *health {
+	k := groupKey{service: u.Service, centre: u.DataCentre}
+	g := e.groups[k]
+	if g == nil {
+		g = &recent{}
+		e.groups[k] = g
+	}
+	return &health{life: stoatroute.LifeOf(&u.Registration), group: g}
+}
--- a/stoatecho/restart_test.go
+++ b/stoatecho/restart_test.go
@@ -44,12 +44,9 @@
 func TestRestartedUpstreamStartsFresh(t *testing.T) {
 	w := newWorld(t)
 	w.restarted(1, 5)
-	var there []*caller
-	for range 12 {
-		if c := w.caller(feed); c.open().Target == 1 {
-			c.ask()
-			there = append(there, c)
-		}
+	there, _ := w.openMany(12)
+	for _, c := range there {
+		c.ask()
 	}
 	for range 3 {
 		w.after(250 * ms)
@@ -79,12 +76,7 @@
 func TestNoResetForARestart(t *testing.T) {
 	w := newWorld(t)
 	w.restarted(1, 5)
-	var flows []*caller
-	for range 12 {
-		if c := w.caller(feed); c.open().Target == 1 {
-			flows = append(flows, c)
-		}
-	}
+	flows, _ := w.openMany(12)
 	for _, c := range flows {
 		c.ask()
 	}
@@ -114,12 +106,9 @@
 	w.restarted(1, 5)
 	w.after(time.Minute)
 	w.startCold(1, 6)
-	var there []*caller
-	for range 12 {
-		if c := w.caller(feed); c.open().Target == 1 {
-			c.ask()
-			there = append(there, c)
-		}
+	there, _ := w.openMany(12)
+	for _, c := range there {
+		c.ask()
 	}
 	w.after(300 * ms)
 	for range 2 {
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -16,7 +16,7 @@
 // upstream's answers do not pass here.
 func (e *Engine) track(now time.Time, t *stoatroute.Table, r *stoatroute.Route, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
 	a := Action{Verdict: Forward, Upstream: u}
-	f, h := e.flows[p.Tuple], e.health.of(u)
+	f, h := e.flows[p.Tuple], e.healthOf(u)
 	if f == nil || f.key != u.Key {
 		e.forget(p.Tuple)
 		if f = e.adopt(now, u, p); f == nil {
@@ -58,7 +58,7 @@
 	took := now.Sub(f.asked)
 	h.busy--
 	h.answered(now, took, f.beside)
-	e.group(a.Upstream).add(now, took)
+	h.group.add(now, took)
 	e.heard(now, h)
 	f.asked = time.Time{}
 	e.stats.Answered++
@@ -76,7 +76,7 @@
 	}
 	f := &flow{key: u.Key, seen: now, ack: p.Ack}
 	e.flows[p.Tuple] = f
-	e.health.of(u).flows++
+	e.healthOf(u).flows++
 	return f
 }
 
@@ -167,11 +167,6 @@
 		}
 	}
 	e.forgetCallers()
-	for k, g := range e.groups {
-		if now.Sub(g.at) > idleKept {
-			delete(e.groups, k)
-		}
-	}
 	for k, since := range e.unproven {
 		if now.Sub(since) > idleKept {
 			delete(e.unproven, k)
@@ -205,12 +200,27 @@
 			h.life = life
 			continue
 		}
-		e.health[k] = &health{life: life, renewed: now}
+		e.health[k] = e.newHealth(u)
+		e.health[k].renewed = now
 		renewed[k] = true
 	}
 	if len(renewed) > 0 {
 		e.renew(now, renewed)
 	}
+	e.forgetGroups()
+}
+
+// forgetGroups forgets the groups of which no upstream is left.
+func (e *Engine) forgetGroups() {
+	used := make(map[*recent]bool, len(e.groups))
+	for _, h := range e.health {
+		used[h.group] = true
+	}
+	for k, g := range e.groups {
+		if !used[g] {
+			delete(e.groups, k)
+		}
+	}
 }
 
 // renew forgets the flows that were remembered at upstreams which started again.
--- a/stoatedge/bench_test.go
+++ b/stoatedge/bench_test.go
@@ -53,6 +53,24 @@
 	}
 }
 
+// toldOver writes a body, and reads it as a child does.
+func toldOver(b *testing.B, w *wireBody) told {
+	data, err := encodeWire(w)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(data)))
+	var out wireBody
+	if err := msgpack.Unmarshal(data, &out); err != nil {
+		b.Fatal(err)
+	}
+	x, err := decodeNews(&wireHead{}, &out)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return x
+}
+
 // Everything, as a new child gets it: written once, read and taken in by the child.
 func BenchmarkWhole(b *testing.B) {
 	for _, n := range []int{18, 150, 3000, 43000} {
@@ -62,19 +80,7 @@
 			now := time.Unix(1000, 0)
 			b.ReportAllocs()
 			for range b.N {
-				data, err := encodeWire(encodeBody(now, t, heldBy{}))
-				if err != nil {
-					b.Fatal(err)
-				}
-				b.SetBytes(int64(len(data)))
-				var w wireBody
-				if err := msgpack.Unmarshal(data, &w); err != nil {
-					b.Fatal(err)
-				}
-				x, err := decodeNews(&wireHead{}, &w)
-				if err != nil {
-					b.Fatal(err)
-				}
+				x := toldOver(b, encodeBody(now, t, heldBy{}))
 				stoatroute.NewBook(stoatroute.Config{}).Mirror(now, stoatroute.Telling{Upstreams: x.upstreams, Whole: true, Later: true})
 			}
 		})
@@ -94,19 +100,7 @@
 				d.Version++
 				d.Routes[0].Priority = i
 				book.Declare(d, d.Version)
-				data, err := encodeWire(encodeBody(now, book.Table(), child))
-				if err != nil {
-					b.Fatal(err)
-				}
-				b.SetBytes(int64(len(data)))
-				var w wireBody
-				if err := msgpack.Unmarshal(data, &w); err != nil {
-					b.Fatal(err)
-				}
-				x, err := decodeNews(&wireHead{}, &w)
-				if err != nil {
-					b.Fatal(err)
-				}
+				x := toldOver(b, encodeBody(now, book.Table(), child))
 				if !x.amendment.fits(held.Version) {
 					b.Fatal("does not fit")
 				}
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -45,6 +45,7 @@
 	metrics   *metrics.Set
 	counts    counters
 	conn      *net.UDPConn
+	in        *reader // of conn; used by the traffic goroutine only
 	own       netip.Addr
 	callers   uint16 // the port at which the fabric takes packets for callers
 	servers   []*http.Server
@@ -146,7 +147,8 @@
 	}
 	// Half a second of traffic at the busiest entry; what the kernel does not grant is not needed.
 	_ = e.conn.SetReadBuffer(receiveBuffer)
-	return nil
+	e.in, err = newReader(e.conn, func() bool { return e.pause.starved(uptime()) })
+	return err
 }
 
 // openServers opens what is not needed to move packets.
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -36,12 +36,8 @@
 func (e *Edge) traffic() error {
 	m := newMover()
 	var p stoatpacket.Packet
-	in, err := newReader(e.conn, func() bool { return e.pause.starved(uptime()) })
-	if err != nil {
-		return err
-	}
 	for {
-		n, err := in.read(m.buf[platform.TargetSize:])
+		n, err := e.in.read(m.buf[platform.TargetSize:])
 		if err != nil {
 			if e.ctx.Err() != nil {
 				return nil
@@ -50,7 +46,7 @@
 		}
 		now := clock()
 		e.stop.packet(now)
-		m.drained = in.drained
+		m.drained = e.in.drained
 		if gap := e.pause.paused(uptime()); gap > 0 {
 			e.post(resumed{gap: gap})
 			e.discard(now, gap, m)
--- a/stoatentry/entry.go
+++ b/stoatentry/entry.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/stoatpaddle/stoatpaddle"
-	"github.com/stoatpaddle/stoatpaddle/stoatactor"
 	"github.com/stoatpaddle/stoatpaddle/stoatadmin"
 	"github.com/stoatpaddle/stoatpaddle/stoatcall"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
@@ -82,7 +81,7 @@
 		cfg: cfg, set: cfg.Settings, group: group, ctx: ctx, cancel: cancel,
 		log:      stoatevent.NewLogger(stoatevent.Config{Writer: cfg.Log, Level: cfg.Settings.Level, Instance: string(cfg.Settings.Instance)}),
 		platform: stoatplatform.New(stoatplatform.Config{Addr: cfg.Settings.Platform}),
-		system:   stoatactor.NewSystem(),
+		system:   newSystem(),
 		self:     instanceOf(cfg.Settings, now),
 	}
 	e.engine = stoatflow.New(stoatflow.Config{Self: e.self.ID, Start: now, Settle: e.set.Settle, Seed: seed})
