stoatecho: an entry refuses flows on several answers with requests in progress, by a bound that follows the share refused

Besides, the bound of 0.3 of the objective refused callers in bursts of 2 to 2.6 times the traffic, who would have been answered in time.

--- a/stoatecho/admit.go
+++ b/stoatecho/admit.go
@@ -1,10 +1,8 @@
 package stoatecho
 
 import (
-	"math"
 	"time"
 
-	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -17,32 +15,38 @@
 //
 // The queue is what limits: the same number of requests is answered with a short one, but in
 // time. So the bounds are on the mean answer time, and as low as keeps upstreams at work.
+//
+// How much queue is right depends on how far the load is over what the upstreams can do. A little
+// over, a queue that is short of the objective costs no caller anything, and each refusal is a
+// request that would have been answered. Far over, the queue grows between two answers by more
+// than it should be long, so it has to be kept short. The share of openings that were refused
+// tells which it is.
 const (
 	// admitShare is the part of a route's objective that an answer may take, as a mean, for one
-	// more flow to be admitted.
-	admitShare = 0.3
-	// urgentShare is the same for a route that is more urgent than another one to the same
-	// service. What is left of the objective covers the spread around the mean; at 0.5 one in
-	// twelve of its requests was refused, at 0.65 one in forty.
-	urgentShare = 0.65
+	// more flow to be admitted, while few are refused; what is left covers the spread around the mean.
+	admitShare = 0.5
+	// admitLeast is the same once refusedMost of the openings are refused.
+	admitLeast  = 0.3
+	refusedMost = 0.25
+	// urgentShare and urgentLeast are the same for a route that is more urgent than another one to
+	// the same service: at 0.5 one in twelve of its requests was refused, at 0.65 one in forty.
+	urgentShare = 0.75
+	urgentLeast = 0.65
 	// admitBase keeps requests whose work alone takes most of the objective from being refused
-	// for it, and upstreams from standing idle: three in five more than without a queue. At 1.4,
-	// 18 openings of a quiet day were refused once, since some kinds of requests take longer than
-	// others; at 1.6 four were.
+	// for it, and upstreams from standing idle: three in five more than without a queue, which is
+	// how much longer some kinds of requests take than others.
 	admitBase = 1.6
 	// baseGrowth lets the base follow work that becomes longer: by half in 800 requests.
 	baseGrowth = 1.0005
-	// answerAge is the time in which an answer's weight in a recent mean fades to a third: about
-	// what a queue takes to fill or to empty.
-	answerAge = 250 * time.Millisecond
 	// groupWeight is how many answers of an upstream its group's mean counts for: one of nine
 	// entries sees ten answers of an upstream in answerAge, and goes by them.
 	//
 	// The failure without it: an entry has nothing in progress at most upstreams at most moments.
 	// While that alone was taken for an empty queue, lower bounds changed nothing.
 	groupWeight = 2
-	// knownLeast is the weight below which nothing is known, as after a start.
-	knownLeast = 0.5
+	// refuseLeast is how many answers of late it takes to refuse anyone. One alone says little: a
+	// packet that was lost and came again 0.2 s later looks like a queue.
+	refuseLeast = 2
 	// leastScale bounds by how much an upstream with less in progress from here than usual is
 	// expected to answer sooner: most of its queue is other entries'. More in progress counts in
 	// full: the mean lags by a queue's length, and what this entry has sent since is known.
@@ -52,37 +56,19 @@
 	leastScale = 0.9
 )
 
-// groupKey names the upstreams of one service in one data centre: they share a load.
-type groupKey struct {
-	service stoatpaddle.ServiceID
-	centre  stoatpaddle.DataCentreID
-}
-
-// recent is a mean of answer times in which each one fades.
-type recent struct {
-	mean   time.Duration
-	weight float64 // in answers, at the latest one
-	at     time.Time
-}
-
-func (r *recent) weightAt(now time.Time) float64 {
-	return r.weight * math.Exp(-float64(now.Sub(r.at))/float64(answerAge))
-}
-
-func (r *recent) add(now time.Time, took time.Duration) {
-	before := r.weightAt(now)
-	r.mean = time.Duration((float64(r.mean)*before + float64(took)) / (before + 1))
-	r.weight, r.at = before+1, now
-}
-
 // expectedAnswer is how long an answer of the upstream takes now, as far as this entry can
 // tell; 0: it cannot, and flows have to find out, as after a start.
+//
+// The failure without these conditions: a data centre has one upstream of a service left, and one
+// request of it took 0.2 s since a packet was lost. For a second all new flows were refused there,
+// with nothing in progress.
 func expectedAnswer(now time.Time, h *health) time.Duration {
-	own, others := h.recent.weightAt(now), min(groupWeight, h.group.weightAt(now))
-	if own+others < knownLeast || h.beside == 0 {
+	own, others := h.recent.weightAt(now), h.group.answers.weightAt(now)
+	if h.beside == 0 || others < refuseLeast || h.group.inProgress == 0 {
 		return 0
 	}
-	mean := (own*float64(h.recent.mean) + others*float64(h.group.mean)) / (own + others)
+	others = min(groupWeight, others)
+	mean := (own*float64(h.recent.mean) + others*float64(h.group.answers.mean)) / (own + others)
 	return time.Duration(mean * max(leastScale, float64(h.busy+h.opening)/h.beside))
 }
 
@@ -93,9 +79,10 @@
 
 // admitBound is what an answer may take for one more flow of the route to be admitted.
 func admitBound(h *health, r *stoatroute.Route) time.Duration {
-	share := admitShare
+	most, least := admitShare, admitLeast
 	if r.Urgent {
-		share = urgentShare
+		most, least = urgentShare, urgentLeast
 	}
+	share := most - (most-least)*min(1, h.group.refused/refusedMost)
 	return max(time.Duration(share*float64(r.Objective)), time.Duration(admitBase*float64(h.base)))
 }
--- /dev/null
+++ b/stoatecho/admit_test.go
@@ -0,0 +1,146 @@
+package stoatecho_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+)
+
+// objectives declares feed and pledge with an objective, to one service.
+func (w *world) objectives(d time.Duration) {
+	w.rev++
+	to := []stoatpaddle.Backend{{Service: "app", Weight: 1}}
+	w.book.Declare(stoatpaddle.Declaration{Version: w.rev, Routes: []stoatpaddle.Route{
+		{Listen: feed, Backends: to, Idempotent: true, Objective: d, Priority: 2},
+		{Listen: pledge, Backends: to, Objective: d, Priority: 1},
+	}}, w.rev)
+}
+
+// leaveOne takes the second upstream of this data centre away, and makes the first one anew; a
+// new one may be slow at first.
+func (w *world) leaveOne(cold time.Duration) {
+	w.book.Remove(w.now, "i-2", w.rev+1)
+	w.book.Remove(w.now, "i-1", w.rev+2)
+	w.rev += 3
+	w.book.Register(w.now, stoatpaddle.Registration{
+		ID: "i-7", Target: 7, Service: "app", DataCentre: "here", Slots: 3, Created: w.rev, Cold: cold,
+	}, w.rev)
+}
+
+// request opens a flow and has one answer on it.
+func (w *world) request(to netip.AddrPort, takes time.Duration) {
+	f := w.caller(to)
+	f.open()
+	f.ask()
+	w.after(takes)
+	f.done()
+}
+
+// A data centre has one upstream of a service left, and it is idle. One packet of a caller is
+// lost and comes again 0.2 s later, so that an answer seems to have taken 0.24 s. The next callers
+// open flows; refused, they would come back and be refused for a second, with nothing in progress.
+func TestOneSlowAnswerIsNoOverload(t *testing.T) {
+	w := newWorld(t)
+	w.objectives(400 * ms)
+	w.leaveOne(0)
+	for range 20 {
+		w.request(feed, 30*ms)
+		w.after(100 * ms)
+	}
+	w.request(feed, 240*ms)
+	for range 5 {
+		w.after(20 * ms)
+		if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
+			t.Fatalf("refused: %+v", a)
+		}
+	}
+}
+
+// The only upstream left has just started and takes five times as long as usual. It is slow
+// without a queue, and nothing better is near: callers wait for it rather than being turned away.
+func TestColdIsNoOverload(t *testing.T) {
+	w := newWorld(t)
+	w.objectives(400 * ms)
+	w.leaveOne(3 * time.Second)
+	var flows []*caller
+	for range 6 {
+		f := w.caller(feed)
+		f.open()
+		f.ask()
+		flows = append(flows, f)
+		w.after(10 * ms)
+	}
+	w.after(250 * ms)
+	for i, f := range flows {
+		if i > 0 {
+			f.done()
+		}
+	}
+	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
+		t.Fatalf("refused: %+v", a)
+	}
+}
+
+// What answers slowly when it is warm and has requests in progress is full: the same callers are
+// refused.
+func TestQueueIsOverload(t *testing.T) {
+	w := newWorld(t)
+	w.objectives(400 * ms)
+	w.leaveOne(0)
+	w.request(feed, 30*ms)
+	var flows []*caller
+	for range 6 {
+		f := w.caller(feed)
+		f.open()
+		f.ask()
+		flows = append(flows, f)
+	}
+	w.after(300 * ms)
+	for _, f := range flows[1:] {
+		f.done()
+	}
+	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Reset {
+		t.Fatalf("not refused: %+v", a)
+	}
+}
+
+// A burst is a little over what the upstreams can do: answers take 0.45 of the objective, and
+// whoever waits is in time. Nobody is refused for it. Far over, when most are refused, the same
+// queue is too long: it grows between two answers, and those behind it would be late.
+func TestShortQueueIsNoOverload(t *testing.T) {
+	w := newWorld(t)
+	w.objectives(400 * ms)
+	w.leaveOne(0)
+	w.request(feed, 30*ms)
+	queue := func(takes time.Duration) {
+		var flows []*caller
+		for range 6 {
+			f := w.caller(pledge)
+			f.open()
+			f.ask()
+			flows = append(flows, f)
+		}
+		w.after(takes - 50*ms)
+		for _, f := range flows[1:] {
+			f.done()
+		}
+	}
+	queue(180 * ms)
+	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
+		t.Fatalf("refused after a short queue: %+v", a)
+	}
+	queue(600 * ms)
+	for range 20 {
+		if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Reset {
+			t.Fatalf("not refused after a long queue: %+v", a)
+		}
+	}
+	w.after(time.Second)
+	queue(180 * ms)
+	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Reset {
+		t.Fatalf("not refused though most were: %+v", a)
+	}
+}
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -112,7 +112,7 @@
 	owed      expectations // requests, until they count as failed
 	together  map[stoatpaddle.UpstreamKey]shared
 	answers   expectations
-	groups    map[groupKey]*recent
+	groups    map[groupKey]*group
 	drained   time.Time // when everything that had come was handled; zero: always
 }
 
@@ -122,7 +122,7 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*recent{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*group{}, flows: map[stoatpacket.Tuple]*flow{},
 		unproven: map[stoatpaddle.UpstreamKey]time.Time{}, last: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
@@ -232,6 +232,7 @@
 	}
 	h := e.healthOf(u)
 	a.Busy, a.Mean, a.Bound = h.busy+h.opening, expectedAnswer(now, h), admitBound(h, r)
+	h.group.decided(admitted)
 	if !admitted {
 		return e.refuse(a, stoatpacket.DropOverload)
 	}
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -93,7 +93,7 @@
 			e.await(now, x.tuple, f)
 			continue
 		}
-		e.health[f.key].busy--
+		e.health[f.key].requestEnded()
 		f.asked = time.Time{}
 	}
 }
--- /dev/null
+++ b/stoatecho/group.go
@@ -0,0 +1,56 @@
+package stoatecho
+
+import (
+	"math"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+const (
+	// answerAge is the time in which an answer's weight in a recent mean fades to a third: about
+	// what a queue takes to fill or to empty.
+	answerAge = 250 * time.Millisecond
+	// refusedWeight is the weight of the newest opening in the share of those refused: an entry
+	// that opens thirty flows a second follows the load within half a second.
+	refusedWeight = 1.0 / 16
+)
+
+// groupKey names the upstreams of one service in one data centre: they share a load.
+type groupKey struct {
+	service stoatpaddle.ServiceID
+	centre  stoatpaddle.DataCentreID
+}
+
+// group is what this entry saw of upstreams that share a load.
+type group struct {
+	answers    recent
+	inProgress int     // openings and requests from here
+	refused    float64 // share of openings of late that were refused for overload
+}
+
+// decided notes what became of an opening.
+func (g *group) decided(admitted bool) {
+	x := 1.0
+	if admitted {
+		x = 0
+	}
+	g.refused += refusedWeight * (x - g.refused)
+}
+
+// recent is a mean of answer times in which each one fades.
+type recent struct {
+	mean   time.Duration
+	weight float64 // in answers, at the latest one
+	at     time.Time
+}
+
+func (r *recent) weightAt(now time.Time) float64 {
+	return r.weight * math.Exp(-float64(now.Sub(r.at))/float64(answerAge))
+}
+
+func (r *recent) add(now time.Time, took time.Duration) {
+	before := r.weightAt(now)
+	r.mean = time.Duration((float64(r.mean)*before + float64(took)) / (before + 1))
+	r.weight, r.at = before+1, now
+}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -32,6 +32,8 @@
 	// queueSilence is how many mean answer times of its like an upstream may be silent: a queue
 	// that is full takes two or three times as long as the mean one.
 	queueSilence = 3
+	// knownLeast is the weight of answers below which nothing is known of a queue, as after a start.
+	knownLeast = 0.5
 	// blameKept is how long the evidence lets flows be reset that were not tried themselves.
 	// An upstream that was cut off for seconds is ejected for up to eight; it may have been
 	// back for most of them, and a flow that comes then lives. Its first packet goes there,
@@ -73,7 +75,7 @@
 	window   window        // requests of late
 	mark     mark          // it fails requests
 	life     stoatroute.Life
-	group    *recent   // answers of the upstreams that share a load with it
+	group    *group    // of the upstreams that share a load with it
 	renewed  time.Time // when it was heard of that the upstream started again; zero: it did not
 }
 
@@ -173,8 +175,8 @@
 	if now.Before(u.Warm) {
 		silence *= coldSilence
 	}
-	if g := e.healthOf(u).group; g.weightAt(now) >= knownLeast {
-		silence = max(silence, queueSilence*g.mean)
+	if g := e.healthOf(u).group; g.answers.weightAt(now) >= knownLeast {
+		silence = max(silence, queueSilence*g.answers.mean)
 	}
 	return silence
 }
@@ -201,6 +203,7 @@
 		h.openFrom = now
 	}
 	h.opening++
+	h.group.inProgress++
 	h.trial = !h.ejected.IsZero() && !h.isEjected(now)
 }
 
@@ -209,11 +212,23 @@
 		h.busyFrom = now
 	}
 	h.busy++
+	h.group.inProgress++
+}
+
+// openingEnded notes that an opening does not wait any more.
+func (h *health) openingEnded() {
+	h.opening--
+	h.group.inProgress--
+}
+
+// requestEnded notes that a request does not wait any more.
+func (h *health) requestEnded() {
+	h.busy--
+	h.group.inProgress--
 }
 
 func (h *health) answered(now time.Time, took time.Duration, beside int) {
 	h.answer = now
-	h.recent.add(now, took)
 	h.window.add(now, Counts{Answered: 1})
 	if h.latency == 0 {
 		h.latency, h.base, h.beside = took, took, float64(beside)
@@ -268,7 +283,7 @@
 	k := groupKey{service: u.Service, centre: u.DataCentre}
 	g := e.groups[k]
 	if g == nil {
-		g = &recent{}
+		g = &group{}
 		e.groups[k] = g
 	}
 	return &health{life: stoatroute.LifeOf(&u.Registration), group: g}
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -28,13 +28,13 @@
 	if f.opening {
 		f.opening = false
 		e.handshake.took(now.Sub(before))
-		h.opening--
+		h.openingEnded()
 		h.flows++
 		e.heard(now, h)
 		f.ack = p.Ack
 	}
 	if !f.asked.IsZero() && p.Ack != f.ack {
-		e.answered(now, r, h, f, &a)
+		e.answered(now, r, u, h, f, &a)
 	}
 	if p.Ends {
 		e.forget(p.Tuple)
@@ -54,11 +54,15 @@
 }
 
 // answered takes in that the caller has an answer.
-func (e *Engine) answered(now time.Time, r *stoatroute.Route, h *health, f *flow, a *Action) {
+func (e *Engine) answered(now time.Time, r *stoatroute.Route, u *stoatroute.Upstream, h *health, f *flow, a *Action) {
 	took := now.Sub(f.asked)
-	h.busy--
+	h.requestEnded()
 	h.answered(now, took, f.beside)
-	h.group.add(now, took)
+	// One that has just started is slow without a queue.
+	if !now.Before(u.Warm) {
+		h.recent.add(now, took)
+		h.group.answers.add(now, took)
+	}
 	e.heard(now, h)
 	f.asked = time.Time{}
 	e.stats.Answered++
@@ -142,12 +146,12 @@
 	}
 	h := e.health[f.key]
 	if f.opening {
-		h.opening--
+		h.openingEnded()
 	} else {
 		h.flows--
 	}
 	if !f.asked.IsZero() {
-		h.busy--
+		h.requestEnded()
 	}
 	delete(e.flows, t)
 }
@@ -200,6 +204,7 @@
 			h.life = life
 			continue
 		}
+		h.group.inProgress -= h.opening + h.busy
 		e.health[k] = e.newHealth(u)
 		e.health[k].renewed = now
 		renewed[k] = true
@@ -212,7 +217,7 @@
 
 // forgetGroups forgets the groups of which no upstream is left.
 func (e *Engine) forgetGroups() {
-	used := make(map[*recent]bool, len(e.groups))
+	used := make(map[*group]bool, len(e.groups))
 	for _, h := range e.health {
 		used[h.group] = true
 	}
