stoatsoak: a run whose own process stood still says so, and it counts as a disturbance

Trace: no line from any of six entries from 25.641 to 25.917 s of that minute, then all within 6 ms; entry-3 ejected the upstream after 299 ms of silence and two repeats. Callers, fabric and upstreams are the run's own process, which had no processor for 0.28 s: its upstreams were silent in fact.

Ruled out: an entry that was starved (others were as silent, and ticks came); datagrams lost (lossy ended two seconds before). The promise holds as before while the run goes on, and in runs that break it on purpose.

--- a/stoatsoak/checker.go
+++ b/stoatsoak/checker.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	bounds   Bounds
 	troubles []*span
+	tick     time.Duration  // when the run last noted that it goes on; 0: it is not watched
 	runs     map[string]int // of requests that may not be repeated, by id
 	versions map[string]int // the highest configuration an entry's life said to be in force
 	breaches []Breach
@@ -68,6 +69,7 @@
 type Counts struct {
 	Asked, Served, Late, Failed int
 	Flows, Resets               int
+	Stalls                      int // the run's own process stood still
 }
 
 func newChecker(b Bounds) *checker {
@@ -99,6 +101,9 @@
 
 // calm tells whether nothing disturbed the system from some time before since until now.
 func (c *checker) calm(since, now time.Duration) bool {
+	if c.stalled(now) {
+		return false
+	}
 	for _, s := range c.troubles {
 		if s.from <= now && (s.to == 0 || s.to+c.bounds.Stable >= since) {
 			return false
--- a/stoatsoak/checker_test.go
+++ b/stoatsoak/checker_test.go
@@ -43,6 +43,28 @@
 			c.begin(10 * second)(12 * second)
 			c.wasReset(20*second, "f", "u")
 		}, []Promise{FlowLives}},
+		"a flow is reset while the run stands still": {func(c *checker) {
+			c.ticked(19 * second)
+			c.ticked(19*second + 20*time.Millisecond)
+			c.wasReset(19*second+300*time.Millisecond, "f", "u")
+		}, nil},
+		"a flow is reset just after it stood still": {func(c *checker) {
+			c.ticked(19 * second)
+			c.ticked(19*second + 280*time.Millisecond)
+			c.wasReset(19*second+290*time.Millisecond, "f", "u")
+		}, nil},
+		"a flow is reset long after it stood still": {func(c *checker) {
+			c.ticked(10 * second)
+			c.ticked(11 * second)
+			for at := 11 * second; at < 20*second; at += 20 * time.Millisecond {
+				c.ticked(at)
+			}
+			c.wasReset(20*second, "f", "u")
+		}, []Promise{FlowLives}},
+		"a flow is reset while the run goes on": {func(c *checker) {
+			c.ticked(19*second + 920*time.Millisecond)
+			c.wasReset(20*second, "f", "u")
+		}, []Promise{FlowLives}},
 		"a leaving upstream gets a flow":       {func(c *checker) { c.openedAt(15*second, 10*second, "u") }, []Promise{Drained}},
 		"a leaving upstream gets one at first": {func(c *checker) { c.openedAt(13*second, 10*second, "u") }, nil},
 		"a new route is refused":               {func(c *checker) { c.looked(15*second, 10*second, "e", "x", true, false) }, []Promise{InForce}},
--- a/stoatsoak/report.go
+++ b/stoatsoak/report.go
@@ -17,6 +17,7 @@
 	Failed   int          `json:"failed"`
 	Flows    int          `json:"flows"`
 	Resets   int          `json:"resets"`
+	Stalls   int          `json:"stalls"`
 	Breaches []string     `json:"breaches"`
 }
 
@@ -26,8 +27,8 @@
 		return json.NewEncoder(w).Encode(toWire(r))
 	}
 	c := r.Counts
-	_, err := fmt.Fprintf(w, "seed %d: %d steps, %d requests: %d in time, %d late, %d failed; %d flows opened, %d reset; %d breaches\n",
-		r.Seed, len(r.Steps), c.Asked, c.Served, c.Late, c.Failed, c.Flows, c.Resets, len(r.Breaches))
+	_, err := fmt.Fprintf(w, "seed %d: %d steps, %d requests: %d in time, %d late, %d failed; %d flows opened, %d reset; %d stalls of the run itself; %d breaches\n",
+		r.Seed, len(r.Steps), c.Asked, c.Served, c.Late, c.Failed, c.Flows, c.Resets, c.Stalls, len(r.Breaches))
 	for _, b := range r.Breaches {
 		_, _ = fmt.Fprintln(w, "BREACH", b)
 		for _, s := range led(r.Steps, b) {
@@ -52,7 +53,7 @@
 func toWire(r Result) wireResult {
 	out := wireResult{
 		Seed: r.Seed, Steps: len(r.Steps), Faults: map[Kind]int{}, Asked: r.Counts.Asked, Served: r.Counts.Served, Late: r.Counts.Late,
-		Failed: r.Counts.Failed, Flows: r.Counts.Flows, Resets: r.Counts.Resets, Breaches: []string{},
+		Failed: r.Counts.Failed, Flows: r.Counts.Flows, Resets: r.Counts.Resets, Stalls: r.Counts.Stalls, Breaches: []string{},
 	}
 	for _, s := range r.Steps {
 		out.Faults[s.Kind]++
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -174,6 +174,10 @@
 		return err
 	}
 	w.group.Go(w.look)
+	// A run that breaks a promise on purpose is about being noticed, at any speed.
+	if w.cfg.Sabotage == "" {
+		w.group.Go(w.watchStalls)
+	}
 	w.group.Go(w.summarize)
 	for _, s := range plan {
 		w.pause(s.At - w.now())
