--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -107,7 +107,7 @@
 	EventPaused = stoatevent.Register(stoatevent.Entry{
 		Number: 1418, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "entry was paused",
-		Text:  "The process did not run for as long as gap says. The packets that waited in its socket were discarded: their flows had gone to other entries by then. If it repeats, the machine is short of processor time.",
+		Text:  "The process did not run for as long as gap says. What it knew of the platform counts as older by that, and is asked for anew. If it repeats, the machine is short of processor time.",
 	})
 	EventNeighbour = stoatevent.Register(stoatevent.Entry{
 		Number: 1417, Severity: stoatevent.Info, Since: "0.2",
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -47,11 +47,6 @@
 		now := clock()
 		e.stop.packet(now)
 		m.drained = e.in.drained
-		if gap := e.pause.paused(uptime()); gap > 0 {
-			e.post(resumed{gap: gap})
-			e.discard(now, gap, m)
-			continue
-		}
 		reason := platform.ReadPacket(m.buf[platform.TargetSize:platform.TargetSize+n], &p)
 		// Resets towards this entry itself would come back as packets.
 		if reason == stoatpacket.DropNone && p.Tuple.Src.Addr() == e.own {
@@ -66,24 +61,6 @@
 	}
 }
 
-// discardWait is how long the socket must be empty: whatever came while the process stood
-// still is read without waiting.
-const discardWait = time.Millisecond
-
-// discard drops the packets that waited while the process stood still.
-func (e *Edge) discard(now time.Time, gap time.Duration, m *mover) {
-	n := 1
-	for e.conn.SetReadDeadline(clock().Add(discardWait)) == nil {
-		if _, err := e.conn.Read(m.buf); err != nil {
-			break
-		}
-		n++
-	}
-	_ = e.conn.SetReadDeadline(time.Time{})
-	e.counts.malformed[stoatpacket.DropPaused].Add(int64(n))
-	e.log.emit(now, EventPaused, stoatevent.F("gap", gap.String()), stoatevent.F("packets", strconv.Itoa(n)))
-}
-
 // handle decides about the packet in m and carries the decision out.
 func (e *Edge) handle(now time.Time, m *mover, n int, p *stoatpacket.Packet) {
 	e.engineMu.Lock()
@@ -237,6 +214,7 @@
 		now := clock()
 		if gap := e.pause.tick(uptime()); gap > 0 {
 			e.post(resumed{gap: gap})
+			e.log.emit(now, EventPaused, stoatevent.F("gap", gap.String()))
 		}
 		e.post(ticked{})
 		e.giveUp(now)
--- a/stoatpacket/packet.go
+++ b/stoatpacket/packet.go
@@ -35,13 +35,12 @@
 	DropStuck     // the flow's upstream answers nobody
 	DropNoRoute   // no route has the address
 	DropOverload  // it would be answered late, and make others late
-	DropPaused    // it waited while the process stood still
 	DropCount     // number of reasons
 )
 
 var dropNames = [DropCount]string{
 	"none", "short", "notip", "fragment", "protocol", "service", "limit", "upstream", "hops", "foreign", "elsewhere",
-	"length", "flags", "own", "forged", "unproven", "young", "gone", "stuck", "route", "overload", "paused",
+	"length", "flags", "own", "forged", "unproven", "young", "gone", "stuck", "route", "overload",
 }
 
 // String returns the metric label of the reason.
