stoatoutlier: what entries add up about failing upstreams is a package of its own

Behaviour is unchanged: pool, reports and their codec moved out of stoatedge and stoatecho, in the field's words (report, relay parent, sum, outlier); their tests moved along.

--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -51,31 +52,9 @@
 // JudgeEvery is how often Judge has something new to say.
 const JudgeEvery = 250 * time.Millisecond
 
-// Counts are requests of one upstream of late: those answered and those that owe an answer
-// for too long.
-type Counts struct{ Answered, Failed int }
-
-func (c Counts) share() float64 {
-	if c.Failed == 0 {
-		return 0
-	}
-	return float64(c.Failed) / float64(c.Answered+c.Failed)
-}
-
-// Add returns the sum of two.
-func (c Counts) Add(o Counts) Counts {
-	return Counts{Answered: c.Answered + o.Answered, Failed: c.Failed + o.Failed}
-}
-
-// Seen is what entries saw of one upstream.
-type Seen struct {
-	Key stoatpaddle.UpstreamKey
-	Counts
-}
-
 // window counts over evidenceSpan.
 type window struct {
-	parts [evidenceParts]Counts
+	parts [evidenceParts]stoatoutlier.Counts
 	at    int64 // number of the newest part, in parts since the epoch
 }
 
@@ -87,20 +66,20 @@
 func (w *window) turn(now time.Time) {
 	at := partOf(now)
 	for n := min(at-w.at, evidenceParts); n > 0; n-- {
-		w.parts[(at-n+1)%evidenceParts] = Counts{}
+		w.parts[(at-n+1)%evidenceParts] = stoatoutlier.Counts{}
 	}
 	w.at = max(w.at, at)
 }
 
-func (w *window) add(now time.Time, c Counts) {
+func (w *window) add(now time.Time, c stoatoutlier.Counts) {
 	w.turn(now)
 	p := &w.parts[w.at%evidenceParts]
 	*p = p.Add(c)
 }
 
-func (w *window) sum(now time.Time) Counts {
+func (w *window) sum(now time.Time) stoatoutlier.Counts {
 	w.turn(now)
-	var c Counts
+	var c stoatoutlier.Counts
 	for _, p := range w.parts {
 		c = c.Add(p)
 	}
@@ -113,27 +92,27 @@
 	hold  time.Duration // the last one
 }
 
-// Evidence returns what this entry saw of upstreams that failed requests of late, here or, as
+// Observed returns what this entry saw of upstreams that failed requests of late, here or, as
 // suspects names them, elsewhere: those that saw no failure count too. Ascending by key.
-func (e *Engine) Evidence(now time.Time, suspects []stoatpaddle.UpstreamKey) []Seen {
-	var out []Seen
+func (e *Engine) Observed(now time.Time, suspects []stoatpaddle.UpstreamKey) []stoatoutlier.Report {
+	var out []stoatoutlier.Report
 	for k, h := range e.health {
 		if c := h.window.sum(now); c.Failed > 0 || c.Answered > 0 && slices.Contains(suspects, k) {
-			out = append(out, Seen{Key: k, Counts: c})
+			out = append(out, stoatoutlier.Report{Key: k, Counts: c})
 		}
 	}
-	slices.SortFunc(out, func(a, b Seen) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b stoatoutlier.Report) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
 
 // shared is what the entries of a data centre saw together of one upstream.
 type shared struct {
-	Counts
+	stoatoutlier.Counts
 	since time.Time // it has been named
 }
 
-// SetEvidence replaces what the entries of this data centre saw together.
-func (e *Engine) SetEvidence(now time.Time, list []Seen) {
+// TakeSum replaces what the entries of this data centre saw together.
+func (e *Engine) TakeSum(now time.Time, list []stoatoutlier.Report) {
 	if len(list) == 0 && len(e.together) == 0 {
 		return
 	}
@@ -151,7 +130,7 @@
 // Marked is an upstream that gets no new flows for a while, since it fails requests.
 type Marked struct {
 	Upstream *stoatroute.Upstream
-	Counts
+	stoatoutlier.Counts
 	Hold time.Duration
 }
 
@@ -200,7 +179,7 @@
 		}
 		// Once an upstream is named, those entries that saw no failure need a moment to say so;
 		// until then it would seem to fail most requests.
-		if m.share() < failShare || now.Sub(e.together[m.Upstream.Key].since) < shareDelay {
+		if m.Share() < failShare || now.Sub(e.together[m.Upstream.Key].since) < shareDelay {
 			continue
 		}
 		if now.Before(h.mark.until) {
--- a/stoatecho/evidence_test.go
+++ b/stoatecho/evidence_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -22,14 +23,14 @@
 }
 
 // told judges by what the entries of the data centre saw, as it stands from then on.
-func (w *world) told(counts map[stoatpaddle.Target]stoatecho.Counts) []stoatpaddle.UpstreamID {
-	var list []stoatecho.Seen
+func (w *world) told(counts map[stoatpaddle.Target]stoatoutlier.Counts) []stoatpaddle.UpstreamID {
+	var list []stoatoutlier.Report
 	for target, c := range counts {
-		list = append(list, stoatecho.Seen{Key: stoatroute.KeyOf(target), Counts: c})
+		list = append(list, stoatoutlier.Report{Key: stoatroute.KeyOf(target), Counts: c})
 	}
 	var marked []stoatpaddle.UpstreamID
 	for range 4 {
-		w.e.SetEvidence(w.now, list)
+		w.e.TakeSum(w.now, list)
 		for _, m := range w.e.Judge(w.now, w.book.Table()) {
 			marked = append(marked, m.Upstream.ID)
 		}
@@ -52,7 +53,7 @@
 // it is tried, and as it still fails it is marked for twice as long.
 func TestUpstreamThatFailsAPart(t *testing.T) {
 	w := six(t)
-	bad := map[stoatpaddle.Target]stoatecho.Counts{1: {Answered: 36, Failed: 24}, 2: {Answered: 60, Failed: 1}}
+	bad := map[stoatpaddle.Target]stoatoutlier.Counts{1: {Answered: 36, Failed: 24}, 2: {Answered: 60, Failed: 1}}
 	if got := w.told(bad); len(got) != 1 || got[0] != "i-1" {
 		t.Fatal(got)
 	}
@@ -76,7 +77,7 @@
 // restart, so that flows go to others in the middle of requests and look unanswered, a few at
 // each upstream; one failure here or there.
 func TestNoUpstreamIsToBlame(t *testing.T) {
-	for name, counts := range map[string]map[stoatpaddle.Target]stoatecho.Counts{
+	for name, counts := range map[string]map[stoatpaddle.Target]stoatoutlier.Counts{
 		"overload":          {1: {Answered: 20, Failed: 30}, 2: {Answered: 20, Failed: 24}, 4: {Answered: 20, Failed: 26}, 5: {Answered: 20, Failed: 28}, 6: {Answered: 20, Failed: 22}, 7: {Answered: 20, Failed: 25}},
 		"entries restart":   {1: {Answered: 15, Failed: 5}, 2: {Answered: 15, Failed: 2}, 4: {Answered: 15, Failed: 1}, 5: {Answered: 15, Failed: 2}, 6: {Answered: 15, Failed: 3}, 7: {Answered: 15, Failed: 1}},
 		"a few":             {1: {Answered: 2, Failed: 4}},
@@ -99,7 +100,7 @@
 			ID: stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i)), Target: i, Service: "app", DataCentre: "here", Slots: 3, Created: w.rev, Cold: 5 * time.Second,
 		}, w.rev)
 	}
-	slow := map[stoatpaddle.Target]stoatecho.Counts{4: {Answered: 16, Failed: 8}, 5: {Answered: 60}, 6: {Answered: 60}, 7: {Answered: 60}}
+	slow := map[stoatpaddle.Target]stoatoutlier.Counts{4: {Answered: 16, Failed: 8}, 5: {Answered: 60}, 6: {Answered: 60}, 7: {Answered: 60}}
 	w.after(4 * time.Second)
 	if got := w.told(slow); len(got) != 0 {
 		t.Error(got)
@@ -113,7 +114,7 @@
 // Half of the upstreams fail requests. Without a bound their load would go to the others,
 // which could not bear it: two of six are marked, the worst ones.
 func TestMarksAreBounded(t *testing.T) {
-	got := six(t).told(map[stoatpaddle.Target]stoatecho.Counts{
+	got := six(t).told(map[stoatpaddle.Target]stoatoutlier.Counts{
 		1: {Answered: 40, Failed: 40}, 2: {Answered: 40, Failed: 50}, 4: {Answered: 40, Failed: 15}, 5: {Answered: 60, Failed: 0}, 6: {Answered: 60, Failed: 0}, 7: {Answered: 60, Failed: 0},
 	})
 	if diff := cmp.Diff([]stoatpaddle.UpstreamID{"i-2", "i-1"}, got); diff != "" {
@@ -125,11 +126,11 @@
 // yet that they saw answers, so that it seems to fail most of its requests.
 func TestFirstCountsAreNotEnough(t *testing.T) {
 	w := six(t)
-	w.e.SetEvidence(w.now, []stoatecho.Seen{{Key: stoatroute.KeyOf(1), Counts: stoatecho.Counts{Answered: 2, Failed: 6}}})
+	w.e.TakeSum(w.now, []stoatoutlier.Report{{Key: stoatroute.KeyOf(1), Counts: stoatoutlier.Counts{Answered: 2, Failed: 6}}})
 	if got := w.e.Judge(w.now, w.book.Table()); len(got) != 0 {
 		t.Error(got)
 	}
-	if got := w.told(map[stoatpaddle.Target]stoatecho.Counts{1: {Answered: 60, Failed: 6}}); len(got) != 0 {
+	if got := w.told(map[stoatpaddle.Target]stoatoutlier.Counts{1: {Answered: 60, Failed: 6}}); len(got) != 0 {
 		t.Error(got)
 	}
 }
@@ -151,22 +152,22 @@
 		sends.ask()
 	}
 	w.caller(upload).syn(0) // time passes with packets only
-	seen := w.e.Evidence(w.now, []stoatpaddle.UpstreamKey{key[answered], key[sends]})
-	got := map[stoatpaddle.UpstreamKey]stoatecho.Counts{}
+	seen := w.e.Observed(w.now, []stoatpaddle.UpstreamKey{key[answered], key[sends]})
+	got := map[stoatpaddle.UpstreamKey]stoatoutlier.Counts{}
 	for _, s := range seen {
 		got[s.Key] = s.Counts
 	}
-	want := map[stoatpaddle.UpstreamKey]stoatecho.Counts{}
-	want[key[answered]] = stoatecho.Counts{Answered: 1}
-	want[key[hangs]] = want[key[hangs]].Add(stoatecho.Counts{Failed: 1})
+	want := map[stoatpaddle.UpstreamKey]stoatoutlier.Counts{}
+	want[key[answered]] = stoatoutlier.Counts{Answered: 1}
+	want[key[hangs]] = want[key[hangs]].Add(stoatoutlier.Counts{Failed: 1})
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
-	if seen := w.e.Evidence(w.now, nil); len(seen) != 1 {
+	if seen := w.e.Observed(w.now, nil); len(seen) != 1 {
 		t.Error("upstreams without failures are reported, and nobody named them:", seen)
 	}
 	w.after(5 * time.Second)
-	if seen := w.e.Evidence(w.now, nil); len(seen) != 0 {
+	if seen := w.e.Observed(w.now, nil); len(seen) != 0 {
 		t.Error(seen)
 	}
 }
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 )
 
@@ -124,7 +125,7 @@
 		case now.Sub(f.progress) < owedFor || e.behind(now):
 			e.owe(now, x.tuple, f)
 		default:
-			e.health[f.key].window.add(now, Counts{Failed: 1})
+			e.health[f.key].window.add(now, stoatoutlier.Counts{Failed: 1})
 		}
 	}
 }
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -229,7 +230,7 @@
 
 func (h *health) answered(now time.Time, took time.Duration, beside int) {
 	h.answer = now
-	h.window.add(now, Counts{Answered: 1})
+	h.window.add(now, stoatoutlier.Counts{Answered: 1})
 	if h.latency == 0 {
 		h.latency, h.base, h.beside = took, took, float64(beside)
 		return
--- a/stoatecho/restart_test.go
+++ b/stoatecho/restart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -152,16 +153,16 @@
 	w.register(5, "app", "here")
 	w.restarted(1, 5)
 	w.caller(feed).open()
-	bad := []stoatecho.Seen{{Key: stoatroute.KeyOf(1), Counts: stoatecho.Counts{Answered: 4, Failed: 20}}}
-	w.e.SetEvidence(w.now, bad)
+	bad := []stoatoutlier.Report{{Key: stoatroute.KeyOf(1), Counts: stoatoutlier.Counts{Answered: 4, Failed: 20}}}
+	w.e.TakeSum(w.now, bad)
 	w.after(time.Second)
 	w.restarted(1, 6)
-	w.e.SetEvidence(w.now, bad)
+	w.e.TakeSum(w.now, bad)
 	if got := w.e.Judge(w.now, w.book.Table()); len(got) != 0 {
 		t.Errorf("%+v", got)
 	}
 	w.after(6 * time.Second)
-	w.e.SetEvidence(w.now, bad)
+	w.e.TakeSum(w.now, bad)
 	if got := w.e.Judge(w.now, w.book.Table()); len(got) != 1 {
 		t.Error("failures of the new life do not count either")
 	}
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
@@ -55,7 +56,7 @@
 	placing   chan struct{} // closed when there is the first table that is enough to place flows
 	placed    sync.Once     // of placing
 	place     *place
-	pool      pool
+	pool      stoatoutlier.Pool
 	judged    time.Time // used by the ticking goroutine only
 	group     *errgroup.Group
 	ctx       context.Context
--- a/stoatedge/news.go
+++ b/stoatedge/news.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -17,9 +18,9 @@
 	AgeMS     int64 // -1: never known to be up to date
 	Path      []string
 	Relatives []string
-	Centre    string     // of the parent
-	Seen      []wireSeen // which upstreams fail, as all entries of the child's data centre saw it
-	Body      bool       // a wireBody follows
+	Centre    string                    // of the parent
+	Seen      []stoatoutlier.WireReport // which upstreams fail, as all entries of the child's data centre saw it
+	Body      bool                      // a wireBody follows
 }
 
 type wireBody struct {
--- a/stoatedge/proof_test.go
+++ b/stoatedge/proof_test.go
@@ -398,3 +398,8 @@
 		t.Error("nobody is told")
 	}
 }
+
+var (
+	above  = netip.MustParseAddrPort("10.0.0.1:8166")
+	belowA = netip.MustParseAddrPort("10.0.0.2:8166")
+)
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -14,6 +14,7 @@
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatcount"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
 )
 
@@ -106,7 +107,7 @@
 	if e.ctx.Err() != nil {
 		return
 	}
-	e.pool.follow(clock(), netip.AddrPort{}, nil)
+	e.pool.Follow(clock(), netip.AddrPort{}, nil)
 	if left := context.Cause(ctx); left != nil {
 		cause = left
 	}
@@ -205,9 +206,9 @@
 		return &refusedError{addr: addr, reason: string(stoattree.Loop)}
 	}
 	if stoatpaddle.DataCentreID(h.Centre) == e.settings().DataCentre {
-		e.pool.follow(clock(), addr, decodeSeen(h.Seen))
+		e.pool.Follow(clock(), addr, stoatoutlier.Decode(h.Seen))
 	} else {
-		e.pool.follow(clock(), netip.AddrPort{}, nil)
+		e.pool.Follow(clock(), netip.AddrPort{}, nil)
 	}
 	e.post(x)
 	return nil
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -12,44 +12,14 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 )
 
 // pathSeen is where an entry tells its parent which upstreams it saw failing.
 const pathSeen = "/v1/seen"
 
-// wireSeen is what entries saw of one upstream.
-type wireSeen struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Key      uint32
-	Answered int
-	Failed   int
-}
-
-func encodeSeen(list []stoatecho.Seen) []wireSeen {
-	out := make([]wireSeen, 0, len(list))
-	for _, s := range list {
-		out = append(out, wireSeen{Key: uint32(s.Key), Answered: s.Answered, Failed: s.Failed})
-	}
-	return out
-}
-
-// decodeSeen leaves out counts that nobody can have seen.
-func decodeSeen(list []wireSeen) []stoatecho.Seen {
-	out := make([]stoatecho.Seen, 0, min(len(list), maxSeen))
-	for _, w := range list[:min(len(list), maxSeen)] {
-		if w.Answered >= 0 && w.Failed >= 0 {
-			out = append(out, stoatecho.Seen{Key: stoatpaddle.UpstreamKey(w.Key), Counts: stoatecho.Counts{Answered: w.Answered, Failed: w.Failed}})
-		}
-	}
-	return out
-}
-
-// maxSeenBody is more than the longest report, bytes.
-const maxSeenBody = 16 * maxSeen
-
 // takeSeen answers a child's report.
 func (e *Edge) takeSeen(w http.ResponseWriter, r *http.Request) {
 	from, err := netip.ParseAddrPort(r.URL.Query().Get(askFrom))
@@ -57,13 +27,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxSeenBody))
-	var list []wireSeen
+	body, err := io.ReadAll(io.LimitReader(r.Body, stoatoutlier.MaxReportBytes))
+	var list []stoatoutlier.WireReport
 	if err != nil || msgpack.Unmarshal(body, &list) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.pool.report(clock(), from, decodeSeen(list))
+	e.pool.Take(clock(), from, stoatoutlier.Decode(list))
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -75,20 +45,20 @@
 	}
 	e.judged = now
 	t := e.table.Load()
-	suspects := e.pool.suspects(now)
+	suspects := e.pool.Suspects(now)
 	e.engineMu.Lock()
-	own := e.engine.Evidence(now, suspects)
+	own := e.engine.Observed(now, suspects)
 	e.engineMu.Unlock()
-	sum, report, to := e.pool.turn(now, own)
+	sum, report, to := e.pool.Turn(now, own)
 	e.engineMu.Lock()
-	e.engine.SetEvidence(now, sum)
+	e.engine.TakeSum(now, sum)
 	marked := e.engine.Judge(now, t)
 	e.engineMu.Unlock()
 	for _, m := range marked {
 		e.log.emit(now, EventFailing, stoatevent.F("upstream", string(m.Upstream.ID)), stoatevent.F("service", string(m.Upstream.Service)),
 			stoatevent.F("answered", strconv.Itoa(m.Answered)), stoatevent.F("failed", strconv.Itoa(m.Failed)), stoatevent.F("hold", m.Hold.String()))
 	}
-	if told := e.place.seen.Swap(&sum); told == nil || !slices.Equal(keysOf(*told), keysOf(sum)) {
+	if told := e.place.seen.Swap(&sum); told == nil || !slices.Equal(stoatoutlier.Keys(*told), stoatoutlier.Keys(sum)) {
 		e.place.bell.ring()
 	}
 	if to.IsValid() {
@@ -100,8 +70,8 @@
 }
 
 // sendSeen sends a report. A parent that does not take it is noticed by its silence.
-func (e *Edge) sendSeen(to netip.AddrPort, list []stoatecho.Seen) {
-	body, err := encodeWire(encodeSeen(list))
+func (e *Edge) sendSeen(to netip.AddrPort, list []stoatoutlier.Report) {
+	body, err := encodeWire(stoatoutlier.Encode(list))
 	if err != nil {
 		return
 	}
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -15,9 +15,9 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatcount"
-	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
 )
@@ -73,9 +73,9 @@
 	stands atomic.Pointer[stands]
 	bell   *bell
 	bodies bodies
-	seen   atomic.Pointer[[]stoatecho.Seen] // the sum over this data centre
-	sent   atomic.Int64                     // bytes to children
-	heard  atomic.Int64                     // bytes from parents
+	seen   atomic.Pointer[[]stoatoutlier.Report] // the sum over this data centre
+	sent   atomic.Int64                          // bytes to children
+	heard  atomic.Int64                          // bytes from parents
 	parent parentCancel
 }
 
@@ -199,7 +199,7 @@
 	}
 	h.Centre = string(e.settings().DataCentre)
 	if seen := e.place.seen.Load(); seen != nil && ask.Centre == e.settings().DataCentre {
-		h.Seen = encodeSeen(*seen)
+		h.Seen = stoatoutlier.Encode(*seen)
 	}
 	e.place.mu.Lock()
 	h.Relatives = addrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
