--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -89,6 +89,7 @@
 // Stats counts what the engine did since its start.
 type Stats struct {
 	Opened, Moved, Ejected, Refused int64
+	Together                        int64 // ejections by what the data centre saw together
 	Answered, Late                  int64 // requests; late: over their route's objective
 	Resets, Drops                   [stoatpacket.DropCount]int64
 	Forwarded                       int64
@@ -112,8 +113,12 @@
 	owed      expectations // requests, until they count as failed
 	together  map[stoatpaddle.UpstreamKey]shared
 	answers   expectations
-	groups    map[groupKey]*group
-	drained   time.Time // when everything that had come was handled; zero: always
+	// waitOpenings may turn out to wait in vain.
+	waitOpenings expectations
+	noted        time.Time // when these were looked through last
+	observed     bool      // what this entry says of upstreams changed
+	groups       map[groupKey]*group
+	drained      time.Time // when everything that had come was handled; zero: always
 }
 
 // New returns an Engine.
@@ -245,6 +250,7 @@
 		h.opened(now)
 		e.flows[p.Tuple] = &flow{key: a.Upstream.Key, seen: now, opening: true}
 		e.openings.add(p.Tuple, now)
+		e.waitOpenings.add(p.Tuple, now)
 		e.last[callerOf(p)] = p.Tuple
 	}
 	return a
--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -97,8 +97,10 @@
 func (e *Engine) Observed(now time.Time, suspects []stoatpaddle.UpstreamKey) []stoatoutlier.Report {
 	var out []stoatoutlier.Report
 	for k, h := range e.health {
-		if c := h.window.sum(now); c.Failed > 0 || c.Answered > 0 && slices.Contains(suspects, k) {
-			out = append(out, stoatoutlier.Report{Key: k, Counts: c})
+		named := slices.Contains(suspects, k)
+		r := stoatoutlier.Report{Key: k, Counts: h.window.sum(now), Silence: h.silenceSeen(now, named)}
+		if r.Failed > 0 || r.Entries > 0 || named && (r.Answered > 0 || !r.Heard.IsZero()) {
+			out = append(out, r)
 		}
 	}
 	slices.SortFunc(out, func(a, b stoatoutlier.Report) int { return cmp.Compare(a.Key, b.Key) })
@@ -108,7 +110,8 @@
 // shared is what the entries of a data centre saw together of one upstream.
 type shared struct {
 	stoatoutlier.Counts
-	since time.Time // it has been named
+	stoatoutlier.Silence
+	since time.Time // it has been named for its failures
 }
 
 // TakeSum replaces what the entries of this data centre saw together.
@@ -118,8 +121,8 @@
 	}
 	next := make(map[stoatpaddle.UpstreamKey]shared, len(list))
 	for _, s := range list {
-		x := shared{Counts: s.Counts, since: now}
-		if old, known := e.together[s.Key]; known {
+		x := shared{Counts: s.Counts, Silence: s.Silence, since: now}
+		if old, known := e.together[s.Key]; known && old.Failed > 0 {
 			x.since = old.since
 		}
 		next[s.Key] = x
--- a/stoatecho/evidence_test.go
+++ b/stoatecho/evidence_test.go
@@ -159,6 +159,7 @@
 	}
 	want := map[stoatpaddle.UpstreamKey]stoatoutlier.Counts{}
 	want[key[answered]] = stoatoutlier.Counts{Answered: 1}
+	want[key[sends]] = stoatoutlier.Counts{}
 	want[key[hangs]] = want[key[hangs]].Add(stoatoutlier.Counts{Failed: 1})
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
--- a/stoatecho/expect.go
+++ b/stoatecho/expect.go
@@ -65,6 +65,7 @@
 
 // expire stops counting what flows owe for too long.
 func (e *Engine) expire(now time.Time) {
+	e.noteWaits(now)
 	for {
 		x, due := e.openings.due(now, openingExpected)
 		if !due {
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -55,29 +55,33 @@
 // health is what this entry saw of one upstream: callers' packets only, for the answers
 // go past it.
 type health struct {
-	flows    int           // open ones that this entry saw
-	busy     int           // requests without an answer
-	opening  int           // openings without their caller's next packet
-	sign     time.Time     // last proof of life: a caller acknowledged something new
-	answer   time.Time     // last answer to a request, the surest sign
-	openFrom time.Time     // since when an opening waits, without a sign since
-	busyFrom time.Time     // since when a request waits, without a sign since
-	latency  time.Duration // mean from a request to its answer
-	recent   recent        // the same, of answers of late
-	beside   float64       // mean of requests in progress from here, itself included, when it was asked
-	base     time.Duration // the least mean of late, rising slowly
-	repeats  int           // repeated packets since the last sign
-	ejected  time.Time     // until when it gets no flows; zero: a sign came since
-	ejection time.Duration // the last one
-	blamed   time.Time     // when packets were last repeated in silence
-	trial    bool          // it got a flow after an ejection and has not answered
-	shunned  time.Time     // until when it gets no flows while others can take them
-	shun     time.Duration // the last one
-	window   window        // requests of late
-	mark     mark          // it fails requests
-	life     stoatroute.Life
-	group    *group    // of the upstreams that share a load with it
-	renewed  time.Time // when it was heard of that the upstream started again; zero: it did not
+	flows        int           // open ones that this entry saw
+	busy         int           // requests without an answer
+	opening      int           // openings without their caller's next packet
+	sign         time.Time     // last proof of life: a caller acknowledged something new
+	answer       time.Time     // last answer to a request, the surest sign
+	openFrom     time.Time     // since when an opening waits, without a sign since
+	busyFrom     time.Time     // since when a request waits, without a sign since
+	latency      time.Duration // mean from a request to its answer
+	recent       recent        // the same, of answers of late
+	beside       float64       // mean of requests in progress from here, itself included, when it was asked
+	base         time.Duration // the least mean of late, rising slowly
+	repeats      int           // repeated packets since the last sign
+	ejected      time.Time     // until when it gets no flows; zero: a sign came since
+	ejection     time.Duration // the last one
+	blamed       time.Time     // when packets were last repeated in silence
+	trial        bool          // it got a flow after an ejection and has not answered
+	shunned      time.Time     // until when it gets no flows while others can take them
+	shun         time.Duration // the last one
+	window       window        // requests of late
+	mark         mark          // it fails requests
+	life         stoatroute.Life
+	waitFrom     time.Time // since when this entry waits for it in vain, as it reports; zero: it does not
+	waitSeen     time.Time // when the latest unanswered packet was noted
+	preferOthers time.Time // until when new flows prefer others, since another entry waits for it
+	together     bool      // its ejection follows from what the data centre saw together
+	group        *group    // of the upstreams that share a load with it
+	renewed      time.Time // when it was heard of that the upstream started again; zero: it did not
 }
 
 // heard notes a proof of life.
@@ -85,6 +89,7 @@
 	h.sign, h.openFrom, h.busyFrom = now, now, now
 	h.repeats, h.trial, h.ejected, h.ejection = 0, false, time.Time{}, 0
 	h.shunned, h.shun = time.Time{}, 0
+	h.waitFrom, h.preferOthers, h.together = time.Time{}, time.Time{}, false
 }
 
 // missed notes that an opening sent at that time went unanswered for good. A machine whose
@@ -136,7 +141,7 @@
 
 // slowToAnswer tells whether new flows should rather go elsewhere for now.
 func (h *health) slowToAnswer(now time.Time, patience time.Duration) bool {
-	return h.trial || now.Before(h.shunned) || now.Before(h.mark.until) ||
+	return h.trial || now.Before(h.shunned) || now.Before(h.preferOthers) || now.Before(h.mark.until) ||
 		h.opening > 0 && now.Sub(h.openFrom) > patience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
 }
 
@@ -193,10 +198,16 @@
 	if h.isEjected(now) {
 		return false
 	}
+	h.eject(now)
+	return true
+}
+
+// eject keeps new flows away, for longer each time.
+func (h *health) eject(now time.Time) {
+	h.blamed = now
 	h.ejection = min(ejectMost, max(ejectLeast, 2*h.ejection))
 	h.ejected = now.Add(h.ejection)
 	h.trial = false
-	return true
 }
 
 func (h *health) opened(now time.Time) {
--- /dev/null
+++ b/stoatecho/silent.go
@@ -0,0 +1,200 @@
+package stoatecho
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// Upstreams that answer nobody, as the entries of a data centre notice it together.
+//
+// The load: a third of fifty upstreams fall silent. Forty entries each send two flows a second
+// and fifteen requests over all of them, so that one entry meets a silent upstream every few
+// seconds: each finds out by itself, at the cost of its own callers, until the registrations
+// lapse seconds later. Together they meet it six times a second.
+//
+// So an entry that waits for an upstream in vain says so. One that waits is reason to prefer
+// others for new flows, which costs nothing if it is wrong. Two that wait, with no sign of life at
+// any entry since, are what ejects: flows that wait there are reset, where a request may run twice.
+const (
+	// waitKept is how long a wait counts that nothing confirms: without new flows there, no packet
+	// may come that shows the upstream alive.
+	waitKept = 2 * time.Second
+	// noteEvery bounds how often unanswered packets are looked through: an entry with a tenth of
+	// a core in a burst has hundreds.
+	noteEvery = 10 * time.Millisecond
+	// preferKept is how long new flows prefer others on the word of one entry, unless it is said
+	// again: several times what the word takes through the relay tree.
+	preferKept = 400 * time.Millisecond
+	// heardDelay is how long a sign of life takes from the entry that had it to all others: what is
+	// not heard of by then did not happen.
+	heardDelay = 150 * time.Millisecond
+	// heardKept is how long a sign of life is reported of an upstream that others wait for.
+	heardKept = 4 * time.Second
+)
+
+// waits notes that a packet, sent at that time, is unanswered though an answer usually takes less.
+// It tells whether that is settled; if not, it is looked at again. A network of this entry's own
+// that fails, or an entry behind its own socket, hears nothing from any upstream: then it says
+// nothing of this one.
+func (e *Engine) waits(now time.Time, h *health, sent time.Time) (settled bool) {
+	if h.sign.After(sent) {
+		return true
+	}
+	if e.behind(now) || !e.sign.After(sent) {
+		return false
+	}
+	if h.waitFrom.IsZero() {
+		h.waitFrom, e.observed = sent, true
+	}
+	h.waitSeen = now
+	return true
+}
+
+// noteWaits looks for openings that are unanswered for longer than usual. A request counts once
+// its caller repeats it: one on a flow that its upstream has ended is refused towards the caller,
+// past this entry, and looks unanswered here though the upstream is well.
+func (e *Engine) noteWaits(now time.Time) {
+	if now.Sub(e.noted) < noteEvery {
+		return
+	}
+	e.noted = now
+	var again []expected
+	for {
+		x, due := e.waitOpenings.due(now, e.handshake.patience())
+		if !due {
+			break
+		}
+		f := e.flows[x.tuple]
+		if f == nil || !f.opening || !f.seen.Equal(x.since) {
+			continue
+		}
+		if !e.waits(now, e.health[f.key], x.since) {
+			again = append(again, x)
+		}
+	}
+	for _, x := range again {
+		e.waitOpenings.add(x.tuple, x.since)
+	}
+}
+
+// claims tells whether this entry still says that it waits for the upstream.
+func (h *health) claims(now time.Time) bool {
+	return !h.waitFrom.IsZero() && now.Sub(h.waitSeen) < waitKept
+}
+
+// silenceSeen is what this entry says of the upstream.
+func (h *health) silenceSeen(now time.Time, named bool) stoatoutlier.Silence {
+	var s stoatoutlier.Silence
+	if h.claims(now) {
+		s.Entries, s.First = 1, h.waitFrom
+	}
+	if (named || s.Entries > 0) && now.Sub(h.sign) < heardKept {
+		s.Heard = h.sign
+	}
+	return s
+}
+
+// TakeObserved tells whether what this entry says of upstreams changed since the last call.
+func (e *Engine) TakeObserved() bool {
+	changed := e.observed
+	e.observed = false
+	return changed
+}
+
+// Silent is an upstream that gets no flows for a while, since nobody in the data centre hears of it.
+type Silent struct {
+	Upstream  *stoatroute.Upstream
+	Entries   int // that wait for it
+	Silence   time.Duration
+	Abandoned []Abandoned // flows to reset: their callers wait for an answer
+}
+
+// JudgeSilence looks for upstreams of this data centre that answer nobody, by what its entries saw
+// together, and returns those that are ejected now.
+func (e *Engine) JudgeSilence(now time.Time, t *stoatroute.Table) []Silent {
+	if len(e.together) == 0 {
+		return nil
+	}
+	var out []Silent
+	for _, service := range t.Services() {
+		out = append(out, e.judgeSilence(now, t, t.Service(service))...)
+	}
+	return out
+}
+
+func (e *Engine) judgeSilence(now time.Time, t *stoatroute.Table, list []*stoatroute.Upstream) []Silent {
+	var named []*stoatroute.Upstream
+	here, avoided := 0, 0
+	for _, u := range list {
+		if u.DataCentre != e.cfg.DataCentre {
+			continue
+		}
+		here++
+		if h := e.health[u.Key]; h != nil && h.avoidedByOthers(now) {
+			avoided++
+		}
+		if e.together[u.Key].Entries > 0 {
+			named = append(named, u)
+		}
+	}
+	slices.SortFunc(named, func(a, b *stoatroute.Upstream) int {
+		return cmp.Or(cmp.Compare(e.together[b.Key].Entries, e.together[a.Key].Entries), cmp.Compare(a.Key, b.Key))
+	})
+	var out []Silent
+	for _, u := range named {
+		h, s := e.healthOf(u), e.together[u.Key].Silence
+		if s.Ended() {
+			h.ended(s.Heard)
+			continue
+		}
+		// What others waited for was the life before.
+		if h.renewed.After(s.First) || h.sign.After(s.First) {
+			continue
+		}
+		known := h.avoidedByOthers(now)
+		if !known && avoided >= here/failCap {
+			continue
+		}
+		if !known {
+			avoided++
+		}
+		if x, ejected := e.applySilence(now, t, u, h, s); ejected {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// applySilence acts on what the data centre says of one upstream.
+func (e *Engine) applySilence(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) (Silent, bool) {
+	h.preferOthers = now.Add(preferKept)
+	if h.isEjected(now) || s.Together(now) < e.silenceOf(now, u)+heardDelay {
+		return Silent{}, false
+	}
+	h.eject(now)
+	h.together = true
+	e.stats.Ejected++
+	e.stats.Together++
+	return Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now), Abandoned: e.abandon(now, t, u)}, true
+}
+
+// avoidedByOthers tells whether new flows avoid the upstream on the word of other entries.
+func (h *health) avoidedByOthers(now time.Time) bool {
+	return now.Before(h.preferOthers) || h.together && h.isEjected(now)
+}
+
+// ended takes in that another entry had a sign of the upstream at that time. What this entry saw
+// itself stays: the path from here may be the one that fails.
+func (h *health) ended(heard time.Time) {
+	if heard.After(h.waitFrom) {
+		h.waitFrom = time.Time{}
+	}
+	h.preferOthers = time.Time{}
+	if h.together && heard.After(h.blamed) {
+		h.ejected, h.ejection, h.together = time.Time{}, 0, false
+	}
+}
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -49,6 +49,10 @@
 
 // heard notes a proof of life of an upstream, which is one of this entry's network too.
 func (e *Engine) heard(now time.Time, h *health) {
+	if !h.waitFrom.IsZero() || now.Before(h.preferOthers) || h.together {
+		// Others wait for it, or go by what this entry said.
+		e.observed = true
+	}
 	h.heard(now)
 	e.sign = now
 }
@@ -105,6 +109,7 @@
 	}
 	f.repeats++
 	a.Repeats = f.repeats
+	e.waits(now, h, f.progress)
 	e.suspect(now, t, a.Upstream, h, a)
 }
 
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -119,6 +119,11 @@
 		Title: "upstream fails requests, and gets no new flows for a while",
 		Text:  "It answers openings, but of its requests of the last 4 s so many owed an answer for 0.5 s: failed, beside answered, as the entries of this data centre saw it together. That is clearly more than others of its service. Open flows go on. Look at the upstream: its health check may be good all the while.",
 	})
+	EventSilent = stoatevent.Register(stoatevent.Entry{
+		Number: 1430, Severity: stoatevent.Warning, Since: "0.5",
+		Title: "upstream answers nobody in this data centre, and gets no flows for a while",
+		Text:  "So many entries wait for it in vain, the second of them for as long as silence says, and none had a sign of it since. Each entry of the data centre decides so by itself within some tens of milliseconds. Waiting flows are reset, where a request may run twice. A sign of life at any entry ends it. SP1407 gone follows if the upstream is dead; look at the network between this data centre and the upstream if it does not.",
+	})
 	EventUnreported = stoatevent.Register(stoatevent.Entry{
 		Number: 1428, Severity: stoatevent.Info, Since: "0.3",
 		Title: "what was seen of upstreams did not reach the parent",
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -57,7 +57,8 @@
 	placed    sync.Once     // of placing
 	place     *place
 	pool      stoatoutlier.Pool
-	judged    time.Time // used by the ticking goroutine only
+	observed  chan struct{}      // what entries saw of upstreams changed
+	reports   chan pendingReport // to the relay parent
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -73,13 +74,15 @@
 	seed := uint64(now.UnixNano()) ^ addrSeed(cfg.Settings.Tunnel)
 	e := &Edge{
 		set: cfg.Settings, group: group, ctx: ctx, cancel: cancel,
-		log:     newEventLog(cfg.Log, cfg.Settings),
-		store:   platform.NewStore(cfg.Settings.Platform),
-		engine:  stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Start: now, Seed: seed}),
-		callers: cfg.Settings.Tunnel.Port(),
-		own:     cfg.Settings.Tunnel.Addr(),
-		events:  newMailbox(),
-		placing: make(chan struct{}),
+		log:      newEventLog(cfg.Log, cfg.Settings),
+		store:    platform.NewStore(cfg.Settings.Platform),
+		engine:   stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Start: now, Seed: seed}),
+		callers:  cfg.Settings.Tunnel.Port(),
+		own:      cfg.Settings.Tunnel.Addr(),
+		events:   newMailbox(),
+		placing:  make(chan struct{}),
+		observed: make(chan struct{}, 1),
+		reports:  make(chan pendingReport, 1),
 		place: newPlace(stoattree.Config{
 			Self: cfg.Settings.Admin, Centre: cfg.Settings.DataCentre, Seeds: cfg.Settings.Seeds, Share: cfg.Settings.Share, Link: cfg.Settings.Link,
 			Rand: rand.New(rand.NewPCG(seed, 2)),
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -56,6 +56,7 @@
 	stat("stoatpaddle_request_late_total", func(s *stoatecho.Stats) int64 { return s.Late })
 	stat("stoatpaddle_flow_open", func(s *stoatecho.Stats) int64 { return int64(s.Flows) })
 	stat("stoatpaddle_upstream_ejected_total", func(s *stoatecho.Stats) int64 { return s.Ejected })
+	stat("stoatpaddle_upstream_silent_total", func(s *stoatecho.Stats) int64 { return s.Together })
 	stat("stoatpaddle_packet_forwarded_total", func(s *stoatecho.Stats) int64 { return s.Forwarded })
 	for r := stoatpacket.DropShort; r < stoatpacket.DropCount; r++ {
 		set.NewGauge(fmt.Sprintf("stoatpaddle_packet_dropped_total{reason=%q}", r), func() float64 {
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -206,7 +206,9 @@
 		return &refusedError{addr: addr, reason: string(stoattree.Loop)}
 	}
 	if stoatpaddle.DataCentreID(h.Centre) == e.settings().DataCentre {
-		e.pool.Follow(clock(), addr, stoatoutlier.Decode(h.Seen))
+		now := clock()
+		e.pool.Follow(now, addr, stoatoutlier.Decode(now, h.Seen))
+		e.notice()
 	} else {
 		e.pool.Follow(clock(), netip.AddrPort{}, nil)
 	}
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
 // pathSeen is where an entry tells its parent which upstreams it saw failing.
@@ -33,17 +35,50 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.pool.Take(clock(), from, stoatoutlier.Decode(list))
+	now := clock()
+	e.pool.Take(now, from, stoatoutlier.Decode(now, list))
+	e.notice()
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// judge looks for upstreams that fail requests, by what all entries of this data centre saw,
-// and passes on what was seen here.
-func (e *Edge) judge(now time.Time) {
-	if now.Sub(e.judged) < stoatecho.JudgeEvery {
-		return
+// shareEvery is the least time between two turns: what changes meanwhile goes into one message.
+// Up and down four levels of the tree it adds up to a fifth of a second at most.
+const shareEvery = 20 * time.Millisecond
+
+// share adds up what entries saw of upstreams, and judges by it: at each change, and now and then.
+func (e *Edge) share() error {
+	t := time.NewTicker(stoatecho.JudgeEvery)
+	defer t.Stop()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return nil
+		case <-t.C:
+		case <-e.observed:
+		}
+		e.judge(clock())
+		pause.Reset(shareEvery)
+		select {
+		case <-e.ctx.Done():
+			return nil
+		case <-pause.C:
+		}
 	}
-	e.judged = now
+}
+
+// notice has share look at what changed; it never blocks.
+func (e *Edge) notice() {
+	select {
+	case e.observed <- struct{}{}:
+	default:
+	}
+}
+
+// judge looks for upstreams that fail requests or answer nobody, by what all entries of this data
+// centre saw, and passes on what was seen here.
+func (e *Edge) judge(now time.Time) {
 	t := e.table.Load()
 	suspects := e.pool.Suspects(now)
 	e.engineMu.Lock()
@@ -53,39 +88,103 @@
 	e.engineMu.Lock()
 	e.engine.TakeSum(now, sum)
 	marked := e.engine.Judge(now, t)
+	silent := e.engine.JudgeSilence(now, t)
 	e.engineMu.Unlock()
 	for _, m := range marked {
 		e.log.emit(now, EventFailing, stoatevent.F("upstream", string(m.Upstream.ID)), stoatevent.F("service", string(m.Upstream.Service)),
 			stoatevent.F("answered", strconv.Itoa(m.Answered)), stoatevent.F("failed", strconv.Itoa(m.Failed)), stoatevent.F("hold", m.Hold.String()))
 	}
-	if told := e.place.seen.Swap(&sum); told == nil || !slices.Equal(stoatoutlier.Keys(*told), stoatoutlier.Keys(sum)) {
+	e.resetSilent(now, t, silent)
+	last := e.place.seen.Swap(&sum)
+	if last == nil || !slices.Equal(stoatoutlier.Keys(*last), stoatoutlier.Keys(sum)) || stoatoutlier.Differ(*last, sum) {
 		e.place.bell.ring()
 	}
 	if to.IsValid() {
-		e.group.Go(func() error {
-			e.sendSeen(to, report)
+		e.queueReport(to, report)
+	}
+}
+
+// resetSilent resets the flows that wait for upstreams which answer nobody.
+func (e *Edge) resetSilent(now time.Time, t *stoatroute.Table, silent []stoatecho.Silent) {
+	if len(silent) == 0 {
+		return
+	}
+	m := newMover()
+	for _, s := range silent {
+		e.log.emit(now, EventSilent, stoatevent.F("upstream", string(s.Upstream.ID)), stoatevent.F("service", string(s.Upstream.Service)),
+			stoatevent.F("entries", strconv.Itoa(s.Entries)), stoatevent.F("silence", s.Silence.Round(time.Millisecond).String()),
+			stoatevent.F("waiting", strconv.Itoa(len(s.Abandoned))))
+		for _, x := range s.Abandoned {
+			e.abandon(now, t, s.Upstream, x, m)
+		}
+	}
+}
+
+// pendingReport is the latest report that was not sent yet.
+type pendingReport struct {
+	to   netip.AddrPort
+	list []stoatoutlier.Report
+}
+
+// queueReport hands a report to the sending goroutine; one that waits there is replaced, since the
+// later one has all of it.
+func (e *Edge) queueReport(to netip.AddrPort, list []stoatoutlier.Report) {
+	x := pendingReport{to: to, list: list}
+	for {
+		select {
+		case e.reports <- x:
+			return
+		default:
+		}
+		select {
+		case <-e.reports:
+		default:
+		}
+	}
+}
+
+// sendReports sends reports one after the other, so that none overtakes a later one.
+func (e *Edge) sendReports() error {
+	for {
+		select {
+		case <-e.ctx.Done():
 			return nil
-		})
+		case x := <-e.reports:
+			e.sendReport(x)
+		}
 	}
 }
 
-// sendSeen sends a report. A parent that does not take it is noticed by its silence.
-func (e *Edge) sendSeen(to netip.AddrPort, list []stoatoutlier.Report) {
-	body, err := encodeWire(stoatoutlier.Encode(list))
+// reportClient keeps the connection to the relay parent. One that has gone silent costs
+// seekTimeout, and is not used again then.
+var reportClient = &http.Client{Transport: &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: seekTimeout}).DialContext,
+	MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdle, DisableCompression: true,
+}}
+
+// reportIdle is how long the connection is kept without reports: an upstream that failed is
+// usually followed by others within seconds.
+const reportIdle = 10 * time.Second
+
+// sendReport sends a report. A parent that does not take it is noticed by its silence.
+func (e *Edge) sendReport(x pendingReport) {
+	body, err := encodeWire(stoatoutlier.Encode(clock(), x.list))
 	if err != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, seekTimeout)
 	defer cancel()
-	url := "http://" + to.String() + pathSeen + "?" + askFrom + "=" + e.settings().Admin.String()
+	url := "http://" + x.to.String() + pathSeen + "?" + askFrom + "=" + e.settings().Admin.String()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
-	res, err := followClient.Do(req)
+	e.place.sent.Add(int64(len(body)))
+	res, err := reportClient.Do(req)
 	if err != nil {
-		e.log.emit(clock(), EventUnreported, stoatevent.F("parent", to.String()), stoatevent.F("cause", err.Error()))
+		e.log.emit(clock(), EventUnreported, stoatevent.F("parent", x.to.String()), stoatevent.F("cause", err.Error()))
 		return
 	}
+	_, _ = io.Copy(io.Discard, res.Body)
 	_ = res.Body.Close()
 }
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -122,6 +122,7 @@
 	e.place.mu.Lock()
 	e.place.tree.Part(ask.From, a.Ticket)
 	e.place.mu.Unlock()
+	e.pool.Forget(ask.From)
 	e.log.emit(clock(), EventChildGone, stoatevent.F("child", ask.From.String()), stoatevent.F("cause", cause))
 }
 
@@ -199,7 +200,7 @@
 	}
 	h.Centre = string(e.settings().DataCentre)
 	if seen := e.place.seen.Load(); seen != nil && ask.Centre == e.settings().DataCentre {
-		h.Seen = stoatoutlier.Encode(*seen)
+		h.Seen = stoatoutlier.Encode(now, *seen)
 	}
 	e.place.mu.Lock()
 	h.Relatives = addrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -15,6 +15,8 @@
 func (e *Edge) serve() {
 	e.group.Go(e.traffic)
 	e.group.Go(e.tick)
+	e.group.Go(e.share)
+	e.group.Go(e.sendReports)
 }
 
 // mover is what one goroutine needs to carry decisions out; nothing in it is shared.
@@ -73,7 +75,11 @@
 		a.Verdict = stoatecho.Drop
 		e.counts.malformed[a.Reason].Add(1)
 	}
+	observed := e.engine.TakeObserved()
 	e.engineMu.Unlock()
+	if observed {
+		e.notice()
+	}
 	e.carryOut(now, t, a, p, m, n)
 }
 
@@ -218,7 +224,6 @@
 		}
 		e.post(ticked{})
 		e.giveUp(now)
-		e.judge(now)
 		if e.log.account(now) {
 			tuneCollector()
 		}
--- a/stoatoutlier/codec.go
+++ b/stoatoutlier/codec.go
@@ -1,34 +1,68 @@
 package stoatoutlier
 
-import "github.com/stoatpaddle/stoatpaddle"
+import (
+	"time"
 
-// WireReport is a Report as entries send it, as a msgpack array.
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// WireReport is a Report as entries send it, as a msgpack array. Times are ages, since the clocks
+// of two entries may differ.
 type WireReport struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Key      uint32
 	Answered int
 	Failed   int
+	Waiting  int   // entries that wait in vain
+	FirstMS  int64 // since when the first of them waits; -1: none does
+	SecondMS int64
+	HeardMS  int64 // -1: no sign of late
 }
 
 // MaxReportBytes is more than the longest list of reports takes.
-const MaxReportBytes = 16 * maxReports
+const MaxReportBytes = 48 * maxReports
 
-// Encode maps reports for sending.
-func Encode(list []Report) []WireReport {
+// Encode maps reports for sending at that time.
+func Encode(now time.Time, list []Report) []WireReport {
 	out := make([]WireReport, 0, len(list))
-	for _, r := range list {
-		out = append(out, WireReport{Key: uint32(r.Key), Answered: r.Answered, Failed: r.Failed})
+	for i := range list {
+		r := &list[i]
+		out = append(out, WireReport{
+			Key: uint32(r.Key), Answered: r.Answered, Failed: r.Failed, Waiting: r.Entries,
+			FirstMS: ageOf(now, r.First), SecondMS: ageOf(now, r.Second), HeardMS: ageOf(now, r.Heard),
+		})
 	}
 	return out
 }
 
-// Decode maps what was sent, and leaves out counts that nobody can have seen.
-func Decode(list []WireReport) []Report {
+// Decode maps what came at that time, and leaves out what nobody can have seen.
+func Decode(now time.Time, list []WireReport) []Report {
 	out := make([]Report, 0, min(len(list), maxReports))
 	for _, w := range list[:min(len(list), maxReports)] {
-		if w.Answered >= 0 && w.Failed >= 0 {
-			out = append(out, Report{Key: stoatpaddle.UpstreamKey(w.Key), Counts: Counts{Answered: w.Answered, Failed: w.Failed}})
+		if w.Answered < 0 || w.Failed < 0 || w.Waiting < 0 {
+			continue
 		}
+		out = append(out, Report{
+			Key: stoatpaddle.UpstreamKey(w.Key), Counts: Counts{Answered: w.Answered, Failed: w.Failed},
+			Silence: Silence{Entries: w.Waiting, First: timeOf(now, w.FirstMS), Second: timeOf(now, w.SecondMS), Heard: timeOf(now, w.HeardMS)},
+		})
 	}
 	return out
 }
+
+func ageOf(now, t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return max(0, now.Sub(t).Milliseconds())
+}
+
+// maxAge is older than anything that still counts; a greater one would not fit a duration.
+const maxAge = time.Hour
+
+func timeOf(now time.Time, ageMS int64) time.Time {
+	if ageMS < 0 || ageMS > maxAge.Milliseconds() {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ageMS) * time.Millisecond)
+}
--- a/stoatoutlier/pool_test.go
+++ b/stoatoutlier/pool_test.go
@@ -79,16 +79,110 @@
 	}
 }
 
-// A report that nobody can have made is cut, not believed.
+// A report that nobody can have made is cut, not believed. Times are sent as ages, since two
+// entries' clocks may differ by seconds.
 func TestCodec(t *testing.T) {
-	list := []Report{saw(1, 2, 3), saw(4000000000, 5, 6)}
-	if diff := cmp.Diff(list, Decode(Encode(list))); diff != "" {
+	now, there := time.Unix(1000, 0), time.Unix(2000, 0)
+	r := saw(4000000000, 5, 6)
+	r.Silence = Silence{Entries: 2, First: now.Add(-300 * time.Millisecond), Second: now.Add(-100 * time.Millisecond), Heard: now.Add(-time.Second)}
+	want := r
+	want.First, want.Second, want.Heard = there.Add(-300*time.Millisecond), there.Add(-100*time.Millisecond), there.Add(-time.Second)
+	got := Decode(there, Encode(now, []Report{saw(1, 2, 3), r}))
+	if diff := cmp.Diff([]Report{saw(1, 2, 3), want}, got); diff != "" {
 		t.Error(diff)
 	}
-	if got := Decode([]WireReport{{Key: 1, Answered: -1, Failed: 5}, {Key: 2, Answered: 1, Failed: -5}}); len(got) != 0 {
+	for _, w := range []WireReport{{Answered: -1, Failed: 5}, {Answered: 1, Failed: -5}, {Waiting: -1}} {
+		if got := Decode(now, []WireReport{w}); len(got) != 0 {
+			t.Error(got)
+		}
+	}
+	if got := Decode(now, []WireReport{{Waiting: 1, FirstMS: 1 << 62, SecondMS: -1 << 62, HeardMS: 1 << 62}}); !got[0].First.IsZero() || !got[0].Heard.IsZero() {
 		t.Error(got)
 	}
-	if got := Decode(make([]WireReport, 10*maxReports)); len(got) != maxReports {
+	if got := Decode(now, make([]WireReport, 10*maxReports)); len(got) != maxReports {
 		t.Error(len(got))
 	}
 }
+
+// Thirty entries answer an upstream's requests, two saw five fail. What the thirty saw has to reach
+// the sum once the upstream is named there: by the failures alone it would fail most requests.
+func TestPoolReportsWhatOthersName(t *testing.T) {
+	var p Pool
+	now := time.Unix(1000, 0)
+	own := []Report{saw(1, 20, 0)}
+	p.Follow(now, above, nil)
+	if _, _, to := p.Turn(now, own); to.IsValid() {
+		t.Error("reported though nobody failed")
+	}
+	p.Follow(now, above, []Report{saw(1, 2, 5)})
+	_, report, to := p.Turn(now.Add(time.Second), own)
+	if diff := cmp.Diff(own, report); diff != "" || to != above {
+		t.Error(diff, to)
+	}
+}
+
+// An entry waits for an upstream in vain and says so at once, also while it has just reported. Once
+// it hears from the upstream it says that at once too.
+func TestPoolReportsClaimsAtOnce(t *testing.T) {
+	var p Pool
+	now := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	wait := Report{Key: 1, Silence: Silence{Entries: 1, First: now}}
+	p.Follow(now, above, nil)
+	if _, _, to := p.Turn(at(30*time.Millisecond), []Report{wait}); to != above {
+		t.Error("a wait is not reported")
+	}
+	if _, _, to := p.Turn(at(60*time.Millisecond), []Report{wait}); to.IsValid() {
+		t.Error("the same is reported again")
+	}
+	second := Report{Key: 2, Silence: Silence{Entries: 1, First: at(70 * time.Millisecond)}}
+	if _, _, to := p.Turn(at(90*time.Millisecond), []Report{wait, second}); to != above {
+		t.Error("a second wait is held back")
+	}
+	p.Follow(at(100*time.Millisecond), above, []Report{wait, second})
+	heard := Report{Key: 1, Silence: Silence{Heard: at(110 * time.Millisecond)}}
+	if _, report, to := p.Turn(at(120*time.Millisecond), []Report{heard, second}); to != above || len(report) != 2 {
+		t.Error("a sign of life is held back:", report)
+	}
+}
+
+// What an entry saw counts once: when it has gone to another relay parent, the earlier one drops it.
+func TestPoolForgets(t *testing.T) {
+	var p Pool
+	now := time.Unix(1000, 0)
+	wait := Report{Key: 1, Silence: Silence{Entries: 1, First: now}}
+	p.Take(now, belowA, []Report{wait})
+	p.Take(now, belowB, []Report{wait})
+	if sum, _, _ := p.Turn(now, nil); sum[0].Entries != 2 {
+		t.Error(sum)
+	}
+	p.Forget(belowA)
+	if sum, _, _ := p.Turn(now, nil); sum[0].Entries != 1 {
+		t.Error(sum)
+	}
+}
+
+// Sums are made in any order along the tree, and come out the same.
+func TestSilenceAdds(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	a, b, c := Silence{Entries: 1, First: at(30)}, Silence{Entries: 1, First: at(10)}, Silence{Entries: 1, First: at(20), Heard: at(5)}
+	want := Silence{Entries: 3, First: at(10), Second: at(20), Heard: at(5)}
+	for _, got := range []Silence{a.Add(b).Add(c), c.Add(a.Add(b)), b.Add(c).Add(a), (Silence{}).Add(c).Add(b).Add(a)} {
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	if d := want.Together(at(220)); d != 200*time.Millisecond {
+		t.Error(d)
+	}
+	if d := want.Alone(at(220)); d != 210*time.Millisecond {
+		t.Error(d)
+	}
+	if d := a.Together(at(500)); d != 0 {
+		t.Error("one entry alone:", d)
+	}
+	ended := want.Add(Silence{Heard: at(10)})
+	if !ended.Ended() || ended.Together(at(500)) != 0 || ended.Alone(at(500)) != 0 {
+		t.Error(ended)
+	}
+}
--- a/stoatoutlier/report.go
+++ b/stoatoutlier/report.go
@@ -23,4 +23,13 @@
 type Report struct {
 	Key stoatpaddle.UpstreamKey
 	Counts
+	Silence
+}
+
+// outlier tells whether the report speaks against its upstream.
+func (r *Report) outlier() bool { return r.Failed > 0 || r.Entries > 0 }
+
+// add returns what both say of the upstream.
+func (r *Report) add(o *Report) Report {
+	return Report{Key: r.Key, Counts: r.Counts.Add(o.Counts), Silence: r.Silence.Add(o.Silence)}
 }
