stoatoutlier, stoatecho, stoatedge: what one entry sees of a silent upstream, its data centre knows at once

Cause: an entry of forty meets each upstream every few seconds.

Change: an opening that is unanswered for longer than a handshake takes, and a request whose caller repeats it, are reported at once along the relay tree, with ages; so is the sign of life that ends it. One entry's wait makes others preferred; two, with no sign at any entry for 0.35 s, eject and reset what waits. At most a third of a group is avoided on others' word.

--- /dev/null
+++ b/stoatedge/share_test.go
@@ -0,0 +1,57 @@
+package stoatedge_test
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// Two entries somewhere below the seed wait for an upstream in vain, and say so to the entry that
+// is last in the tree. The seed, which is told by way of two others, and each of these takes the
+// upstream out, though none of them ever sent it a packet.
+func TestSilenceReachesAll(t *testing.T) {
+	r := newRig(t)
+	// A third of the group may be avoided on others' word, so there must be three.
+	third := r.listen("127.0.0.1:0")
+	r.store.Write(platform.KindUpstream, "i-00000033", map[string]any{
+		"service": "app", "address": third.LocalAddr().String(), "zone": "here", "version": "v1", "slots": 3, "state": "ready",
+		"cold_remaining_ms": 0, "seq": 1,
+	})
+	_, setSeed, logSeed := r.start("127.0.0.21")
+	r.wait("the seed serves", func() bool { return isReady(setSeed) })
+	b, setB, logB := r.start("127.0.0.22", setSeed.Admin)
+	r.wait("the second is told", func() bool { return told(b) == 1 })
+	c, setC, logC := r.start("127.0.0.23", setB.Admin)
+	r.wait("the third is told through the second", func() bool { return told(c) == 2 })
+	r.wait("all upstreams are known", func() bool { return len(c.Table().Service("app")) == 3 })
+
+	now := time.Now()
+	body, err := msgpack.Marshal(stoatoutlier.Encode(now, []stoatoutlier.Report{{
+		Key: stoatroute.KeyOf(stoatpaddle.Target(0x11)),
+		Silence: stoatoutlier.Silence{
+			Entries: 2, First: now.Add(-800 * time.Millisecond), Second: now.Add(-700 * time.Millisecond),
+		},
+	}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.Post("http://"+setC.Admin.String()+"/v1/seen?from=127.0.0.24:9999", "", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusNoContent {
+		t.Fatal(res.Status)
+	}
+	for name, l := range map[string]*log{"the last": logC, "the second": logB, "the seed": logSeed} {
+		r.wait(name+" takes the upstream out", func() bool { return l.has(`"SP1430"`) })
+	}
+}
