--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -128,14 +128,15 @@
 
 func (e *Engine) judgeSilence(now time.Time, t *stoatroute.Table, list []*stoatroute.Upstream) []Silent {
 	var named []*stoatroute.Upstream
-	here, avoided := 0, 0
+	here := 0
+	var taken silentQuota
 	for _, u := range list {
 		if u.DataCentre != e.cfg.DataCentre {
 			continue
 		}
 		here++
-		if h := e.health[u.Key]; h != nil && h.avoidedByOthers(now) {
-			avoided++
+		if h := e.health[u.Key]; h != nil {
+			taken.count(now, h)
 		}
 		if e.together[u.Key].Entries > 0 {
 			named = append(named, u)
@@ -155,36 +156,42 @@
 		if h.renewed.After(s.First) || h.sign.After(s.First) {
 			continue
 		}
-		known := h.avoidedByOthers(now)
-		if !known && avoided >= here/failCap {
-			continue
-		}
-		if !known {
-			avoided++
+		if now.Before(h.preferOthers) || taken.preferred < here/failCap {
+			if !now.Before(h.preferOthers) {
+				taken.preferred++
+			}
+			h.preferOthers = now.Add(preferKept)
 		}
-		if x, ejected := e.applySilence(now, t, u, h, s); ejected {
-			out = append(out, x)
+		if h.isEjected(now) || s.Together(now) < e.silenceOf(now, u)+heardDelay || taken.ejected >= here/failCap {
+			continue
 		}
+		taken.ejected++
+		out = append(out, e.ejectTogether(now, t, u, h, s))
 	}
 	return out
 }
 
-// applySilence acts on what the data centre says of one upstream.
-func (e *Engine) applySilence(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) (Silent, bool) {
-	h.preferOthers = now.Add(preferKept)
-	if h.isEjected(now) || s.Together(now) < e.silenceOf(now, u)+heardDelay {
-		return Silent{}, false
+// silentQuota counts the upstreams of a group that are avoided on the word of other entries: for
+// each way a third at most, since the others would not bear the load of more, and one entry that
+// is confused must not empty a service.
+type silentQuota struct{ preferred, ejected int }
+
+func (q *silentQuota) count(now time.Time, h *health) {
+	if now.Before(h.preferOthers) {
+		q.preferred++
+	}
+	if h.together && h.isEjected(now) {
+		q.ejected++
 	}
+}
+
+// ejectTogether takes the upstream out on what the data centre saw.
+func (e *Engine) ejectTogether(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) Silent {
 	h.eject(now)
 	h.together = true
 	e.stats.Ejected++
 	e.stats.Together++
-	return Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now), Abandoned: e.abandon(now, t, u)}, true
-}
-
-// avoidedByOthers tells whether new flows avoid the upstream on the word of other entries.
-func (h *health) avoidedByOthers(now time.Time) bool {
-	return now.Before(h.preferOthers) || h.together && h.isEjected(now)
+	return Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now), Abandoned: e.abandon(now, t, u)}
 }
 
 // ended takes in that another entry had a sign of the upstream at that time. What this entry saw
