stoatoutlier, stoatmeasure: reports name what changed, at a bounded rate; a model of how soon silence is known

And a fixed 0.15 s for the time that a sign of life takes does not fit a tree five levels deep.

Change: a Stream sends what differs, all of it every 2 s, ends by empty reports; one report is under way at a time, and one that was not taken is followed by all. A Pacer lets sixty turns go 20 ms apart and six a second after. How long a sign takes is twice what an entry's own claims take to come back.

--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -52,6 +52,7 @@
 	Only      string  `help:"the experiments whose names begin so, such as 3 or 3a"`
 	Curve     bool    `help:"measure imbalance against the tracked share instead"`
 	Spread    bool    `help:"measure ways of choosing upstreams on an echo fabric instead"`
+	Silence   bool    `help:"measure how soon a data centre notices upstreams that answer nobody instead"`
 	Parallel  int     `default:"4" help:"experiments run at once"`
 	JSON      bool    `arg:"--json" help:"print JSON"`
 }
@@ -74,6 +75,9 @@
 			Entries: a.Entries, Upstreams: a.Upstreams, Slots: spreadSlots, Work: spreadWork, Last: spreadLast, Seed: a.Seed,
 		}, a.JSON, c.out)
 	}
+	if a.Silence {
+		return stoatmeasure.ReportSilence(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
+	}
 	plan := stoatmeasure.Plan{Only: a.Only, Parallel: a.Parallel, Config: stoatmeasure.Config{
 		Entries: a.Entries, Upstreams: a.Upstreams, Flows: a.Flows, Opens: a.Opens, Lean: lean, Gain: a.Gain, Seed: a.Seed,
 	}}
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -148,13 +148,14 @@
 	Mean     time.Duration // of answers
 	Ejected  bool
 	Failing  bool // it gets no new flows since it fails requests
+	Avoided  bool // new flows prefer others, on what this entry or another one saw
 }
 
 // InProgress returns what is in progress at each upstream that this entry met, in any order.
 func (e *Engine) InProgress(now time.Time) []InProgress {
 	out := make([]InProgress, 0, len(e.health))
 	for k, h := range e.health {
-		out = append(out, InProgress{Upstream: k, Flows: h.flows, Requests: h.busy, Mean: h.latency, Ejected: h.isEjected(now), Failing: now.Before(h.mark.until)})
+		out = append(out, InProgress{Upstream: k, Flows: h.flows, Requests: h.busy, Mean: h.latency, Ejected: h.isEjected(now), Failing: now.Before(h.mark.until), Avoided: now.Before(h.shunned) || now.Before(h.preferOthers)})
 	}
 	return out
 }
--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -94,10 +94,10 @@
 
 // Observed returns what this entry saw of upstreams that failed requests of late, here or, as
 // suspects names them, elsewhere: those that saw no failure count too. Ascending by key.
-func (e *Engine) Observed(now time.Time, suspects []stoatpaddle.UpstreamKey) []stoatoutlier.Report {
+func (e *Engine) Observed(now time.Time, suspects map[stoatpaddle.UpstreamKey]bool) []stoatoutlier.Report {
 	var out []stoatoutlier.Report
 	for k, h := range e.health {
-		named := slices.Contains(suspects, k)
+		named := suspects[k]
 		r := stoatoutlier.Report{Key: k, Counts: h.window.sum(now), Silence: h.silenceSeen(now, named)}
 		if r.Failed > 0 || r.Entries > 0 || named && (r.Answered > 0 || !r.Heard.IsZero()) {
 			out = append(out, r)
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -29,9 +29,6 @@
 	// preferKept is how long new flows prefer others on the word of one entry, unless it is said
 	// again: several times what the word takes through the relay tree.
 	preferKept = 400 * time.Millisecond
-	// heardDelay is how long a sign of life takes from the entry that had it to all others: what is
-	// not heard of by then did not happen.
-	heardDelay = 150 * time.Millisecond
 	// heardKept is how long a sign of life is reported of an upstream that others wait for.
 	heardKept = 4 * time.Second
 )
@@ -114,19 +111,20 @@
 }
 
 // JudgeSilence looks for upstreams of this data centre that answer nobody, by what its entries saw
-// together, and returns those that are ejected now.
-func (e *Engine) JudgeSilence(now time.Time, t *stoatroute.Table) []Silent {
+// together, and returns those that are ejected now. What is not heard of within the delay did not
+// happen.
+func (e *Engine) JudgeSilence(now time.Time, t *stoatroute.Table, delay time.Duration) []Silent {
 	if len(e.together) == 0 {
 		return nil
 	}
 	var out []Silent
 	for _, service := range t.Services() {
-		out = append(out, e.judgeSilence(now, t, t.Service(service))...)
+		out = append(out, e.judgeSilence(now, t, t.Service(service), delay)...)
 	}
 	return out
 }
 
-func (e *Engine) judgeSilence(now time.Time, t *stoatroute.Table, list []*stoatroute.Upstream) []Silent {
+func (e *Engine) judgeSilence(now time.Time, t *stoatroute.Table, list []*stoatroute.Upstream, delay time.Duration) []Silent {
 	var named []*stoatroute.Upstream
 	here := 0
 	var taken silentQuota
@@ -162,7 +160,7 @@
 			}
 			h.preferOthers = now.Add(preferKept)
 		}
-		if h.isEjected(now) || s.Together(now) < e.silenceOf(now, u)+heardDelay || taken.ejected >= here/failCap {
+		if h.isEjected(now) || s.Together(now) < e.silenceOf(now, u)+delay || taken.ejected >= here/failCap {
 			continue
 		}
 		taken.ejected++
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -57,8 +57,10 @@
 	placed    sync.Once     // of placing
 	place     *place
 	pool      stoatoutlier.Pool
-	observed  chan struct{}      // what entries saw of upstreams changed
-	reports   chan pendingReport // to the relay parent
+	observed  chan struct{}       // what entries saw of upstreams changed
+	reports   chan pendingReport  // to the relay parent
+	reporting atomic.Bool         // one is under way
+	rung      stoatoutlier.Stream // what children were woken for; used by the share goroutine only
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
--- a/stoatedge/news.go
+++ b/stoatedge/news.go
@@ -20,6 +20,7 @@
 	Relatives []string
 	Centre    string                    // of the parent
 	Seen      []stoatoutlier.WireReport // which upstreams fail, as all entries of the child's data centre saw it
+	Whole     bool                      // Seen has all, and not what changed
 	Body      bool                      // a wireBody follows
 }
 
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -107,7 +107,7 @@
 	if e.ctx.Err() != nil {
 		return
 	}
-	e.pool.Follow(clock(), netip.AddrPort{}, nil)
+	e.pool.Follow(clock(), netip.AddrPort{}, stoatoutlier.Update{})
 	if left := context.Cause(ctx); left != nil {
 		cause = left
 	}
@@ -207,10 +207,10 @@
 	}
 	if stoatpaddle.DataCentreID(h.Centre) == e.settings().DataCentre {
 		now := clock()
-		e.pool.Follow(now, addr, stoatoutlier.Decode(now, h.Seen))
+		e.pool.Follow(now, addr, stoatoutlier.Update{Whole: h.Whole, Reports: stoatoutlier.Decode(now, h.Seen)})
 		e.notice()
 	} else {
-		e.pool.Follow(clock(), netip.AddrPort{}, nil)
+		e.pool.Follow(clock(), netip.AddrPort{}, stoatoutlier.Update{})
 	}
 	e.post(x)
 	return nil
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -22,6 +21,9 @@
 // pathSeen is where an entry tells its parent which upstreams it saw failing.
 const pathSeen = "/v1/seen"
 
+// askWhole says that a report has all that its sender saw, and not what changed.
+const askWhole = "whole"
+
 // takeSeen answers a child's report.
 func (e *Edge) takeSeen(w http.ResponseWriter, r *http.Request) {
 	from, err := netip.ParseAddrPort(r.URL.Query().Get(askFrom))
@@ -36,21 +38,22 @@
 		return
 	}
 	now := clock()
-	e.pool.Take(now, from, stoatoutlier.Decode(now, list))
+	u := stoatoutlier.Update{Whole: r.URL.Query().Get(askWhole) != "", Reports: stoatoutlier.Decode(now, list)}
+	if !e.pool.Take(now, from, u) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
 	e.notice()
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// shareEvery is the least time between two turns: what changes meanwhile goes into one message.
-// Up and down four levels of the tree it adds up to a fifth of a second at most.
-const shareEvery = 20 * time.Millisecond
-
 // share adds up what entries saw of upstreams, and judges by it: at each change, and now and then.
 func (e *Edge) share() error {
 	t := time.NewTicker(stoatecho.JudgeEvery)
 	defer t.Stop()
 	pause := time.NewTimer(0)
 	defer pause.Stop()
+	var pacer stoatoutlier.Pacer
 	for {
 		select {
 		case <-e.ctx.Done():
@@ -58,8 +61,9 @@
 		case <-t.C:
 		case <-e.observed:
 		}
-		e.judge(clock())
-		pause.Reset(shareEvery)
+		now := clock()
+		e.judge(now)
+		pause.Reset(pacer.Took(now))
 		select {
 		case <-e.ctx.Done():
 			return nil
@@ -84,23 +88,25 @@
 	e.engineMu.Lock()
 	own := e.engine.Observed(now, suspects)
 	e.engineMu.Unlock()
-	sum, report, to := e.pool.Turn(now, own)
+	sum, report, to := e.pool.Turn(now, own, e.reporting.Load())
+	delay := e.pool.Delay()
 	e.engineMu.Lock()
 	e.engine.TakeSum(now, sum)
 	marked := e.engine.Judge(now, t)
-	silent := e.engine.JudgeSilence(now, t)
+	silent := e.engine.JudgeSilence(now, t, delay)
 	e.engineMu.Unlock()
 	for _, m := range marked {
 		e.log.emit(now, EventFailing, stoatevent.F("upstream", string(m.Upstream.ID)), stoatevent.F("service", string(m.Upstream.Service)),
 			stoatevent.F("answered", strconv.Itoa(m.Answered)), stoatevent.F("failed", strconv.Itoa(m.Failed)), stoatevent.F("hold", m.Hold.String()))
 	}
 	e.resetSilent(now, t, silent)
-	last := e.place.seen.Swap(&sum)
-	if last == nil || !slices.Equal(stoatoutlier.Keys(*last), stoatoutlier.Keys(sum)) || stoatoutlier.Differ(*last, sum) {
+	e.place.seen.Store(&sum)
+	if _, due := e.rung.Next(now, sum, stoatoutlier.SinceFirst); due {
 		e.place.bell.ring()
 	}
 	if to.IsValid() {
-		e.queueReport(to, report)
+		e.reporting.Store(true)
+		e.reports <- pendingReport{to: to, update: report}
 	}
 }
 
@@ -120,27 +126,10 @@
 	}
 }
 
-// pendingReport is the latest report that was not sent yet.
+// pendingReport is one that is under way; there is one at a time.
 type pendingReport struct {
-	to   netip.AddrPort
-	list []stoatoutlier.Report
-}
-
-// queueReport hands a report to the sending goroutine; one that waits there is replaced, since the
-// later one has all of it.
-func (e *Edge) queueReport(to netip.AddrPort, list []stoatoutlier.Report) {
-	x := pendingReport{to: to, list: list}
-	for {
-		select {
-		case e.reports <- x:
-			return
-		default:
-		}
-		select {
-		case <-e.reports:
-		default:
-		}
-	}
+	to     netip.AddrPort
+	update stoatoutlier.Update
 }
 
 // sendReports sends reports one after the other, so that none overtakes a later one.
@@ -150,7 +139,11 @@
 		case <-e.ctx.Done():
 			return nil
 		case x := <-e.reports:
-			e.sendReport(x)
+			if !e.sendReport(x) {
+				e.pool.Lost()
+			}
+			e.reporting.Store(false)
+			e.notice()
 		}
 	}
 }
@@ -166,25 +159,30 @@
 // usually followed by others within seconds.
 const reportIdle = 10 * time.Second
 
-// sendReport sends a report. A parent that does not take it is noticed by its silence.
-func (e *Edge) sendReport(x pendingReport) {
-	body, err := encodeWire(stoatoutlier.Encode(clock(), x.list))
+// sendReport sends a report, and tells whether the parent took it. One that does not is noticed by
+// its silence, or lacks what was reported before.
+func (e *Edge) sendReport(x pendingReport) bool {
+	body, err := encodeWire(stoatoutlier.Encode(clock(), x.update.Reports))
 	if err != nil {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, seekTimeout)
 	defer cancel()
 	url := "http://" + x.to.String() + pathSeen + "?" + askFrom + "=" + e.settings().Admin.String()
+	if x.update.Whole {
+		url += "&" + askWhole + "=1"
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return
+		return false
 	}
 	e.place.sent.Add(int64(len(body)))
 	res, err := reportClient.Do(req)
 	if err != nil {
 		e.log.emit(clock(), EventUnreported, stoatevent.F("parent", x.to.String()), stoatevent.F("cause", err.Error()))
-		return
+		return false
 	}
 	_, _ = io.Copy(io.Discard, res.Body)
 	_ = res.Body.Close()
+	return res.StatusCode == http.StatusNoContent
 }
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -137,13 +137,14 @@
 	rc := http.NewResponseController(w)
 	out := &stoatcount.Writer{W: w, N: &e.place.sent}
 	var child heldBy
+	var seen stoatoutlier.Stream
 	for {
 		next := e.place.bell.wait()
 		if e.stop.asked() {
 			return "this entry stops"
 		}
 		now, bound := clock(), e.settings().Bound()
-		text, told, err := e.message(now, ask, child)
+		text, told, err := e.message(now, ask, child, &seen)
 		if err != nil {
 			return err.Error()
 		}
@@ -163,14 +164,14 @@
 }
 
 // message returns the next one for a child, encoded, and what the child holds with it.
-func (e *Edge) message(now time.Time, ask stoattree.Ask, child heldBy) ([]byte, heldBy, error) {
+func (e *Edge) message(now time.Time, ask stoattree.Ask, child heldBy, seen *stoatoutlier.Stream) ([]byte, heldBy, error) {
 	// First how far everything is known, then the table: it holds that much at least.
 	s, t := e.place.stands.Load(), e.table.Load()
 	body, err := e.place.bodies.of(now, t, child)
 	if err != nil {
 		return nil, child, err
 	}
-	head, err := e.headFor(now, s, ask, len(body) > 0)
+	head, err := e.headFor(now, s, ask, len(body) > 0, seen)
 	if err != nil {
 		return nil, child, err
 	}
@@ -193,14 +194,16 @@
 }
 
 // headFor returns the head of a message to one child, encoded.
-func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool) ([]byte, error) {
+func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool, stream *stoatoutlier.Stream) ([]byte, error) {
 	h := wireHead{
 		Known: uint64(s.known), AgeMS: ageAt(now, s.asOf).Milliseconds(), Body: body,
 		Path: addrTexts(append(s.path[:len(s.path):len(s.path)], e.settings().Admin)),
 	}
 	h.Centre = string(e.settings().DataCentre)
 	if seen := e.place.seen.Load(); seen != nil && ask.Centre == e.settings().DataCentre {
-		h.Seen = stoatoutlier.Encode(now, *seen)
+		if u, due := stream.Next(now, *seen, stoatoutlier.SinceFirst); due {
+			h.Seen, h.Whole = stoatoutlier.Encode(now, u.Reports), u.Whole
+		}
 	}
 	e.place.mu.Lock()
 	h.Relatives = addrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
--- /dev/null
+++ b/stoatmeasure/silence_test.go
@@ -0,0 +1,68 @@
+package stoatmeasure
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// runSilence runs thirty entries before forty upstreams, with three seeds summed up.
+func runSilence(t *testing.T, way Way, trouble Trouble) Silence {
+	t.Helper()
+	var sum Silence
+	for seed := range uint64(3) {
+		s, err := RunSilence(context.Background(), SilenceConfig{
+			Entries: 30, Upstreams: 40, Rate: silenceRate, Share: silenceShare, Seed: seed + 1,
+		}, way, trouble)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum.Asked += s.Asked
+		sum.Late += s.Late
+		sum.Failed += s.Failed
+		sum.Wrongly += s.Wrongly
+		sum.Known += s.Known / 3
+		sum.Bytes += s.Bytes / 3
+	}
+	t.Logf("%s, %s: %+v", trouble, way, sum)
+	return sum
+}
+
+// A third of the upstreams fall silent. Each entry by itself finds out when the registrations have
+// lapsed; along the relay tree nine of ten entries avoid them within half a second, and half as many
+// callers wait. Nobody can do much better: the same without any delay is the bound.
+func TestSilenceIsKnownSoon(t *testing.T) {
+	alone, pooled, bound := runSilence(t, Alone, Silenced), runSilence(t, Pooled, Silenced), runSilence(t, AtOnce, Silenced)
+	if pooled.Known > 600*time.Millisecond || alone.Known < time.Second {
+		t.Errorf("known after %s, each for itself after %s", pooled.Known, alone.Known)
+	}
+	if 10*pooled.Late > 6*alone.Late || 10*pooled.Late > 13*bound.Late {
+		t.Errorf("%d late, each for itself %d, the bound is %d", pooled.Late, alone.Late, bound.Late)
+	}
+	if pooled.Bytes > 2048 {
+		t.Errorf("%.0f bytes a second and entry", pooled.Bytes)
+	}
+}
+
+// The same, and their machines refuse. Callers come back at once, to another entry that knows
+// nothing: each for itself, three tries end at such upstreams far more often.
+func TestRefusalsAreKnownSoon(t *testing.T) {
+	alone, pooled := runSilence(t, Alone, Refusing), runSilence(t, Pooled, Refusing)
+	if 2*pooled.Failed > alone.Failed {
+		t.Errorf("%d failed, each for itself %d", pooled.Failed, alone.Failed)
+	}
+}
+
+// Every thirtieth packet is lost, or one entry's link is cut, and all upstreams are well. What entries
+// tell each other ejects none of them, and serves callers no worse.
+func TestLossIsNoSilence(t *testing.T) {
+	for _, trouble := range []Trouble{Lossy, CutEntry} {
+		alone, pooled := runSilence(t, Alone, trouble), runSilence(t, Pooled, trouble)
+		if pooled.Wrongly > alone.Wrongly {
+			t.Errorf("%s: %d wrong ejections, each for itself %d", trouble, pooled.Wrongly, alone.Wrongly)
+		}
+		if pooled.Late+pooled.Failed > alone.Late+alone.Failed+3 {
+			t.Errorf("%s: %d late or failed, each for itself %d", trouble, pooled.Late+pooled.Failed, alone.Late+alone.Failed)
+		}
+	}
+}
--- a/stoatoutlier/pool.go
+++ b/stoatoutlier/pool.go
@@ -1,9 +1,7 @@
 package stoatoutlier
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,8 +9,8 @@
 )
 
 const (
-	// reportSoon and reportLater are the pauses between two reports: the first while the
-	// upstreams that fail are others than before, the second while they stay the same.
+	// reportSoon and reportLater are the pauses between two reports: the first for counts of
+	// failures that changed, the second for all that is known, changed or not.
 	reportSoon  = 500 * time.Millisecond
 	reportLater = 2 * time.Second
 	// reportKept is how long a report counts: two that are lost in a row are missed.
@@ -27,12 +25,11 @@
 	children map[netip.AddrPort]timed
 	parent   netip.AddrPort // in this data centre; invalid: none
 	sum      timed          // over the data centre, as the parent sent it
-	sent     time.Time
-	last     []stoatpaddle.UpstreamKey // named in the last report
-	claims   []claim                   // of the last report
+	up       Stream         // to the parent
+	delay    delay
 }
 
-// timed is a list of reports and when it came.
+// timed is a list of reports, ascending by key, and when it came.
 type timed struct {
 	at   time.Time
 	list []Report
@@ -40,8 +37,9 @@
 
 func (r *timed) fresh(now time.Time) bool { return !r.at.IsZero() && now.Sub(r.at) < reportKept }
 
-// Take takes in what a child and those below it saw.
-func (p *Pool) Take(now time.Time, from netip.AddrPort, list []Report) {
+// Take takes in what a child and those below it saw, and tells whether that was enough: a change of
+// reports that are not known here says nothing.
+func (p *Pool) Take(now time.Time, from netip.AddrPort, u Update) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.children == nil {
@@ -52,22 +50,12 @@
 			delete(p.children, a)
 		}
 	}
-	p.children[from] = timed{at: now, list: list}
-}
-
-// Differ tells whether two sums differ in what is acted upon within milliseconds.
-func Differ(a, b []Report) bool {
-	first := func(list []Report) func(stoatpaddle.UpstreamKey) time.Time {
-		return func(k stoatpaddle.UpstreamKey) time.Time {
-			for i := range list {
-				if list[i].Key == k {
-					return list[i].First
-				}
-			}
-			return time.Time{}
-		}
+	before, known := p.children[from]
+	if !known && !u.Whole {
+		return false
 	}
-	return !slices.Equal(claimsOf(a, first(a)), claimsOf(b, first(b)))
+	p.children[from] = timed{at: now, list: u.onto(before.list)}
+	return true
 }
 
 // Forget drops what a child saw: it reports to another one now, and would count twice.
@@ -77,40 +65,46 @@
 	delete(p.children, child)
 }
 
-// Follow notes the relay parent in this data centre, invalid for none, and the sum that it sent.
-func (p *Pool) Follow(now time.Time, parent netip.AddrPort, sum []Report) {
+// Follow notes the relay parent in this data centre, invalid for none, and what it sent of the sum.
+func (p *Pool) Follow(now time.Time, parent netip.AddrPort, u Update) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slices.SortFunc(sum, byKey)
-	p.parent, p.sum = parent, timed{at: now, list: sum}
-	if !parent.IsValid() {
-		p.sum = timed{}
+	if parent != p.parent {
+		p.parent, p.sum, p.up = parent, timed{}, Stream{}
+	}
+	if parent.IsValid() {
+		p.sum = timed{at: now, list: u.onto(p.sum.list)}
+		p.delay.followed(now, p.sum.list)
 	}
 }
 
+// Lost notes that the parent did not take a report: the next one has all.
+func (p *Pool) Lost() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.up = Stream{}
+}
+
 // Suspects returns the upstreams that somebody saw failing, as far as this entry knows.
-func (p *Pool) Suspects(now time.Time) []stoatpaddle.UpstreamKey {
+func (p *Pool) Suspects(now time.Time) map[stoatpaddle.UpstreamKey]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var keys []stoatpaddle.UpstreamKey
+	keys := map[stoatpaddle.UpstreamKey]bool{}
 	if p.sum.fresh(now) {
-		keys = Keys(p.sum.list)
+		name(keys, p.sum.list)
 	}
 	for _, r := range p.children {
 		if r.fresh(now) {
-			keys = append(keys, Keys(r.list)...)
+			name(keys, r.list)
 		}
 	}
 	return keys
 }
 
-// Keys returns the upstreams that reports name.
-func Keys(list []Report) []stoatpaddle.UpstreamKey {
-	keys := make([]stoatpaddle.UpstreamKey, 0, len(list))
-	for _, s := range list {
-		keys = append(keys, s.Key)
+func name(keys map[stoatpaddle.UpstreamKey]bool, list []Report) {
+	for i := range list {
+		keys[list[i].Key] = true
 	}
-	return keys
 }
 
 // add returns what this entry and those below it saw, ascending by key.
@@ -119,10 +113,8 @@
 	take := func(list []Report) {
 		for i := range list {
 			r := &list[i]
-			sum, known := sums[r.Key]
-			if !known {
-				sum.Key = r.Key
-			}
+			sum := sums[r.Key]
+			sum.Key = r.Key
 			sums[r.Key] = sum.add(r)
 		}
 	}
@@ -132,16 +124,9 @@
 			take(r.list)
 		}
 	}
-	out := make([]Report, 0, len(sums))
-	for _, r := range sums {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, byKey)
-	return out
+	return sorted(sums)
 }
 
-func byKey(a, b Report) int { return cmp.Compare(a.Key, b.Key) }
-
 // outliers returns the reports that speak against their upstreams.
 func outliers(list []Report) []Report {
 	var out []Report
@@ -159,68 +144,42 @@
 func (p *Pool) due(below []Report) []Report {
 	var out []Report
 	for i := range below {
-		_, named := slices.BinarySearchFunc(p.sum.list, below[i].Key, func(r Report, k stoatpaddle.UpstreamKey) int { return cmp.Compare(r.Key, k) })
-		if named || below[i].outlier() {
+		if below[i].outlier() || find(p.sum.list, below[i].Key) != nil {
 			out = append(out, below[i])
 		}
 	}
 	return out[:min(len(out), maxReports)]
 }
 
-// claim is the part of a report that others act upon within milliseconds.
-type claim struct {
-	key     stoatpaddle.UpstreamKey
-	waiting int  // up to two: more change nothing
-	alive   bool // a sign came since the first of the data centre began to wait
-}
-
-// claimsOf returns the claims of reports; first says since when an entry waits for an upstream.
-func claimsOf(list []Report, first func(stoatpaddle.UpstreamKey) time.Time) []claim {
-	var out []claim
-	for i := range list {
-		r := &list[i]
-		since := first(r.Key)
-		c := claim{key: r.Key, waiting: min(2, r.Entries), alive: !since.IsZero() && r.Heard.After(since)}
-		if c.waiting > 0 || c.alive {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// firstIn tells since when an entry waits for an upstream, as the parent sent it.
-func (p *Pool) firstIn(k stoatpaddle.UpstreamKey) time.Time {
-	i, named := slices.BinarySearchFunc(p.sum.list, k, func(r Report, k stoatpaddle.UpstreamKey) int { return cmp.Compare(r.Key, k) })
-	if !named {
-		return time.Time{}
-	}
-	return p.sum.list[i].First
-}
-
 // Turn returns what all entries here saw, as far as it is known, and what to report to whom;
-// an invalid address means nothing is due. A claim that changed is reported at once, the counts of
-// requests after a pause.
-func (p *Pool) Turn(now time.Time, own []Report) (sum, report []Report, to netip.AddrPort) {
+// an invalid address means nothing is due. While the last report is under way, busy holds the next
+// one back: a change counts as sent once it is returned here.
+func (p *Pool) Turn(now time.Time, own []Report, busy bool) (sum []Report, u Update, to netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	below := p.add(now, own)
 	if !p.parent.IsValid() {
-		return outliers(below), nil, netip.AddrPort{}
+		return outliers(below), Update{}, netip.AddrPort{}
 	}
 	sum = p.sum.list
 	if !p.sum.fresh(now) {
 		sum = outliers(below)
 	}
-	report = p.due(below)
-	keys, claims := Keys(report), claimsOf(report, p.firstIn)
-	pause := reportSoon
-	if slices.Equal(keys, p.last) {
-		pause = reportLater
+	if busy {
+		return sum, Update{}, netip.AddrPort{}
 	}
-	quiet := len(keys) == 0 && len(p.last) == 0
-	if slices.Equal(claims, p.claims) && (quiet || now.Sub(p.sent) < pause) {
-		return sum, nil, netip.AddrPort{}
+	u, due := p.up.Next(now, p.due(below), func(r *Report) time.Time {
+		if known := find(p.sum.list, r.Key); known != nil {
+			return known.First
+		}
+		return time.Time{}
+	})
+	if !due {
+		return sum, Update{}, netip.AddrPort{}
 	}
-	p.sent, p.last, p.claims = now, keys, claims
-	return sum, report, p.parent
+	p.delay.reported(now, own, u)
+	return sum, u, p.parent
 }
+
+// SinceFirst is the first argument of Next for a sum, which says itself since when entries wait.
+func SinceFirst(r *Report) time.Time { return r.First }
