--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -124,57 +124,58 @@
 	return out
 }
 
+// judgeSilence judges the upstreams of one service, those first for which most entries wait.
 func (e *Engine) judgeSilence(now time.Time, t *stoatroute.Table, list []*stoatroute.Upstream, delay time.Duration) []Silent {
-	var named []*stoatroute.Upstream
-	here := 0
-	var taken silentQuota
-	for _, u := range list {
-		if u.DataCentre != e.cfg.DataCentre {
-			continue
-		}
-		here++
-		if h := e.health[u.Key]; h != nil {
-			taken.count(now, h)
-		}
-		if e.together[u.Key].Entries > 0 {
-			named = append(named, u)
-		}
-	}
-	slices.SortFunc(named, func(a, b *stoatroute.Upstream) int {
-		return cmp.Or(cmp.Compare(e.together[b.Key].Entries, e.together[a.Key].Entries), cmp.Compare(a.Key, b.Key))
-	})
 	var out []Silent
+	named, quota := e.namedSilent(now, list)
 	for _, u := range named {
 		h, s := e.healthOf(u), e.together[u.Key].Silence
 		if s.Ended() {
 			h.ended(s.Heard)
 			continue
 		}
-		// What others waited for was the life before.
+		// What others waited for was the life before, or this entry knows better.
 		if h.renewed.After(s.First) || h.sign.After(s.First) {
 			continue
 		}
-		if now.Before(h.preferOthers) || taken.preferred < here/failCap {
-			if !now.Before(h.preferOthers) {
-				taken.preferred++
-			}
-			h.preferOthers = now.Add(preferKept)
+		quota.prefer(now, h)
+		if !h.isEjected(now) && s.Together(now) >= e.silenceOf(now, u)+delay && quota.eject() {
+			out = append(out, e.ejectTogether(now, t, u, h, s))
 		}
-		if h.isEjected(now) || s.Together(now) < e.silenceOf(now, u)+delay || taken.ejected >= here/failCap {
+	}
+	return out
+}
+
+// namedSilent returns the upstreams of this data centre for which entries wait, and how many may be
+// avoided for it.
+func (e *Engine) namedSilent(now time.Time, list []*stoatroute.Upstream) ([]*stoatroute.Upstream, silentQuota) {
+	var named []*stoatroute.Upstream
+	var quota silentQuota
+	for _, u := range list {
+		if u.DataCentre != e.cfg.DataCentre {
 			continue
 		}
-		taken.ejected++
-		out = append(out, e.ejectTogether(now, t, u, h, s))
+		quota.count(now, e.health[u.Key])
+		if e.together[u.Key].Entries > 0 {
+			named = append(named, u)
+		}
 	}
-	return out
+	slices.SortFunc(named, func(a, b *stoatroute.Upstream) int {
+		return cmp.Or(cmp.Compare(e.together[b.Key].Entries, e.together[a.Key].Entries), cmp.Compare(a.Key, b.Key))
+	})
+	return named, quota
 }
 
-// silentQuota counts the upstreams of a group that are avoided on the word of other entries: for
-// each way a third at most, since the others would not bear the load of more, and one entry that
-// is confused must not empty a service.
-type silentQuota struct{ preferred, ejected int }
+// silentQuota bounds how many upstreams of a group are avoided on the word of other entries: for
+// each way a third, since the others would not bear the load of more, and one entry that is
+// confused must not empty a service.
+type silentQuota struct{ upstreams, preferred, ejected int }
 
 func (q *silentQuota) count(now time.Time, h *health) {
+	q.upstreams++
+	if h == nil {
+		return
+	}
 	if now.Before(h.preferOthers) {
 		q.preferred++
 	}
@@ -183,6 +184,26 @@
 	}
 }
 
+// prefer has new flows prefer others, if there is room.
+func (q *silentQuota) prefer(now time.Time, h *health) {
+	if !now.Before(h.preferOthers) {
+		if q.preferred >= q.upstreams/failCap {
+			return
+		}
+		q.preferred++
+	}
+	h.preferOthers = now.Add(preferKept)
+}
+
+// eject tells whether there is room for one more ejection, and takes it.
+func (q *silentQuota) eject() bool {
+	if q.ejected >= q.upstreams/failCap {
+		return false
+	}
+	q.ejected++
+	return true
+}
+
 // ejectTogether takes the upstream out on what the data centre saw.
 func (e *Engine) ejectTogether(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) Silent {
 	h.eject(now)
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -127,7 +127,7 @@
 	EventUnreported = stoatevent.Register(stoatevent.Entry{
 		Number: 1428, Severity: stoatevent.Info, Since: "0.3",
 		Title: "what was seen of upstreams did not reach the parent",
-		Text:  "The next report has it too. A parent that stays silent is left.",
+		Text:  "The next report has all of it. A parent that stays silent is left.",
 	})
 	EventLife = stoatevent.Register(stoatevent.Entry{
 		Number: 1429, Severity: stoatevent.Info, Since: "0.4",
