--- a/stoatecho/admit_test.go
+++ b/stoatecho/admit_test.go
@@ -39,6 +39,22 @@
 	f.done()
 }
 
+// queue has six flows ask at once, of which all but one are answered after a while: one request
+// stays in progress.
+func (w *world) queue(to netip.AddrPort, takes time.Duration) {
+	var flows []*caller
+	for range 6 {
+		f := w.caller(to)
+		f.open()
+		f.ask()
+		flows = append(flows, f)
+	}
+	w.after(takes)
+	for _, f := range flows[1:] {
+		f.done()
+	}
+}
+
 // A data centre has one upstream of a service left, and it is idle. One packet of a caller is
 // lost and comes again 0.2 s later, so that an answer seems to have taken 0.24 s. The next callers
 // open flows; refused, they would come back and be refused for a second, with nothing in progress.
@@ -65,20 +81,7 @@
 	w := newWorld(t)
 	w.objectives(400 * ms)
 	w.leaveOne(3 * time.Second)
-	var flows []*caller
-	for range 6 {
-		f := w.caller(feed)
-		f.open()
-		f.ask()
-		flows = append(flows, f)
-		w.after(10 * ms)
-	}
-	w.after(250 * ms)
-	for i, f := range flows {
-		if i > 0 {
-			f.done()
-		}
-	}
+	w.queue(feed, 300*ms)
 	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
 		t.Fatalf("refused: %+v", a)
 	}
@@ -91,17 +94,7 @@
 	w.objectives(400 * ms)
 	w.leaveOne(0)
 	w.request(feed, 30*ms)
-	var flows []*caller
-	for range 6 {
-		f := w.caller(feed)
-		f.open()
-		f.ask()
-		flows = append(flows, f)
-	}
-	w.after(300 * ms)
-	for _, f := range flows[1:] {
-		f.done()
-	}
+	w.queue(feed, 300*ms)
 	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Reset {
 		t.Fatalf("not refused: %+v", a)
 	}
@@ -115,31 +108,18 @@
 	w.objectives(400 * ms)
 	w.leaveOne(0)
 	w.request(feed, 30*ms)
-	queue := func(takes time.Duration) {
-		var flows []*caller
-		for range 6 {
-			f := w.caller(pledge)
-			f.open()
-			f.ask()
-			flows = append(flows, f)
-		}
-		w.after(takes - 50*ms)
-		for _, f := range flows[1:] {
-			f.done()
-		}
-	}
-	queue(180 * ms)
+	w.queue(pledge, 130*ms)
 	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
 		t.Fatalf("refused after a short queue: %+v", a)
 	}
-	queue(600 * ms)
+	w.queue(pledge, 550*ms)
 	for range 20 {
 		if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Reset {
 			t.Fatalf("not refused after a long queue: %+v", a)
 		}
 	}
 	w.after(time.Second)
-	queue(180 * ms)
+	w.queue(pledge, 130*ms)
 	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Reset {
 		t.Fatalf("not refused though most were: %+v", a)
 	}
--- a/stoatecho/silent_test.go
+++ b/stoatecho/silent_test.go
@@ -121,6 +121,14 @@
 	}
 }
 
+// wait lets time pass, 0.42 s, in which all entries hear of i-2 only.
+func (x *entries) wait() {
+	for range 20 {
+		x.after(20 * ms)
+		x.sign()
+	}
+}
+
 // An upstream falls silent. Three entries have each sent it something; none alone has enough for an
 // ejection. Together they have: it is ejected at all of them, also at the fourth one that sent
 // nothing, and a caller who waits there, whose request may run twice, is told.
@@ -132,10 +140,7 @@
 	x.list[0].opening(1)
 	x.list[1].opening(1)
 	waiting.ask()
-	for range 20 {
-		x.after(20 * ms)
-		x.sign()
-	}
+	x.wait()
 	all := x.pool()
 	for i, silent := range all {
 		if len(silent) != 1 || silent[0].Upstream.Target != 1 || silent[0].Entries < 2 {
@@ -158,10 +163,7 @@
 	x.level()
 	x.sign()
 	x.list[0].opening(1)
-	for range 20 {
-		x.after(20 * ms)
-		x.sign()
-	}
+	x.wait()
 	for i, silent := range x.pool() {
 		if len(silent) != 0 {
 			t.Errorf("entry %d: %+v", i, silent)
@@ -184,10 +186,7 @@
 	x.sign()
 	x.list[0].opening(1)
 	x.list[1].opening(1)
-	for range 20 {
-		x.after(20 * ms)
-		x.sign()
-	}
+	x.wait()
 	if all := x.pool(); len(all[2]) != 1 {
 		t.Fatalf("not ejected: %+v", all)
 	}
