stoatecho: what upstreams turn away is told from answers by its size and time; an overload is no base

Cause: under nine times the load half of all answers are refusals of full upstreams. The model had the same size for both and could not show it. With refusals told apart it showed two more causes: an upstream of which an entry had no answer yet was always admitted, and the least mean of an upstream had been learned in the overload.

Ruled out: too few answers at an entry (69 a second there).

--- a/stoatecho/admit.go
+++ b/stoatecho/admit.go
@@ -64,11 +64,15 @@
 // with nothing in progress.
 func expectedAnswer(now time.Time, h *health) time.Duration {
 	own, others := h.recent.weightAt(now), h.group.answers.weightAt(now)
-	if h.beside == 0 || others < refuseLeast || h.group.inProgress == 0 {
+	if others < refuseLeast || h.group.inProgress == 0 {
 		return 0
 	}
 	others = min(groupWeight, others)
 	mean := (own*float64(h.recent.mean) + others*float64(h.group.answers.mean)) / (own + others)
+	if h.beside == 0 {
+		// This entry had no answer of it yet: it is as full as its like.
+		return time.Duration(mean)
+	}
 	return time.Duration(mean * max(leastScale, float64(h.busy+h.opening)/h.beside))
 }
 
@@ -84,5 +88,14 @@
 		most, least = urgentShare, urgentLeast
 	}
 	share := most - (most-least)*min(1, h.group.refused/refusedMost)
-	return max(time.Duration(share*float64(r.Objective)), time.Duration(admitBase*float64(h.base)))
+	return max(time.Duration(share*float64(r.Objective)), time.Duration(admitBase*float64(leastBase(h))))
+}
+
+// leastBase is how long an answer takes without a queue. An upstream's own may have been learned in
+// the overload: where an entry sees few of its answers, the first ones were late already.
+func leastBase(h *health) time.Duration {
+	if g := h.group.base; h.base == 0 || float64(h.base) > admitBase*float64(g) {
+		return g
+	}
+	return h.base
 }
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -91,6 +91,7 @@
 	Opened, Moved, Ejected, Refused int64
 	Together                        int64 // ejections by what the data centre saw together
 	Answered, Late                  int64 // requests; late: over their route's objective
+	TurnedAway                      int64 // of those answered: upstreams refused them, as far as can be told
 	Resets, Drops                   [stoatpacket.DropCount]int64
 	Forwarded                       int64
 	Flows                           int
@@ -118,6 +119,7 @@
 	noted        time.Time // when these were looked through last
 	observed     bool      // what this entry says of upstreams changed
 	groups       map[groupKey]*group
+	sizes        answerSizes
 	drained      time.Time // when everything that had come was handled; zero: always
 }
 
@@ -127,7 +129,7 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*group{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*group{}, sizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
 		unproven: map[stoatpaddle.UpstreamKey]time.Time{}, last: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -11,6 +11,9 @@
 	// answerAge is the time in which an answer's weight in a recent mean fades to a third: about
 	// what a queue takes to fill or to empty.
 	answerAge = 250 * time.Millisecond
+	// groupLatencyWeight is the share of the newest answer in a group's mean: twenty answers, so that
+	// a few short ones in a row are not taken for work without a queue.
+	groupLatencyWeight = 0.05
 	// refusedWeight is the weight of the newest opening in the share of those refused: an entry
 	// that opens thirty flows a second follows the load within half a second.
 	refusedWeight = 1.0 / 16
@@ -25,8 +28,10 @@
 // group is what this entry saw of upstreams that share a load.
 type group struct {
 	answers    recent
-	inProgress int     // openings and requests from here
-	refused    float64 // share of openings of late that were refused for overload
+	latency    time.Duration // mean from a request to its answer
+	base       time.Duration // the least such mean of late, rising slowly
+	inProgress int           // openings and requests from here
+	refused    float64       // share of openings of late that were refused for overload
 }
 
 // decided notes what became of an opening.
@@ -38,6 +43,17 @@
 	g.refused += refusedWeight * (x - g.refused)
 }
 
+// answered takes in an answer of one of them.
+func (g *group) answered(now time.Time, took time.Duration) {
+	g.answers.add(now, took)
+	if g.latency == 0 {
+		g.latency, g.base = took, took
+		return
+	}
+	g.latency += time.Duration(groupLatencyWeight * float64(took-g.latency))
+	g.base = min(g.latency, time.Duration(baseGrowth*float64(g.base)))
+}
+
 // recent is a mean of answer times in which each one fades.
 type recent struct {
 	mean   time.Duration
--- a/stoatecho/load_test.go
+++ b/stoatecho/load_test.go
@@ -148,11 +148,12 @@
 		send(1, 1, 0, false)
 		send(1, 1, 100, false)
 		m.serve(m.servers[a.Upstream.ID], func(ran bool) {
-			send(101, 500, 0, true)
 			if !ran {
+				send(101, 100, 0, true)
 				again()
 				return
 			}
+			send(101, 500, 0, true)
 			if m.now.Sub(first) <= modelObjective {
 				m.result[to].inTime++
 			} else {
@@ -233,16 +234,17 @@
 	}
 }
 
-// The same before forty upstreams that thirty entries share. TODO(admission): an entry sees one
-// answer of each in half a second, all judge by the same mean, and the queues swing: no more
-// answers are in time than without a limit. At least none are lost by it.
+// The same before forty upstreams that thirty entries share. An entry sees one answer of each in half a
+// second, and half of all answers are refusals. Four fifths of what the upstreams can do is answered
+// in time all the same, and the more urgent requests come first. TODO(admission): nine tenths, with
+// what the entries of a data centre know together.
 func TestOverloadSeenByMany(t *testing.T) {
-	plainFeeds, plainPledges := overload(t, largeFleet, 1, 0)
 	feeds, pledges := overload(t, largeFleet, 1, modelObjective)
-	if inTime, plain := feeds.inTime+pledges.inTime, plainFeeds.inTime+plainPledges.inTime; float64(inTime) < 0.95*float64(plain) {
-		t.Errorf("%d in time, %d without a limit", inTime, plain)
+	most := 4 * largeFleet.capacity()
+	if inTime := float64(feeds.inTime + pledges.inTime); inTime < 0.8*most {
+		t.Errorf("%.0f in time, the upstreams can do %.0f", inTime, most)
 	}
-	if pledges.share(pledges.refused) > feeds.share(feeds.refused) {
+	if pledges.share(pledges.refused) > 0.2*feeds.share(feeds.refused) {
 		t.Errorf("refused: pledges %.2f, feeds %.2f", pledges.share(pledges.refused), feeds.share(feeds.refused))
 	}
 }
--- /dev/null
+++ b/stoatecho/shed.go
@@ -0,0 +1,64 @@
+package stoatecho
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// Answers that are refusals.
+//
+// The load: nine times the usual traffic. An upstream whose queue is full turns a request away at
+// once, and its caller acknowledges that like any answer. Half of all answers are such and take
+// five milliseconds: the mean is then that of a calm day, entries admit everybody, and a full
+// upstream looks like the quickest one.
+//
+// What an answer says is not read here, only how many bytes of it callers acknowledge, and when. A
+// refusal is shorter than what the route usually answers, and comes sooner than any work.
+const (
+	// shortShare and quickShare are the parts of a route's usual size and of an upstream's least
+	// usual time below which an answer counts as a refusal: both, since some answers are short and
+	// others quick.
+	shortShare = 0.5
+	quickShare = 0.5
+	// sizeWeight is the share of the newest answer in a route's usual size; that of a short one is
+	// smaller, so that refusals do not become usual within a burst, and a route whose answers have
+	// become short is followed within some thousands.
+	sizeWeight  = 1.0 / 32
+	shortWeight = 1.0 / 2048
+)
+
+// answerSizes are the usual sizes of routes' answers, bytes.
+type answerSizes map[netip.AddrPort]float64
+
+// short takes in an answer's size, and tells whether it is much shorter than usual.
+func (s answerSizes) short(r *stoatroute.Route, bytes uint32) bool {
+	usual, known := s[r.Listen]
+	if !known {
+		s[r.Listen] = float64(bytes)
+		return false
+	}
+	short, weight := float64(bytes) < shortShare*usual, sizeWeight
+	if short {
+		weight = shortWeight
+	}
+	s[r.Listen] = usual + weight*(float64(bytes)-usual)
+	return short
+}
+
+// turnedAway tells whether an answer of that size, which took so long, is a refusal.
+func (e *Engine) turnedAway(r *stoatroute.Route, h *health, took time.Duration, bytes uint32) bool {
+	least := h.base
+	if least == 0 {
+		least = h.group.answers.mean
+	}
+	return e.sizes.short(r, bytes) && took < time.Duration(quickShare*float64(least))
+}
+
+// refused notes that the upstream turned a request away: it is as full as its answers were slow.
+func (h *health) refused(now time.Time) {
+	h.answer = now
+	h.recent.add(now, max(h.recent.mean, h.group.answers.mean))
+	h.group.answers.add(now, max(h.recent.mean, h.group.answers.mean))
+}
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -34,7 +34,7 @@
 		f.ack = p.Ack
 	}
 	if !f.asked.IsZero() && p.Ack != f.ack {
-		e.answered(now, r, u, h, f, &a)
+		e.answered(now, r, u, h, f, p.Ack-f.ack, &a)
 	}
 	if p.Ends {
 		e.forget(p.Tuple)
@@ -58,14 +58,20 @@
 }
 
 // answered takes in that the caller has an answer.
-func (e *Engine) answered(now time.Time, r *stoatroute.Route, u *stoatroute.Upstream, h *health, f *flow, a *Action) {
+func (e *Engine) answered(now time.Time, r *stoatroute.Route, u *stoatroute.Upstream, h *health, f *flow, bytes uint32, a *Action) {
 	took := now.Sub(f.asked)
 	h.requestEnded()
-	h.answered(now, took, f.beside)
-	// One that has just started is slow without a queue.
-	if !now.Before(u.Warm) {
-		h.recent.add(now, took)
-		h.group.answers.add(now, took)
+	switch {
+	case e.turnedAway(r, h, took, bytes):
+		h.refused(now)
+		e.stats.TurnedAway++
+	default:
+		h.answered(now, took, f.beside)
+		// One that has just started is slow without a queue.
+		if !now.Before(u.Warm) {
+			h.recent.add(now, took)
+			h.group.answered(now, took)
+		}
 	}
 	e.heard(now, h)
 	f.asked = time.Time{}
