stoatecho, stoatoutlier: flows that moved to other entries are no silence; open flows are reset only where the entry waits itself

An entry that has just found its place in the tree knows who is waited for and not yet who answered.

Change: what was sent before a flow came that another entry had placed is no evidence, and a claim of before is taken back; an entry judges by the sum 0.5 s after it found its parent; an ejection by the data centre's word resets open flows only at entries that wait for that upstream themselves.

TestMovedFlowsAreNoSilence, TestSteady.

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -117,6 +117,7 @@
 	// waitOpenings may turn out to wait in vain.
 	waitOpenings expectations
 	noted        time.Time // when these were looked through last
+	moved        time.Time // when a flow last came that another entry had placed
 	observed     bool      // what this entry says of upstreams changed
 	groups       map[groupKey]*group
 	sizes        answerSizes
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -26,6 +26,8 @@
 	// noteEvery bounds how often unanswered packets are looked through: an entry with a tenth of
 	// a core in a burst has hundreds.
 	noteEvery = 10 * time.Millisecond
+	// movedEvery bounds how often flows that moved are taken in: thousands do within a second.
+	movedEvery = 20 * time.Millisecond
 	// preferKept is how long new flows prefer others on the word of one entry, unless it is said
 	// again: several times what the word takes through the relay tree.
 	preferKept = 400 * time.Millisecond
@@ -38,7 +40,7 @@
 // that fails, or an entry behind its own socket, hears nothing from any upstream: then it says
 // nothing of this one.
 func (e *Engine) waits(now time.Time, h *health, sent time.Time) (settled bool) {
-	if h.sign.After(sent) {
+	if h.sign.After(sent) || e.moved.After(sent) {
 		return true
 	}
 	if e.behind(now) || !e.sign.After(sent) {
@@ -51,6 +53,24 @@
 	return true
 }
 
+// flowsMoved notes that a packet came of a flow which another entry placed.
+//
+// The failure: an entry joins or leaves, and the fabric hands nearly all flows to other entries than
+// before. Whatever was under way is answered there: forty entries wait in vain for all upstreams at
+// once, two of them for the same one, and flows are reset whose upstreams live. What was sent before
+// flows moved is therefore no evidence, and an entry that said so takes it back.
+func (e *Engine) flowsMoved(now time.Time) {
+	if now.Sub(e.moved) < movedEvery {
+		return
+	}
+	e.moved = now
+	for _, h := range e.health {
+		if !h.waitFrom.IsZero() {
+			h.waitFrom, e.observed = time.Time{}, true
+		}
+	}
+}
+
 // noteWaits looks for openings that are unanswered for longer than usual. A request counts once
 // its caller repeats it: one on a flow that its upstream has ended is refused towards the caller,
 // past this entry, and looks unanswered here though the upstream is well.
@@ -204,13 +224,30 @@
 	return true
 }
 
-// ejectTogether takes the upstream out on what the data centre saw.
+// ejectTogether takes the upstream out on what the data centre saw. Open flows are reset only where
+// this entry waits itself: it may have come too late to hear of a sign of life that ended the wait of
+// others, and flows would be reset whose upstream lives.
 func (e *Engine) ejectTogether(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) Silent {
+	before := h.blamed
 	h.eject(now)
 	h.together = true
 	e.stats.Ejected++
 	e.stats.Together++
-	return Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now), Abandoned: e.abandon(now, t, u)}
+	out := Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now)}
+	if !h.claims(now) {
+		h.blamed = before
+		return out
+	}
+	out.Abandoned = e.abandon(now, t, u)
+	return out
+}
+
+// confirm notes that a packet to an upstream that the data centre has ejected was repeated here: from
+// now on this entry's own flows are reset for it as well.
+func (h *health) confirm(now time.Time) {
+	if h.together && h.isEjected(now) && h.claims(now) {
+		h.blamed = now
+	}
 }
 
 // ended takes in that another entry had a sign of the upstream at that time. What this entry saw
@@ -220,7 +257,7 @@
 		h.waitFrom = time.Time{}
 	}
 	h.preferOthers = time.Time{}
-	if h.together && heard.After(h.blamed) {
+	if h.together {
 		h.ejected, h.ejection, h.together = time.Time{}, 0, false
 	}
 }
--- a/stoatecho/silent_test.go
+++ b/stoatecho/silent_test.go
@@ -140,6 +140,9 @@
 	x.list[0].opening(1)
 	x.list[1].opening(1)
 	waiting.ask()
+	x.after(210 * ms)
+	x.sign()
+	waiting.again()
 	x.wait()
 	all := x.pool()
 	for i, silent := range all {
@@ -275,3 +278,34 @@
 		}
 	}
 }
+
+// An entry joins: the fabric hands nearly all flows to other entries than before. What three entries
+// sent is answered elsewhere, and they wait in vain for an upstream that is well. As soon as a flow
+// comes to them that another one placed, they take that back.
+func TestMovedFlowsAreNoSilence(t *testing.T) {
+	x := newEntries(t, 3)
+	moved := x.list[2].flowTo(2)
+	x.level()
+	x.sign()
+	x.list[0].opening(1)
+	x.list[1].opening(1)
+	x.after(100 * ms)
+	x.sign()
+	x.after(20 * ms)
+	x.sign()
+	for _, w := range x.list[:2] {
+		if got := w.e.Observed(w.now, nil); len(got) != 1 {
+			t.Fatalf("they do not wait: %+v", got)
+		}
+		w.e.Handle(w.now, w.book.Table(), &stoatpacket.Packet{Tuple: moved.tuple, Cookie: moved.cookie, Seq: 100, Ack: 1, Size: 100})
+	}
+	for range 20 {
+		x.after(20 * ms)
+		x.sign()
+	}
+	for i, silent := range x.pool() {
+		if len(silent) != 0 {
+			t.Errorf("entry %d: %+v", i, silent)
+		}
+	}
+}
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -88,6 +88,7 @@
 	if len(e.flows) >= e.cfg.MaxFlows || p.Ends {
 		return nil
 	}
+	e.flowsMoved(now)
 	f := &flow{key: u.Key, seen: now, ack: p.Ack}
 	e.flows[p.Tuple] = f
 	e.healthOf(u).flows++
@@ -116,6 +117,7 @@
 	f.repeats++
 	a.Repeats = f.repeats
 	e.waits(now, h, f.progress)
+	h.confirm(now)
 	e.suspect(now, t, a.Upstream, h, a)
 }
 
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -89,11 +89,14 @@
 	own := e.engine.Observed(now, suspects)
 	e.engineMu.Unlock()
 	sum, report, to := e.pool.Turn(now, own, e.reporting.Load())
-	delay := e.pool.Delay()
+	delay, steady := e.pool.Delay(), e.pool.Steady(now)
 	e.engineMu.Lock()
 	e.engine.TakeSum(now, sum)
 	marked := e.engine.Judge(now, t)
-	silent := e.engine.JudgeSilence(now, t, delay)
+	var silent []stoatecho.Silent
+	if steady {
+		silent = e.engine.JudgeSilence(now, t, delay)
+	}
 	e.engineMu.Unlock()
 	for _, m := range marked {
 		e.log.emit(now, EventFailing, stoatevent.F("upstream", string(m.Upstream.ID)), stoatevent.F("service", string(m.Upstream.Service)),
--- a/stoatmeasure/silence_tree.go
+++ b/stoatmeasure/silence_tree.go
@@ -111,9 +111,11 @@
 	e.engine.TakeSum(now, sum)
 	table := e.m.book.Table()
 	e.engine.Judge(now, table)
-	for _, s := range e.engine.JudgeSilence(now, table, e.pool.Delay()) {
-		e.m.ejected(s.Upstream)
-		e.reset(s.Abandoned)
+	if e.pool.Steady(now) {
+		for _, s := range e.engine.JudgeSilence(now, table, e.pool.Delay()) {
+			e.m.ejected(s.Upstream)
+			e.reset(s.Abandoned)
+		}
 	}
 	if to.IsValid() {
 		e.report(report)
--- a/stoatoutlier/pool.go
+++ b/stoatoutlier/pool.go
@@ -27,6 +27,7 @@
 	sum      timed          // over the data centre, as the parent sent it
 	up       Stream         // to the parent
 	delay    delay
+	changed  time.Time // when the parent last became another one
 }
 
 // timed is a list of reports, ascending by key, and when it came.
@@ -70,7 +71,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if parent != p.parent {
-		p.parent, p.sum, p.up = parent, timed{}, Stream{}
+		p.parent, p.sum, p.up, p.changed = parent, timed{}, Stream{}, now
 	}
 	if parent.IsValid() {
 		p.sum = timed{at: now, list: u.onto(p.sum.list)}
@@ -78,6 +79,17 @@
 	}
 }
 
+// steadyAfter is how long a place in the tree must last for the sum to have what all entries heard:
+// an entry that has just come knows who is waited for, and not yet who answered.
+const steadyAfter = 500 * time.Millisecond
+
+// Steady tells whether this entry's place in the tree has lasted.
+func (p *Pool) Steady(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.changed) >= steadyAfter
+}
+
 // Lost notes that the parent did not take a report: the next one has all.
 func (p *Pool) Lost() {
 	p.mu.Lock()
--- a/stoatoutlier/pool_test.go
+++ b/stoatoutlier/pool_test.go
@@ -264,3 +264,22 @@
 		t.Error("after a calm the next change waits", wait)
 	}
 }
+
+// An entry that has just found its place in the tree knows who is waited for, and not yet who answered.
+func TestSteady(t *testing.T) {
+	var p Pool
+	now := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	p.Follow(now, above, Update{})
+	if p.Steady(at(100*time.Millisecond)) || !p.Steady(at(time.Second)) {
+		t.Error("after a new parent")
+	}
+	p.Follow(at(time.Second), above, Update{})
+	if !p.Steady(at(1100 * time.Millisecond)) {
+		t.Error("the parent is the same")
+	}
+	p.Take(at(2*time.Second), belowA, Update{Whole: true})
+	if !p.Steady(at(2100 * time.Millisecond)) {
+		t.Error("a child that reports for the first time holds the others up")
+	}
+}
