stoatecho: one mean with its least, for an upstream and for its group; an ejection says itself whether flows are reset

Behaviour unchanged. The mean answer time and the least one of late were computed in health and again in group, by the same lines with another weight: leastMean serves both. eject set the time that lets open flows be reset, and ejection by the data centre's word put the earlier one back: now each caller sets it where it holds. A refusal's stand-in time was worked out twice.

Ruled out: one list for openings that wait and openings that expire, which have two bounds; dropping Silence.Alone, which only tests call, since they assert on it.

--- a/stoatecho/admit.go
+++ b/stoatecho/admit.go
@@ -94,8 +94,9 @@
 // leastBase is how long an answer takes without a queue. An upstream's own may have been learned in
 // the overload: where an entry sees few of its answers, the first ones were late already.
 func leastBase(h *health) time.Duration {
-	if g := h.group.base; h.base == 0 || float64(h.base) > admitBase*float64(g) {
-		return g
+	own, group := h.usual.least, h.group.usual.least
+	if own == 0 || float64(own) > admitBase*float64(group) {
+		return group
 	}
-	return h.base
+	return own
 }
--- a/stoatecho/admit_test.go
+++ b/stoatecho/admit_test.go
@@ -30,6 +30,14 @@
 	}, w.rev)
 }
 
+// newLoneWorld is a data centre with one upstream left, whose routes have an objective.
+func newLoneWorld(t *testing.T, cold time.Duration) *world {
+	w := newWorld(t)
+	w.objectives(400 * ms)
+	w.leaveOne(cold)
+	return w
+}
+
 // request opens a flow and has one answer on it.
 func (w *world) request(to netip.AddrPort, takes time.Duration) {
 	f := w.caller(to)
@@ -59,9 +67,7 @@
 // lost and comes again 0.2 s later, so that an answer seems to have taken 0.24 s. The next callers
 // open flows; refused, they would come back and be refused for a second, with nothing in progress.
 func TestOneSlowAnswerIsNoOverload(t *testing.T) {
-	w := newWorld(t)
-	w.objectives(400 * ms)
-	w.leaveOne(0)
+	w := newLoneWorld(t, 0)
 	for range 20 {
 		w.request(feed, 30*ms)
 		w.after(100 * ms)
@@ -78,9 +84,7 @@
 // The only upstream left has just started and takes five times as long as usual. It is slow
 // without a queue, and nothing better is near: callers wait for it rather than being turned away.
 func TestColdIsNoOverload(t *testing.T) {
-	w := newWorld(t)
-	w.objectives(400 * ms)
-	w.leaveOne(3 * time.Second)
+	w := newLoneWorld(t, 3*time.Second)
 	w.queue(feed, 300*ms)
 	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
 		t.Fatalf("refused: %+v", a)
@@ -90,9 +94,7 @@
 // What answers slowly when it is warm and has requests in progress is full: the same callers are
 // refused.
 func TestQueueIsOverload(t *testing.T) {
-	w := newWorld(t)
-	w.objectives(400 * ms)
-	w.leaveOne(0)
+	w := newLoneWorld(t, 0)
 	w.request(feed, 30*ms)
 	w.queue(feed, 300*ms)
 	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Reset {
@@ -104,9 +106,7 @@
 // whoever waits is in time. Nobody is refused for it. Far over, when most are refused, the same
 // queue is too long: it grows between two answers, and those behind it would be late.
 func TestShortQueueIsNoOverload(t *testing.T) {
-	w := newWorld(t)
-	w.objectives(400 * ms)
-	w.leaveOne(0)
+	w := newLoneWorld(t, 0)
 	w.request(feed, 30*ms)
 	w.queue(pledge, 130*ms)
 	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -28,10 +28,9 @@
 // group is what this entry saw of upstreams that share a load.
 type group struct {
 	answers    recent
-	latency    time.Duration // mean from a request to its answer
-	base       time.Duration // the least such mean of late, rising slowly
-	inProgress int           // openings and requests from here
-	refused    float64       // share of openings of late that were refused for overload
+	usual      leastMean
+	inProgress int     // openings and requests from here
+	refused    float64 // share of openings of late that were refused for overload
 }
 
 // decided notes what became of an opening.
@@ -46,12 +45,20 @@
 // answered takes in an answer of one of them.
 func (g *group) answered(now time.Time, took time.Duration) {
 	g.answers.add(now, took)
-	if g.latency == 0 {
-		g.latency, g.base = took, took
+	g.usual.add(took, groupLatencyWeight)
+}
+
+// leastMean is a mean of answer times, and the least that it was of late, which rises slowly: about
+// how long an answer takes without a queue.
+type leastMean struct{ mean, least time.Duration }
+
+func (l *leastMean) add(took time.Duration, weight float64) {
+	if l.mean == 0 {
+		l.mean, l.least = took, took
 		return
 	}
-	g.latency += time.Duration(groupLatencyWeight * float64(took-g.latency))
-	g.base = min(g.latency, time.Duration(baseGrowth*float64(g.base)))
+	l.mean += time.Duration(weight * float64(took-l.mean))
+	l.least = min(l.mean, time.Duration(baseGrowth*float64(l.least)))
 }
 
 // recent is a mean of answer times in which each one fades.
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -62,10 +62,9 @@
 	answer       time.Time     // last answer to a request, the surest sign
 	openFrom     time.Time     // since when an opening waits, without a sign since
 	busyFrom     time.Time     // since when a request waits, without a sign since
-	latency      time.Duration // mean from a request to its answer
+	usual        leastMean     // from a request to its answer
 	recent       recent        // the same, of answers of late
 	beside       float64       // mean of requests in progress from here, itself included, when it was asked
-	base         time.Duration // the least mean of late, rising slowly
 	repeats      int           // repeated packets since the last sign
 	ejected      time.Time     // until when it gets no flows; zero: a sign came since
 	ejection     time.Duration // the last one
@@ -204,7 +203,6 @@
 
 // eject keeps new flows away, for longer each time.
 func (h *health) eject(now time.Time) {
-	h.blamed = now
 	h.ejection = min(ejectMost, max(ejectLeast, 2*h.ejection))
 	h.ejected = now.Add(h.ejection)
 	h.trial = false
@@ -242,13 +240,11 @@
 func (h *health) answered(now time.Time, took time.Duration, beside int) {
 	h.answer = now
 	h.window.add(now, stoatoutlier.Counts{Answered: 1})
-	if h.latency == 0 {
-		h.latency, h.base, h.beside = took, took, float64(beside)
-		return
+	if h.usual.mean == 0 {
+		h.beside = float64(beside)
 	}
 	h.beside += latencyWeight * (float64(beside) - h.beside)
-	h.latency += time.Duration(latencyWeight * float64(took-h.latency))
-	h.base = min(h.latency, time.Duration(baseGrowth*float64(h.base)))
+	h.usual.add(took, latencyWeight)
 }
 
 // load is the part of the upstream's slots that this entry has taken.
@@ -269,8 +265,8 @@
 // cost is the expected wait at the upstream, in units of a request alone there.
 func (h *health) cost(now time.Time, u *stoatroute.Upstream, patience time.Duration) float64 {
 	c := h.load(u) + (1+idleLoad*float64(h.flows))/float64(max(1, u.Slots))
-	if h.latency > latencyFloor {
-		c *= float64(h.latency) / float64(latencyFloor)
+	if h.usual.mean > latencyFloor {
+		c *= float64(h.usual.mean) / float64(latencyFloor)
 	}
 	if now.Before(u.Warm) {
 		c *= coldPenalty
--- a/stoatecho/shed.go
+++ b/stoatecho/shed.go
@@ -49,7 +49,7 @@
 
 // turnedAway tells whether an answer of that size, which took so long, is a refusal.
 func (e *Engine) turnedAway(r *stoatroute.Route, h *health, took time.Duration, bytes uint32) bool {
-	least := h.base
+	least := h.usual.least
 	if least == 0 {
 		least = h.group.answers.mean
 	}
@@ -59,6 +59,7 @@
 // refused notes that the upstream turned a request away: it is as full as its answers were slow.
 func (h *health) refused(now time.Time) {
 	h.answer = now
-	h.recent.add(now, max(h.recent.mean, h.group.answers.mean))
-	h.group.answers.add(now, max(h.recent.mean, h.group.answers.mean))
+	slow := max(h.recent.mean, h.group.answers.mean)
+	h.recent.add(now, slow)
+	h.group.answers.add(now, slow)
 }
--- a/stoatecho/shed_test.go
+++ b/stoatecho/shed_test.go
@@ -24,9 +24,7 @@
 		"short answers": {150, stoatecho.Reset},
 		"whole answers": {1000, stoatecho.Forward},
 	} {
-		w := newWorld(t)
-		w.objectives(400 * ms)
-		w.leaveOne(0)
+		w := newLoneWorld(t, 0)
 		w.rev++
 		w.book.Remove(w.now, "i-3", w.rev)
 		for range 20 {
@@ -62,9 +60,7 @@
 // A route's answers become short for good, as after a new version of its service. They are taken for
 // refusals at first, and for answers once they are what is usual.
 func TestShortAnswersBecomeUsual(t *testing.T) {
-	w := newWorld(t)
-	w.objectives(400 * ms)
-	w.leaveOne(0)
+	w := newLoneWorld(t, 0)
 	for range 20 {
 		w.request(feed, 30*ms)
 	}
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -228,17 +228,15 @@
 // this entry waits itself: it may have come too late to hear of a sign of life that ended the wait of
 // others, and flows would be reset whose upstream lives.
 func (e *Engine) ejectTogether(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) Silent {
-	before := h.blamed
 	h.eject(now)
 	h.together = true
 	e.stats.Ejected++
 	e.stats.Together++
 	out := Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now)}
-	if !h.claims(now) {
-		h.blamed = before
-		return out
+	if h.claims(now) {
+		h.blamed = now
+		out.Abandoned = e.abandon(now, t, u)
 	}
-	out.Abandoned = e.abandon(now, t, u)
 	return out
 }
 
