stoatecho, stoatedge: an open flow is reset only when the platform says that its upstream has ended

Cause: an entry sees callers' packets only. Under a queue, a full link or a late reader callers repeat and nothing is acknowledged, at two entries as at one; flows were reset (stuck) while their upstreams served. Ruled out as cures: longer silences and bounds by the group's answers, which the burst of nine got past already (queueSilence); a second witness, which sees the same queue. Change: silence ejects (no new flows) and does nothing else. Flows that wait at an upstream whose registration ends are reset at that moment, not at their next repeat (TakeEnded). The model counts late requests on open flows apart, since no way can move those.

--- /dev/null
+++ b/stoatecho/ended.go
@@ -0,0 +1,57 @@
+package stoatecho
+
+import (
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// When an open flow is reset for its upstream's end: only when the platform says that it has ended.
+//
+// The failure: nine times the usual traffic. Upstreams answer after half a second, callers repeat
+// after 0.2 s, links of entries and their sockets hold packets for as long, and two entries wait for
+// the same full upstream. An entry sees callers' packets only, so that all of this looks like an
+// upstream that is dead; flows of minutes of age were reset, hundreds at once, whose upstreams served.
+// No evidence of an entry's own tells a queue from a death, and what two entries see is one queue. So
+// silence keeps new flows away (ejection), which costs nothing if it is wrong, and nothing else.
+
+// Unanswered is a flow to reset of which no packet is at hand: its caller waits for an answer.
+type Unanswered struct {
+	Tuple    stoatpacket.Tuple
+	Ack      uint32 // what its caller acknowledged last
+	Upstream *stoatroute.Upstream
+}
+
+// hasEnded tells whether flows of the upstream are to be reset. A registration ends too when its
+// upstream alone cannot reach the platform: one that has answered since keeps its open flows, and
+// gets no new ones.
+func (e *Engine) hasEnded(u *stoatroute.Upstream) bool {
+	return u.Standing == stoatroute.Gone && !e.healthOf(u).answer.After(u.Ended)
+}
+
+// TakeEnded returns the flows that wait for an answer of upstreams which ended since the last call.
+//
+// The failure: an upstream takes a request and dies. Its caller has nothing to repeat and waits until
+// it gives up, or its next repeat is 1.6 s away; told now, it is served elsewhere in time.
+func (e *Engine) TakeEnded(t *stoatroute.Table) []Unanswered {
+	var out []Unanswered
+	ended := map[*stoatroute.Upstream]bool{}
+	for _, u := range t.Since(e.endedUpTo) {
+		if u.Standing == stoatroute.Gone && e.health[u.Key] != nil && e.health[u.Key].busy > 0 && t.Upstream(u.Key) == u {
+			ended[u] = e.hasEnded(u)
+		}
+	}
+	e.endedUpTo = t.Change
+	if len(ended) == 0 {
+		return nil
+	}
+	for tuple, f := range e.flows {
+		u := t.Upstream(f.key)
+		if f.asked.IsZero() || !ended[u] || t.Route(tuple.Dst) == nil {
+			continue
+		}
+		out = append(out, Unanswered{Tuple: tuple, Ack: f.ack, Upstream: u})
+		e.forget(tuple)
+	}
+	e.stats.Resets[stoatpacket.DropGone] += int64(len(out))
+	return out
+}
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -60,14 +60,7 @@
 	// Ejected is the upstream that gets no flows for a while, on the packet's evidence, or nil.
 	Ejected *stoatroute.Upstream
 	Silence time.Duration // of Ejected
-	// Abandoned are flows that wait for an answer of Ejected: their callers are told now.
-	Abandoned []Abandoned
-}
-
-// Abandoned is a flow to reset of which no packet is at hand.
-type Abandoned struct {
-	Tuple stoatpacket.Tuple
-	Ack   uint32 // what its caller acknowledged last
+	Waiting int           // requests from here that wait at Ejected
 }
 
 // flow is what is remembered of a flow, to judge its upstream.
@@ -121,6 +114,7 @@
 	observed     bool      // what this entry says of upstreams changed
 	groups       map[groupKey]*group
 	sizes        answerSizes
+	endedUpTo    uint64    // the table's count of changes at the last TakeEnded
 	drained      time.Time // when everything that had come was handled; zero: always
 }
 
@@ -226,7 +220,7 @@
 	var except stoatpaddle.UpstreamKey
 	if f := e.flows[p.Tuple]; f != nil && f.opening && p.Copies > 0 {
 		u := t.Upstream(f.key)
-		if e.sameAgain(now, t, u, f, &a) {
+		if e.sameAgain(now, u, f, &a) {
 			return Action{Verdict: Forward, Upstream: u}
 		}
 		except, a.Moved = f.key, true
@@ -291,7 +285,7 @@
 // sameAgain tells whether the copy of an opening goes where the one before went. A sign of
 // life since then says that the packet was lost, not the upstream: at another one the flow
 // would be open twice, and the caller's packets would bring either cookie.
-func (e *Engine) sameAgain(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, f *flow, a *Action) bool {
+func (e *Engine) sameAgain(now time.Time, u *stoatroute.Upstream, f *flow, a *Action) bool {
 	if u == nil || !u.Opens() {
 		return false
 	}
@@ -299,20 +293,19 @@
 		return true
 	}
 	h := e.healthOf(u)
-	e.suspect(now, t, u, h, a)
+	e.suspect(now, u, h, a)
 	return h.sign.After(f.seen) && !h.isEjected(now)
 }
 
-// suspect takes a repeated packet as evidence against its upstream.
-func (e *Engine) suspect(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, a *Action) {
+// suspect takes a repeated packet as evidence against its upstream, which may get no new flows for it.
+func (e *Engine) suspect(now time.Time, u *stoatroute.Upstream, h *health, a *Action) {
 	silence := h.silence(now)
 	if e.ownTrouble(now, h, silence) {
 		return
 	}
 	if h.repeated(now, e.silenceOf(now, u)) {
-		a.Ejected, a.Silence = u, silence
+		a.Ejected, a.Silence, a.Waiting = u, silence, h.busy
 		e.stats.Ejected++
-		a.Abandoned = e.abandon(now, t, u)
 	}
 }
 
@@ -326,13 +319,11 @@
 	if !r.Had(u.Service) {
 		return Action{Reason: stoatpacket.DropForged}
 	}
-	a := e.track(now, t, r, u, p)
+	a := e.track(now, r, u, p)
 	if p.Reset {
 		return a
 	}
-	// A registration ends too when its upstream alone cannot reach the platform. One that
-	// goes on answering keeps its open flows, and gets no new ones.
-	if u.Standing == stoatroute.Gone && !e.healthOf(u).answer.After(u.Ended) {
+	if e.hasEnded(u) {
 		e.forget(p.Tuple)
 		return Action{Verdict: Reset, Upstream: u, Reason: stoatpacket.DropGone}
 	}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -27,19 +27,13 @@
 	ejectRepeats = 2
 	ejectSilence = 200 * time.Millisecond
 	// coldSilence is how many times longer an upstream that has just started may be silent: it
-	// works several times slower, so that its callers repeat themselves while it is at work,
-	// and its flows would be reset although it serves.
+	// works several times slower, so that its callers repeat themselves while it is at work.
 	coldSilence = 4
 	// queueSilence is how many mean answer times of its like an upstream may be silent: a queue
 	// that is full takes two or three times as long as the mean one.
 	queueSilence = 3
 	// knownLeast is the weight of answers below which nothing is known of a queue, as after a start.
 	knownLeast = 0.5
-	// blameKept is how long the evidence lets flows be reset that were not tried themselves.
-	// An upstream that was cut off for seconds is ejected for up to eight; it may have been
-	// back for most of them, and a flow that comes then lives. Its first packet goes there,
-	// and its first repeat, 0.2 s later, is evidence anew if nothing came back.
-	blameKept = time.Second
 	// ejectLeast and ejectMost bound how long it gets no flows; each time doubles it.
 	ejectLeast = time.Second
 	ejectMost  = 8 * time.Second
@@ -68,7 +62,6 @@
 	repeats      int           // repeated packets since the last sign
 	ejected      time.Time     // until when it gets no flows; zero: a sign came since
 	ejection     time.Duration // the last one
-	blamed       time.Time     // when packets were last repeated in silence
 	trial        bool          // it got a flow after an ejection and has not answered
 	shunned      time.Time     // until when it gets no flows while others can take them
 	shun         time.Duration // the last one
@@ -193,7 +186,6 @@
 	if h.repeats < ejectRepeats || h.silence(now) < silent {
 		return false
 	}
-	h.blamed = now
 	if h.isEjected(now) {
 		return false
 	}
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -18,7 +18,7 @@
 //
 // So an entry that waits for an upstream in vain says so. One that waits is reason to prefer
 // others for new flows, which costs nothing if it is wrong. Two that wait, with no sign of life at
-// any entry since, are what ejects: flows that wait there are reset, where a request may run twice.
+// any entry since, are what ejects. Open flows go on either way (ended.go).
 const (
 	// waitKept is how long a wait counts that nothing confirms: without new flows there, no packet
 	// may come that shows the upstream alive.
@@ -124,10 +124,10 @@
 
 // Silent is an upstream that gets no flows for a while, since nobody in the data centre hears of it.
 type Silent struct {
-	Upstream  *stoatroute.Upstream
-	Entries   int // that wait for it
-	Silence   time.Duration
-	Abandoned []Abandoned // flows to reset: their callers wait for an answer
+	Upstream *stoatroute.Upstream
+	Entries  int // that wait for it
+	Silence  time.Duration
+	Waiting  int // requests from here that wait there
 }
 
 // JudgeSilence looks for upstreams of this data centre that answer nobody, by what its entries saw
@@ -139,13 +139,13 @@
 	}
 	var out []Silent
 	for _, service := range t.Services() {
-		out = append(out, e.judgeSilence(now, t, t.Service(service), delay)...)
+		out = append(out, e.judgeSilence(now, t.Service(service), delay)...)
 	}
 	return out
 }
 
 // judgeSilence judges the upstreams of one service, those first for which most entries wait.
-func (e *Engine) judgeSilence(now time.Time, t *stoatroute.Table, list []*stoatroute.Upstream, delay time.Duration) []Silent {
+func (e *Engine) judgeSilence(now time.Time, list []*stoatroute.Upstream, delay time.Duration) []Silent {
 	var out []Silent
 	named, quota := e.namedSilent(now, list)
 	for _, u := range named {
@@ -160,7 +160,7 @@
 		}
 		quota.prefer(now, h)
 		if !h.isEjected(now) && s.Together(now) >= e.silenceOf(now, u)+delay && quota.eject() {
-			out = append(out, e.ejectTogether(now, t, u, h, s))
+			out = append(out, e.ejectTogether(now, u, h, s))
 		}
 	}
 	return out
@@ -224,28 +224,13 @@
 	return true
 }
 
-// ejectTogether takes the upstream out on what the data centre saw. Open flows are reset only where
-// this entry waits itself: it may have come too late to hear of a sign of life that ended the wait of
-// others, and flows would be reset whose upstream lives.
-func (e *Engine) ejectTogether(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) Silent {
+// ejectTogether keeps new flows from the upstream on what the data centre saw.
+func (e *Engine) ejectTogether(now time.Time, u *stoatroute.Upstream, h *health, s stoatoutlier.Silence) Silent {
 	h.eject(now)
 	h.together = true
 	e.stats.Ejected++
 	e.stats.Together++
-	out := Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now)}
-	if h.claims(now) {
-		h.blamed = now
-		out.Abandoned = e.abandon(now, t, u)
-	}
-	return out
-}
-
-// confirm notes that a packet to an upstream that the data centre has ejected was repeated here: from
-// now on this entry's own flows are reset for it as well.
-func (h *health) confirm(now time.Time) {
-	if h.together && h.isEjected(now) && h.claims(now) {
-		h.blamed = now
-	}
+	return Silent{Upstream: u, Entries: s.Entries, Silence: s.Together(now), Waiting: h.busy}
 }
 
 // ended takes in that another entry had a sign of the upstream at that time. What this entry saw
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -1,7 +1,6 @@
 package stoatecho
 
 import (
-	"slices"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -9,12 +8,11 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
-// track updates what is known of the flow and its upstream, and decides whether the flow
-// can go on.
+// track updates what is known of the flow and its upstream.
 //
 // A request begins with data and ends when the caller acknowledges something new: an
 // upstream's answers do not pass here.
-func (e *Engine) track(now time.Time, t *stoatroute.Table, r *stoatroute.Route, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
+func (e *Engine) track(now time.Time, r *stoatroute.Route, u *stoatroute.Upstream, p *stoatpacket.Packet) Action {
 	a := Action{Verdict: Forward, Upstream: u}
 	f, h := e.flows[p.Tuple], e.healthOf(u)
 	if f == nil || f.key != u.Key {
@@ -41,8 +39,7 @@
 		return a
 	}
 	if p.Size > 0 {
-		e.data(now, before, t, h, f, p, &a)
-		e.leaveStuck(now, r, h, f, p, &a)
+		e.data(now, before, h, f, p, &a)
 	}
 	return a
 }
@@ -97,7 +94,7 @@
 
 // data takes in a packet that carries a request, or a part of one; before is when the
 // flow's last packet came.
-func (e *Engine) data(now, before time.Time, t *stoatroute.Table, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
+func (e *Engine) data(now, before time.Time, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
 	if f.asked.IsZero() {
 		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
 		f.progress = now
@@ -117,38 +114,7 @@
 	f.repeats++
 	a.Repeats = f.repeats
 	e.waits(now, h, f.progress)
-	h.confirm(now)
-	e.suspect(now, t, a.Upstream, h, a)
-}
-
-// abandon takes out the flows that wait for an answer of the upstream, where a request may
-// run twice. An upstream that took a request and died leaves its caller nothing to repeat:
-// no packet would come here until the caller gives up.
-func (e *Engine) abandon(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream) []Abandoned {
-	var out []Abandoned
-	for tuple, f := range e.flows {
-		if f.key != u.Key || f.asked.IsZero() || now.Sub(f.asked) < repeatLeast {
-			continue
-		}
-		if r := t.Route(tuple.Dst); r != nil && r.Idempotent {
-			out = append(out, Abandoned{Tuple: tuple, Ack: f.ack})
-			e.forget(tuple)
-		}
-	}
-	e.stats.Resets[stoatpacket.DropStuck] += int64(len(out))
-	return out
-}
-
-// leaveStuck resets a flow whose upstream answers nobody, so that its caller comes back at
-// once and is placed elsewhere. Only where a request may run twice: the caller of another
-// may not ask again, so its only hope is that the upstream comes back.
-func (e *Engine) leaveStuck(now time.Time, r *stoatroute.Route, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
-	if !r.Idempotent || e.behind(now) || !h.isEjected(now) || now.Sub(h.blamed) > blameKept || h.sign.After(f.asked) {
-		return
-	}
-	e.forget(p.Tuple)
-	a.Verdict, a.Reason = Reset, stoatpacket.DropStuck
-	a.Abandoned = slices.DeleteFunc(a.Abandoned, func(x Abandoned) bool { return x.Tuple == p.Tuple })
+	e.suspect(now, a.Upstream, h, a)
 }
 
 // forget takes a flow out of the table and its upstream's counts.
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -52,12 +52,12 @@
 	EventEjected = stoatevent.Register(stoatevent.Entry{
 		Number: 1410, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "upstream gets no flows for a while",
-		Text:  "Callers repeated packets to it and nothing came back on any flow. It gets a single flow after the pause; an answer ends the ejection. If it repeats, look at the upstream, and at the network if entries of one data centre report it.",
+		Text:  "Callers repeated packets to it and nothing came back on any flow. Its open flows go on; waiting counts the requests from here that wait there. It gets a single flow after the pause; an answer ends the ejection. If it repeats, look at the upstream, and at the network if entries of one data centre report it.",
 	})
 	EventReset = stoatevent.Register(stoatevent.Entry{
 		Number: 1411, Severity: stoatevent.Info, Since: "0.2",
 		Title: "flow reset",
-		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it), gone (its upstream has ended), stuck (its upstream answers nobody; waited says that no packet of the flow was needed for it), overload (the mean answer of the best upstream is over bound, so that it would be late), young (no configuration yet).",
+		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it), gone (the platform says that its upstream has ended; waited says that its caller waited for an answer, and no packet of the flow was needed), overload (the mean answer of the best upstream is over bound, so that it would be late), young (no configuration yet).",
 	})
 	EventDropped = stoatevent.Register(stoatevent.Entry{
 		Number: 1412, Severity: stoatevent.Info, Since: "0.2",
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -15,7 +15,6 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
-	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
 // pathSeen is where an entry tells its parent which upstreams it saw failing.
@@ -102,7 +101,7 @@
 		e.log.emit(now, EventFailing, stoatevent.F("upstream", string(m.Upstream.ID)), stoatevent.F("service", string(m.Upstream.Service)),
 			stoatevent.F("answered", strconv.Itoa(m.Answered)), stoatevent.F("failed", strconv.Itoa(m.Failed)), stoatevent.F("hold", m.Hold.String()))
 	}
-	e.resetSilent(now, t, silent)
+	e.logSilent(now, silent)
 	e.place.seen.Store(&sum)
 	if _, due := e.rung.Next(now, sum, stoatoutlier.SinceFirst); due {
 		e.place.bell.ring()
@@ -113,19 +112,12 @@
 	}
 }
 
-// resetSilent resets the flows that wait for upstreams which answer nobody.
-func (e *Edge) resetSilent(now time.Time, t *stoatroute.Table, silent []stoatecho.Silent) {
-	if len(silent) == 0 {
-		return
-	}
-	m := newMover()
+// logSilent says which upstreams get no flows since they answer nobody.
+func (e *Edge) logSilent(now time.Time, silent []stoatecho.Silent) {
 	for _, s := range silent {
 		e.log.emit(now, EventSilent, stoatevent.F("upstream", string(s.Upstream.ID)), stoatevent.F("service", string(s.Upstream.Service)),
 			stoatevent.F("entries", strconv.Itoa(s.Entries)), stoatevent.F("silence", s.Silence.Round(time.Millisecond).String()),
-			stoatevent.F("waiting", strconv.Itoa(len(s.Abandoned))))
-		for _, x := range s.Abandoned {
-			e.abandon(now, t, s.Upstream, x, m)
-		}
+			stoatevent.F("waiting", strconv.Itoa(s.Waiting)))
 	}
 }
 
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -87,8 +87,11 @@
 func (e *Edge) release(now time.Time) {
 	e.engineMu.Lock()
 	held := e.hold.Take()
-	e.engine.Retain(now, e.table.Load())
+	t := e.table.Load()
+	e.engine.Retain(now, t)
+	ended := e.engine.TakeEnded(t)
 	e.engineMu.Unlock()
+	e.resetEnded(now, t, ended)
 	e.replay(now, held)
 }
 
@@ -145,14 +148,11 @@
 	if a.Late {
 		e.logFlow(now, EventLate, t, a, p, stoatevent.F("took", a.Took.Round(time.Millisecond).String()), stoatevent.F("busy", strconv.Itoa(a.Busy)))
 	}
-	for _, x := range a.Abandoned {
-		e.abandon(now, t, a.Ejected, x, m)
-	}
 	if a.Ejected != nil {
 		// The packet itself may have gone to another upstream.
 		of := stoatecho.Action{Upstream: a.Ejected, Repeats: a.Repeats}
 		e.logFlow(now, EventEjected, t, of, p, stoatevent.F("centre", string(a.Ejected.DataCentre)),
-			stoatevent.F("silence", a.Silence.Round(time.Millisecond).String()), stoatevent.F("waiting", strconv.Itoa(len(a.Abandoned))))
+			stoatevent.F("silence", a.Silence.Round(time.Millisecond).String()), stoatevent.F("waiting", strconv.Itoa(a.Waiting)))
 	}
 }
 
@@ -161,13 +161,19 @@
 	return []stoatevent.Field{stoatevent.F("busy", strconv.Itoa(a.Busy)), stoatevent.F("mean", a.Mean.Round(time.Millisecond).String())}
 }
 
-// abandon resets a flow of which no packet is at hand.
-func (e *Edge) abandon(now time.Time, t *stoatroute.Table, u *stoatroute.Upstream, x stoatecho.Abandoned, m *mover) {
-	p := stoatpacket.Packet{Tuple: x.Tuple, Ack: x.Ack}
-	platform.PutReset(m.reset, &p)
-	_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
-	a := stoatecho.Action{Upstream: u}
-	e.logFlow(now, EventReset, t, a, &p, stoatevent.F("reason", stoatpacket.DropStuck.String()), stoatevent.F("opens", "false"), stoatevent.F("waited", "true"))
+// resetEnded resets the flows that wait for an answer of upstreams which have ended.
+func (e *Edge) resetEnded(now time.Time, t *stoatroute.Table, list []stoatecho.Unanswered) {
+	if len(list) == 0 {
+		return
+	}
+	m := newMover()
+	for _, x := range list {
+		p := stoatpacket.Packet{Tuple: x.Tuple, Ack: x.Ack}
+		platform.PutReset(m.reset, &p)
+		_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
+		e.logFlow(now, EventReset, t, stoatecho.Action{Upstream: x.Upstream}, &p,
+			stoatevent.F("reason", stoatpacket.DropGone.String()), stoatevent.F("opens", "false"), stoatevent.F("waited", "true"))
+	}
 }
 
 // logFlow writes a line about one flow: its id, what decided, how old that was.
--- a/stoatmeasure/silence.go
+++ b/stoatmeasure/silence.go
@@ -66,7 +66,10 @@
 	Trouble Trouble
 	Asked   int
 	Late    int
-	Failed  int
+	// Bound counts those of Late on flows that were open before: an open flow stays at its upstream,
+	// whatever entries know.
+	Bound  int
+	Failed int
 	// Wrongly counts ejections of upstreams that were well, one for each entry that ejects.
 	Wrongly int
 	// Known is how long after the trouble began nine of ten entries avoided a failing upstream, as
--- a/stoatpacket/packet.go
+++ b/stoatpacket/packet.go
@@ -32,7 +32,6 @@
 	DropUnproven  // a cookie that this entry cannot judge yet
 	DropYoung     // this entry has no configuration yet
 	DropGone      // the flow's upstream is gone
-	DropStuck     // the flow's upstream answers nobody
 	DropNoRoute   // no route has the address
 	DropOverload  // it would be answered late, and make others late
 	DropCount     // number of reasons
@@ -40,7 +39,7 @@
 
 var dropNames = [DropCount]string{
 	"none", "short", "notip", "fragment", "protocol", "service", "limit", "upstream", "hops", "foreign", "elsewhere",
-	"length", "flags", "own", "forged", "unproven", "young", "gone", "stuck", "route", "overload",
+	"length", "flags", "own", "forged", "unproven", "young", "gone", "route", "overload",
 }
 
 // String returns the metric label of the reason.
