--- a/ids.go
+++ b/ids.go
@@ -8,6 +8,9 @@
 // DataCentreID names one data centre.
 type DataCentreID string
 
+// RegionID names one region, which holds data centres.
+type RegionID string
+
 // CustomerID names one customer.
 type CustomerID string
 
--- a/route.go
+++ b/route.go
@@ -19,6 +19,7 @@
 	Idempotent bool          // its requests may run twice
 	Priority   int           // 0 is the most urgent
 	Objective  time.Duration // an answer later than this is late; 0: none is declared
+	Regions    []RegionID    // its flows go only to upstreams in these; empty: anywhere
 }
 
 // Declaration is the configuration that operators wrote, whole.
@@ -27,6 +28,34 @@
 	Routes  []Route
 	Caps    map[ServiceID]int // flows that one upstream of the service may hold
 	Idle    time.Duration     // a flow idle for longer may be forgotten
+	// ColdRates are the requests a second that one upstream of the service bears while it is cold;
+	// services without a limit are left out.
+	ColdRates map[ServiceID]float64
+}
+
+// SetColdRate notes what a cold upstream of the service bears; 0: no limit.
+func (d *Declaration) SetColdRate(s ServiceID, perSecond float64) {
+	if perSecond <= 0 {
+		return
+	}
+	if d.ColdRates == nil {
+		d.ColdRates = map[ServiceID]float64{}
+	}
+	d.ColdRates[s] = perSecond
+}
+
+// Evacuation is what the operators want of a data centre as of a revision: that its upstreams get no
+// new flows, or, withdrawn, that they do again. Without one they do.
+type Evacuation struct {
+	DataCentre DataCentreID
+	Revision   Version // of the request, or of its withdrawal
+	Withdrawn  bool
+}
+
+// Supersedes tells whether the state is later than the other one of the same data centre. A request
+// and its withdrawal may bear one revision, since an object's last one is named when it is deleted.
+func (e Evacuation) Supersedes(o Evacuation) bool {
+	return e.Revision > o.Revision || e.Revision == o.Revision && e.Withdrawn && !o.Withdrawn
 }
 
 // Target is the number by which a datagram names one life of an upstream, so that whoever
--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -30,33 +31,46 @@
 type offers struct {
 	own       pick // in this data centre
 	ownFull   pick // there, but one more flow would be answered late
+	ownSpare  pick // there, and cold: it bears one more flow now
 	other     pick // in another data centre
 	otherFull pick
 	last      pick // ejected, or the one that is left out
 }
 
+// Excluded counts upstreams that might not get a flow, by why.
+type Excluded [stoatfilter.VerdictCount]int
+
 // choose returns the upstream for a new flow and whether it may get one, or nil when there is
-// none. except is left out as long as there is another one.
+// none, and what was left out. except is left out as long as there is another one.
 //
+// Which upstreams may get it at all is decided before (stoatfilter); of these the best one is chosen.
 // The own data centre goes first, and in it those that would answer in time: the one with the
 // least load may be full for all entries while another one is not. Where none would, the flow is
 // refused: sent to another data centre, it fills that one next when all have too much. Ejected
 // upstreams are the last resort: if all are ejected the evidence speaks of this entry's network
 // rather than of them.
-func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) (*stoatroute.Upstream, bool) {
+func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) (*stoatroute.Upstream, bool, Excluded) {
 	var o offers
+	var excluded Excluded
 	patience := e.handshake.patience()
 	for _, u := range t.Service(e.backend(r)) {
 		h := e.healthOf(u)
 		if u.Cap > 0 && h.flows >= u.Cap {
 			continue
 		}
+		v := e.filter.Open(now, t, r, u, h.coldLoad(now, u))
+		if v > stoatfilter.Spare {
+			excluded[v]++
+			continue
+		}
 		// The order of equals must differ from entry to entry, or all would start with the same.
 		cost := h.cost(now, u, patience) * (1 + jitter*e.rnd.Float64())
 		full := !admits(now, h, r)
 		switch home := u.DataCentre == e.cfg.DataCentre; {
 		case h.isEjected(now) || u.Key == except:
 			o.last.offer(u, h, cost)
+		case v == stoatfilter.Spare:
+			o.ownSpare.offer(u, h, cost)
 		case home && full:
 			o.ownFull.offer(u, h, cost)
 		case home:
@@ -67,7 +81,8 @@
 			o.other.offer(u, h, cost)
 		}
 	}
-	return o.best(now, patience)
+	up, admitted := o.best(now, patience)
+	return up, admitted, excluded
 }
 
 // best returns the upstream to use, and whether it may get the flow.
@@ -77,6 +92,8 @@
 		return o.other.up, true
 	case o.own.up != nil:
 		return o.own.up, true
+	case o.ownSpare.up != nil:
+		return o.ownSpare.up, true
 	case o.ownFull.up != nil:
 		return o.ownFull.up, false
 	case o.other.up != nil:
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -14,6 +15,7 @@
 type Config struct {
 	DataCentre stoatpaddle.DataCentreID
 	Start      time.Time
+	Regions    stoatfilter.Regions
 	MaxFlows   int // remembered at once
 	Seed       uint64
 }
@@ -57,6 +59,8 @@
 	Busy  int
 	Mean  time.Duration
 	Bound time.Duration
+	// Excluded counts the upstreams that might not get the flow, where it was refused.
+	Excluded Excluded
 	// Ejected is the upstream that gets no flows for a while, on the packet's evidence, or nil.
 	Ejected *stoatroute.Upstream
 	Silence time.Duration // of Ejected
@@ -93,6 +97,7 @@
 // Engine decides for one entry. One goroutine uses it at a time.
 type Engine struct {
 	cfg      Config
+	filter   stoatfilter.Filter
 	health   map[stoatpaddle.UpstreamKey]*health // of upstreams that this entry met
 	flows    map[stoatpacket.Tuple]*flow
 	unproven map[stoatpaddle.UpstreamKey]time.Time // since when a cookie waits for proof
@@ -124,12 +129,15 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*group{}, sizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*group{}, sizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
 		unproven: map[stoatpaddle.UpstreamKey]time.Time{}, last: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
 }
 
+// SetRegions replaces the regions of data centres.
+func (e *Engine) SetRegions(r stoatfilter.Regions) { e.filter.Regions = r }
+
 // Stats returns what was done so far.
 func (e *Engine) Stats() Stats {
 	s := e.stats
@@ -220,7 +228,7 @@
 	var except stoatpaddle.UpstreamKey
 	if f := e.flows[p.Tuple]; f != nil && f.opening && p.Copies > 0 {
 		u := t.Upstream(f.key)
-		if e.sameAgain(now, u, f, &a) {
+		if e.sameAgain(now, t, r, u, f, &a) {
 			return Action{Verdict: Forward, Upstream: u}
 		}
 		except, a.Moved = f.key, true
@@ -229,8 +237,9 @@
 	if p.Copies == 0 {
 		except = e.refusedBefore(now, p)
 	}
-	u, admitted := e.choose(now, t, r, except)
+	u, admitted, excluded := e.choose(now, t, r, except)
 	if a.Upstream = u; u == nil {
+		a.Excluded = excluded
 		return e.refuse(a, stoatpacket.DropNoUpstream)
 	}
 	h := e.healthOf(u)
@@ -244,6 +253,8 @@
 		e.stats.Moved++
 	}
 	e.stats.Opened++
+	h.taken = now
+	h.group.load.opened(now)
 	if len(e.flows) < e.cfg.MaxFlows {
 		h.opened(now)
 		e.flows[p.Tuple] = &flow{key: a.Upstream.Key, seen: now, opening: true}
@@ -285,8 +296,8 @@
 // sameAgain tells whether the copy of an opening goes where the one before went. A sign of
 // life since then says that the packet was lost, not the upstream: at another one the flow
 // would be open twice, and the caller's packets would bring either cookie.
-func (e *Engine) sameAgain(now time.Time, u *stoatroute.Upstream, f *flow, a *Action) bool {
-	if u == nil || !u.Opens() {
+func (e *Engine) sameAgain(now time.Time, t *stoatroute.Table, r *stoatroute.Route, u *stoatroute.Upstream, f *flow, a *Action) bool {
+	if u == nil || !u.Opens() || e.filter.Allowed(t, r, u) != stoatfilter.Eligible {
 		return false
 	}
 	if now.Sub(f.seen) < repeatLeast {
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -31,6 +31,38 @@
 	usual      leastMean
 	inProgress int     // openings and requests from here
 	refused    float64 // share of openings of late that were refused for overload
+	load       flowLoad
+}
+
+// flowLoadAge is the time in which what is known of flows fades to a third: some times as long as
+// upstreams are cold after a start, since few flows open in a quiet time.
+const flowLoadAge = 10 * time.Second
+
+// flowLoad follows how many requests come for each flow that opens.
+type flowLoad struct {
+	flows, requests float64
+	at              time.Time
+}
+
+func (l *flowLoad) fade(now time.Time) {
+	f := math.Exp(-float64(now.Sub(l.at)) / float64(flowLoadAge))
+	l.flows, l.requests, l.at = f*l.flows, f*l.requests, now
+}
+
+func (l *flowLoad) opened(now time.Time) {
+	l.fade(now)
+	l.flows++
+}
+
+func (l *flowLoad) asked(now time.Time) {
+	l.fade(now)
+	l.requests++
+}
+
+// perFlow is how many requests come for each flow that opens: long flows ask again and again.
+func (l *flowLoad) perFlow(now time.Time) float64 {
+	l.fade(now)
+	return math.Max(1, l.requests/math.Max(1, l.flows))
 }
 
 // decided notes what became of an opening.
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -73,6 +74,7 @@
 	preferOthers time.Time // until when new flows prefer others, since another entry waits for it
 	together     bool      // its ejection follows from what the data centre saw together
 	group        *group    // of the upstreams that share a load with it
+	taken        time.Time // when it last got a flow from here
 	renewed      time.Time // when it was heard of that the upstream started again; zero: it did not
 }
 
@@ -215,6 +217,7 @@
 	}
 	h.busy++
 	h.group.inProgress++
+	h.group.load.asked(now)
 }
 
 // openingEnded notes that an opening does not wait any more.
@@ -239,6 +242,14 @@
 	h.usual.add(took, latencyWeight)
 }
 
+// coldLoad is what a new flow would ask of the upstream, where a limit asks for it.
+func (h *health) coldLoad(now time.Time, u *stoatroute.Upstream) stoatfilter.Load {
+	if u.ColdRate == 0 || !now.Before(u.Warm) {
+		return stoatfilter.Load{}
+	}
+	return stoatfilter.Load{Requests: h.group.load.perFlow(now), Taken: h.taken}
+}
+
 // load is the part of the upstream's slots that this entry has taken.
 func (h *health) load(u *stoatroute.Upstream) float64 {
 	return float64(h.busy+h.opening) / float64(max(1, u.Slots))
--- a/stoatedge/apply.go
+++ b/stoatedge/apply.go
@@ -17,6 +17,10 @@
 		switch {
 		case c.fault != nil:
 			k.log(EventInvalid, stoatevent.F("object", c.name), stoatevent.F("revision", c.revision.String()), stoatevent.F("cause", c.fault.Error()))
+			if t == evacuations && c.name != "" {
+				// The request is the name: what else is in it says nothing.
+				k.evacuate(stoatpaddle.Evacuation{DataCentre: stoatpaddle.DataCentreID(c.name), Revision: c.revision}, source)
+			}
 			if t == upstreams && k.book.Spoil(stoatpaddle.UpstreamID(c.name), c.revision) {
 				k.standing(stoatpaddle.UpstreamID(c.name), "its entry cannot be read")
 			}
@@ -25,6 +29,8 @@
 				k.log(EventDeclared, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
 					stoatevent.F("routes", countOf(len(c.declaration.Routes))), stoatevent.F("source", source))
 			}
+		case c.evacuation != nil:
+			k.evacuate(*c.evacuation, source)
 		case c.gone && t == upstreams && k.unwatched:
 			if k.book.Lapse(now, stoatpaddle.UpstreamID(c.name), c.revision) {
 				k.standing(stoatpaddle.UpstreamID(c.name), "registration ended while nobody watched")
@@ -39,6 +45,21 @@
 	}
 }
 
+// evacuate takes in what operators want of a data centre.
+func (k *keeper) evacuate(e stoatpaddle.Evacuation, source string) {
+	if k.book.Evacuate(e) {
+		k.logEvacuation(e, source)
+	}
+}
+
+func (k *keeper) logEvacuation(e stoatpaddle.Evacuation, source string) {
+	entry := EventEvacuated
+	if e.Withdrawn {
+		entry = EventTakenBack
+	}
+	k.log(entry, stoatevent.F("centre", string(e.DataCentre)), stoatevent.F("revision", e.Revision.String()), stoatevent.F("source", source))
+}
+
 // register takes in what an upstream says about itself.
 func (k *keeper) register(now time.Time, c *change, source string) {
 	before, _ := k.book.Registered(c.registration.ID)
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -57,7 +57,7 @@
 	EventReset = stoatevent.Register(stoatevent.Entry{
 		Number: 1411, Severity: stoatevent.Info, Since: "0.2",
 		Title: "flow reset",
-		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it), gone (the platform says that its upstream has ended; waited says that its caller waited for an answer, and no packet of the flow was needed), overload (the mean answer of the best upstream is over bound, so that it would be late), young (no configuration yet).",
+		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it; evacuated, outside and cold count those that might not get it: their data centre is evacuated, it is in no region that the route allows, they are cold and bear no more), gone (the platform says that its upstream has ended; waited says that its caller waited for an answer, and no packet of the flow was needed), overload (the mean answer of the best upstream is over bound, so that it would be late), young (no configuration yet).",
 	})
 	EventDropped = stoatevent.Register(stoatevent.Entry{
 		Number: 1412, Severity: stoatevent.Info, Since: "0.2",
@@ -122,7 +122,17 @@
 	EventSilent = stoatevent.Register(stoatevent.Entry{
 		Number: 1430, Severity: stoatevent.Warning, Since: "0.5",
 		Title: "upstream answers nobody in this data centre, and gets no flows for a while",
-		Text:  "So many entries wait for it in vain, the second of them for as long as silence says, and none had a sign of it since. Each entry of the data centre decides so by itself within some tens of milliseconds. Waiting flows are reset, where a request may run twice. A sign of life at any entry ends it. SP1407 gone follows if the upstream is dead; look at the network between this data centre and the upstream if it does not.",
+		Text:  "So many entries wait for it in vain, the second of them for as long as silence says, and none had a sign of it since. Each entry of the data centre decides so by itself within some tens of milliseconds. Open flows go on; waiting counts the requests from here that wait there. A sign of life at any entry ends it. SP1407 gone follows if the upstream is dead; look at the network between this data centre and the upstream if it does not.",
+	})
+	EventEvacuated = stoatevent.Register(stoatevent.Entry{
+		Number: 1431, Severity: stoatevent.Warning, Since: "0.6",
+		Title: "data centre is evacuated",
+		Text:  "Operators want that its upstreams get nothing new: from now on no flow opens there from this entry, also if nothing else is left. Open flows go on; stoatpaddle_centre_flows says how many this entry still sees. Revision is the platform's; source says who brought it.",
+	})
+	EventTakenBack = stoatevent.Register(stoatevent.Entry{
+		Number: 1432, Severity: stoatevent.Info, Since: "0.6",
+		Title: "evacuation of a data centre is withdrawn",
+		Text:  "Its upstreams get new flows again at once; those that say they are cold get no more than the service's limit allows.",
 	})
 	EventUnreported = stoatevent.Register(stoatevent.Entry{
 		Number: 1428, Severity: stoatevent.Info, Since: "0.3",
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -78,7 +78,7 @@
 		set: cfg.Settings, group: group, ctx: ctx, cancel: cancel,
 		log:      newEventLog(cfg.Log, cfg.Settings),
 		store:    platform.NewStore(cfg.Settings.Platform),
-		engine:   stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Start: now, Seed: seed}),
+		engine:   stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Start: now, Seed: seed}),
 		callers:  cfg.Settings.Tunnel.Port(),
 		own:      cfg.Settings.Tunnel.Addr(),
 		events:   newMailbox(),
@@ -98,11 +98,11 @@
 		return nil, err
 	}
 	k := newKeeper(keeperConfig{
-		Apply: e.set.Bound(), Return: e.set.Return, Life: e.set.Life, Seeds: namedSeeds(e.set), Seed: seed,
+		Apply: e.set.Bound(), Evacuate: e.set.Evacuate, Return: e.set.Return, Life: e.set.Life, Seeds: namedSeeds(e.set), Seed: seed,
 	})
 	e.group.Go(func() error { return e.control(k) })
 	e.log.emit(now, EventStart, stoatevent.F("tunnel", e.set.Tunnel.String()), stoatevent.F("centre", string(e.set.DataCentre)),
-		stoatevent.F("platform", e.set.Platform.String()), stoatevent.F("apply", e.set.Apply.String()))
+		stoatevent.F("platform", e.set.Platform.String()), stoatevent.F("apply", e.set.Apply.String()), stoatevent.F("evacuate", e.set.Evacuate.String()))
 	e.serve()
 	e.post(started{})
 	e.waitForTable()
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -18,10 +18,11 @@
 const (
 	declarations topic = iota
 	upstreams
+	evacuations
 	topicCount
 )
 
-func (t topic) String() string { return [...]string{"configuration", "upstreams"}[t] }
+func (t topic) String() string { return [...]string{"configuration", "upstreams", "evacuations"}[t] }
 
 // change is one object that an answer brought, decoded.
 type change struct {
@@ -30,6 +31,7 @@
 	gone         bool
 	declaration  *stoatpaddle.Declaration
 	registration *stoatpaddle.Registration
+	evacuation   *stoatpaddle.Evacuation
 	fault        error // why it cannot be used
 }
 
@@ -52,14 +54,15 @@
 	// date (negative: never), known the revision up to which it knows everything. With
 	// whole, upstreams has all there are, otherwise what changed.
 	told struct {
-		serial    int
-		from      string
-		path      []netip.AddrPort // from a reader to the parent
-		known     stoatpaddle.Version
-		age       time.Duration
-		whole     bool
-		amendment *amendment // of the declaration, if it changed
-		upstreams []stoatroute.Told
+		serial      int
+		from        string
+		path        []netip.AddrPort // from a reader to the parent
+		known       stoatpaddle.Version
+		age         time.Duration
+		whole       bool
+		amendment   *amendment // of the declaration, if it changed
+		upstreams   []stoatroute.Told
+		evacuations []stoatpaddle.Evacuation
 	}
 	// parted reports the end of a search that found nobody, or of a parent's telling.
 	parted struct {
@@ -72,8 +75,8 @@
 	doubted struct{}
 	// rebound carries changed bounds.
 	rebound struct {
-		apply, back, life time.Duration
-		seeds             naming
+		apply, evacuate, back, life time.Duration
+		seeds                       naming
 	}
 )
 
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -59,8 +59,8 @@
 // rebind takes in which entries the settings name.
 func (k *keeper) rebind(n naming) {
 	k.follow.others, k.follow.allowed = n.others, n.follows()
-	for _, f := range k.feeds {
-		f.SetStart(n.follows(), n.self)
+	for _, t := range k.topics {
+		k.feeds[t].SetStart(n.follows(), n.self)
 	}
 	if !n.follows() && !k.reading {
 		k.read("the settings changed")
@@ -142,11 +142,11 @@
 	// The word of one that is out of touch, or that only helps out a seed, says nothing
 	// about what lapsed in an outage: that stays to be found out.
 	enough := later && f.allowed && k.relies(now)
-	for _, f := range k.feeds {
+	for _, t := range k.topics {
 		if enough {
-			f.Adopt(x.known)
+			k.feeds[t].Adopt(x.known)
 		} else {
-			f.Heard(x.known)
+			k.feeds[t].Heard(x.known)
 		}
 	}
 	if enough && k.reading {
@@ -163,6 +163,9 @@
 	if x.amendment != nil {
 		k.amend(now, x)
 	}
+	for _, ev := range x.evacuations {
+		k.evacuate(ev, x.from)
+	}
 	for _, id := range k.book.Mirror(now, stoatroute.Telling{Upstreams: x.upstreams, Whole: x.whole, Later: later}) {
 		k.newcomer(id, x.from)
 	}
@@ -194,8 +197,8 @@
 // rely ends reading the platform. The calls under way are given up; what they bring is older
 // than what the parent tells next.
 func (k *keeper) rely() {
-	k.reading, k.parked, k.unwatched = false, false, false
-	for t := range topicCount {
+	k.reading, k.parked, k.unwatched = false, [topicCount]bool{}, false
+	for _, t := range k.topics {
 		if k.pending[t] {
 			k.stale[t] = true
 			k.do(interrupt{topic: t})
@@ -206,10 +209,14 @@
 // read begins to read the platform, exactly and at once. The first question finds out whether
 // it answers this entry at all: in an outage each one is paid for by each entry.
 func (k *keeper) read(why string) {
-	k.reading, k.parked, k.unwatched = true, true, true
+	k.reading, k.unwatched = true, true
 	k.log(EventReads, stoatevent.F("why", why), stoatevent.F("parent", k.follow.parent))
-	for _, f := range k.feeds {
-		f.Doubt()
+	for _, t := range k.topics {
+		k.parked[t] = t != declarations
+		// A replica's word on evacuations has to reach what the exact answer about the configuration says.
+		if t != evacuations {
+			k.feeds[t].Doubt()
+		}
 	}
 	if !k.pending[declarations] {
 		k.ask(declarations)
@@ -263,7 +270,7 @@
 		k.follow.fresh = k.follow.fresh.Add(-gap)
 	}
 	if k.reading {
-		for t := range topicCount {
+		for _, t := range []topic{declarations, upstreams} {
 			k.doubt(t)
 		}
 	}
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -22,6 +22,7 @@
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
 type keeper struct {
 	book    *stoatroute.Book
+	topics  []topic // that are followed
 	feeds   [topicCount]*stoatfeed.Feed
 	reading bool             // the platform is asked; otherwise the parent tells
 	pending [topicCount]bool // a call is under way
@@ -30,10 +31,9 @@
 	// unwatched is set until the first answer about upstreams once this entry reads again: what
 	// ended meanwhile may have lapsed in an outage of which it noticed nothing.
 	unwatched bool
-	answers   bool                            // the platform does, as last said to touched
-	parked    bool                            // upstreams are not asked for until the other topic is answered
-	listed    map[stoatpaddle.UpstreamID]bool // names in the pages of the list under way
-	nameless  bool                            // an object in these pages has a name that cannot be read
+	answers   bool             // the platform does, as last said to touched
+	parked    [topicCount]bool // it is not asked about until the configuration is answered
+	pages     [topicCount]pages
 	follow    follower
 	bound     time.Duration // how soon a change has to be in force
 	open      *proof        // not matched yet
@@ -47,21 +47,33 @@
 }
 
 type keeperConfig struct {
-	Apply  time.Duration
-	Return time.Duration
-	Life   time.Duration
-	Seeds  naming
-	Seed   uint64
+	Apply time.Duration
+	// Evacuate is how soon an evacuation has to be in force; 0: the platform has none to follow.
+	Evacuate time.Duration
+	Return   time.Duration
+	Life     time.Duration
+	Seeds    naming
+	Seed     uint64
+}
+
+// pages are what the pages of the list under way hold.
+type pages struct {
+	names    map[string]bool
+	nameless bool // an object in them has a name that cannot be read
 }
 
 func newKeeper(cfg keeperConfig) *keeper {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
 	k := &keeper{
-		bound: cfg.Apply, rnd: rnd, reading: true,
-		book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life}),
+		bound: cfg.Apply, rnd: rnd, reading: true, topics: []topic{declarations, upstreams},
+		book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life, Evacuations: cfg.Evacuate > 0}),
+	}
+	if cfg.Evacuate > 0 {
+		k.topics = append(k.topics, evacuations)
 	}
 	k.feeds[declarations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd})
 	k.feeds[upstreams] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
+	k.feeds[evacuations] = stoatfeed.New(stoatfeed.Config{Bound: min(cfg.Apply, cfg.Evacuate), Rand: rnd, Stale: true})
 	k.rebind(cfg.Seeds)
 	return k
 }
@@ -72,8 +84,9 @@
 	switch x := ev.(type) {
 	case started:
 		k.heard = now
-		k.ask(declarations)
-		k.ask(upstreams)
+		for _, t := range k.topics {
+			k.ask(t)
+		}
 		if k.wantsParent(now) {
 			k.seek(now)
 		}
@@ -92,10 +105,11 @@
 	case rebound:
 		k.bound = x.apply
 		k.rebind(x.seeds)
-		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life})
-		for _, f := range k.feeds {
-			f.SetBound(x.apply)
+		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life, Evacuations: len(k.topics) > int(evacuations)})
+		for _, t := range k.topics {
+			k.feeds[t].SetBound(x.apply)
 		}
+		k.feeds[evacuations].SetBound(min(x.apply, x.evacuate))
 	}
 	k.publish()
 	k.tell()
@@ -110,7 +124,10 @@
 		k.do(touched{answers: answers})
 	}
 	if k.ready {
-		k.known = min(k.feeds[declarations].Revision(), k.feeds[upstreams].Revision())
+		k.known = k.feeds[declarations].Revision()
+		for _, t := range k.topics {
+			k.known = min(k.known, k.feeds[t].Revision())
+		}
 	}
 	now := stands{known: k.known, path: k.follow.path, reads: reads, asOf: k.asOf()}
 	if !now.same(&k.said) {
@@ -159,8 +176,8 @@
 
 // failing tells since when one of the feeds got no answer.
 func (k *keeper) failing() time.Time {
-	for _, f := range k.feeds {
-		if !f.Failing().IsZero() {
+	for _, t := range k.topics {
+		if f := k.feeds[t]; !f.Failing().IsZero() {
 			return f.Failing()
 		}
 	}
@@ -207,47 +224,77 @@
 	k.next(x.topic)
 }
 
-// next asks about a topic again. While the platform answers neither, one question at a
+// next asks about a topic again. While the platform answers none, one question at a
 // time finds out that it is back: each is paid for.
 func (k *keeper) next(t topic) {
 	if !k.reading {
 		return
 	}
-	if t == upstreams && (k.parked || k.lost(upstreams) && k.lost(declarations)) {
-		k.parked = true
+	if t != declarations && (k.parked[t] || k.lost(t) && k.lost(declarations)) {
+		k.parked[t] = true
 		return
 	}
 	k.ask(t)
-	if k.parked && k.feeds[declarations].Failing().IsZero() {
-		k.parked = false
-		if !k.pending[upstreams] {
-			k.ask(upstreams)
+	if !k.feeds[declarations].Failing().IsZero() {
+		return
+	}
+	for _, t := range k.topics {
+		if !k.parked[t] {
+			continue
+		}
+		k.parked[t] = false
+		if !k.pending[t] {
+			k.ask(t)
 		}
 	}
 }
 
 func (k *keeper) lost(t topic) bool { return k.feeds[t].Lost() }
 
-// complete compares a finished list of upstreams with what was known.
+// complete compares a finished list with what was known.
 func (k *keeper) complete(now time.Time, x ended, v stoatfeed.Verdict) {
-	if x.topic != upstreams || !x.call.List {
+	if x.topic == declarations || !x.call.List {
 		return
 	}
-	if x.call.After == "" || k.listed == nil {
-		k.listed, k.nameless = map[stoatpaddle.UpstreamID]bool{}, false
+	p := &k.pages[x.topic]
+	if x.call.After == "" || p.names == nil {
+		*p = pages{names: map[string]bool{}}
 	}
 	for _, c := range x.changes {
-		k.listed[stoatpaddle.UpstreamID(c.name)] = true
-		k.nameless = k.nameless || c.name == ""
+		p.names[c.name] = true
+		p.nameless = p.nameless || c.name == ""
 	}
 	if !v.Complete {
 		return
 	}
+	if x.topic == upstreams {
+		k.listedUpstreams(now, p, v)
+	} else {
+		k.listedEvacuations(p)
+	}
+	*p = pages{}
+}
+
+func (k *keeper) listedUpstreams(now time.Time, p *pages, v stoatfeed.Verdict) {
+	names := make(map[stoatpaddle.UpstreamID]bool, len(p.names))
+	for name := range p.names {
+		names[stoatpaddle.UpstreamID(name)] = true
+	}
 	// What the list lacks may be the object without a name: it is given time to come back.
-	for _, id := range k.book.Listed(now, k.listed, v.Away || k.unwatched || k.nameless) {
+	for _, id := range k.book.Listed(now, names, v.Away || k.unwatched || p.nameless) {
 		k.standing(id, "not in the list")
 	}
-	k.listed = nil
+}
+
+func (k *keeper) listedEvacuations(p *pages) {
+	names := make(map[stoatpaddle.DataCentreID]bool, len(p.names))
+	for name := range p.names {
+		names[stoatpaddle.DataCentreID(name)] = true
+	}
+	// The list is as of the revision of its first page, which the feed knows now.
+	for _, d := range k.book.EvacuationsListed(names, k.feeds[evacuations].Revision()) {
+		k.logEvacuation(stoatpaddle.Evacuation{DataCentre: d, Revision: k.feeds[evacuations].Revision(), Withdrawn: true}, "not in the list")
+	}
 }
 
 // prove notes until when the view is proven up to date: by an exact answer about the
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
@@ -103,11 +106,13 @@
 	e.engineMu.Lock()
 	list := e.engine.InProgress(clock())
 	e.engineMu.Unlock()
+	flows := map[stoatpaddle.DataCentreID]int{}
 	for _, x := range list {
 		u := t.Upstream(x.Upstream)
 		if u == nil {
 			continue
 		}
+		flows[u.DataCentre] += x.Flows
 		label := fmt.Sprintf("{upstream=%q,service=%q}", u.ID, u.Service)
 		ejected, failing := 0, 0
 		if x.Ejected {
@@ -121,4 +126,11 @@
 			"stoatpaddle_upstream_answer_mean_seconds%s %g\nstoatpaddle_upstream_ejected%s %d\nstoatpaddle_upstream_failing%s %d\n",
 			label, x.Flows, label, x.Requests, label, x.Mean.Seconds(), label, ejected, label, failing)
 	}
+	for _, d := range slices.Sorted(maps.Keys(flows)) {
+		evacuated := 0
+		if t.Evacuated(d) {
+			evacuated = 1
+		}
+		_, _ = fmt.Fprintf(w, "stoatpaddle_centre_flows{centre=%q} %d\nstoatpaddle_centre_evacuated{centre=%q} %d\n", d, flows[d], d, evacuated)
+	}
 }
--- a/stoatedge/news.go
+++ b/stoatedge/news.go
@@ -30,6 +30,14 @@
 	Names     []string // of services and data centres, which others name by their place here
 	Declared  *wireDeclared
 	Upstreams []wireHeld
+	Evacuated []wireEvacuation
+}
+
+type wireEvacuation struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Centre    int
+	Revision  uint64
+	Withdrawn bool
 }
 
 // wireDeclared is a declaration, or how it differs from the one with version Base.
@@ -52,6 +60,7 @@
 	Repeat   bool  // its requests may run twice
 	AimMS    int64 // objective
 	Priority int
+	Regions  []int // those that it allows
 }
 
 type wireBackend struct {
@@ -64,6 +73,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Service  int
 	Flows    int
+	Cold     float64 // requests a second while cold; 0: no limit
 }
 
 type wireHeld struct {
@@ -133,6 +143,9 @@
 			Standing: uint8(u.Standing), ColdMS: max(0, u.Warm.Sub(now).Milliseconds()), Life: uint64(r.Incarnation),
 		})
 	}
+	for _, ev := range t.EvacuationsSince(child.change) {
+		w.Evacuated = append(w.Evacuated, wireEvacuation{Centre: n.of(string(ev.DataCentre)), Revision: uint64(ev.Revision), Withdrawn: ev.Withdrawn})
+	}
 	w.Names = n.list
 	return w
 }
@@ -153,7 +166,7 @@
 		w.Base, routes, removed = 0, d.Routes, nil
 	}
 	for s, flows := range d.Caps {
-		w.Caps = append(w.Caps, wireCap{Service: n.of(string(s)), Flows: flows})
+		w.Caps = append(w.Caps, wireCap{Service: n.of(string(s)), Flows: flows, Cold: d.ColdRates[s]})
 	}
 	for _, listen := range removed {
 		w.Removed = append(w.Removed, packAddr(listen))
@@ -162,6 +175,9 @@
 	for i := range routes {
 		r := &routes[i]
 		out := wireRoute{Listen: packAddr(r.Listen), Repeat: r.Idempotent, AimMS: r.Objective.Milliseconds(), Priority: r.Priority}
+		for _, region := range r.Regions {
+			out.Regions = append(out.Regions, n.of(string(region)))
+		}
 		for _, b := range r.Backends {
 			out.Backends = append(out.Backends, wireBackend{Service: n.of(string(b.Service)), Weight: uint32(b.Weight)})
 		}
@@ -261,6 +277,11 @@
 	for i := range w.Upstreams {
 		x.upstreams = append(x.upstreams, r.held(&w.Upstreams[i]))
 	}
+	for _, ev := range w.Evacuated {
+		x.evacuations = append(x.evacuations, stoatpaddle.Evacuation{
+			DataCentre: stoatpaddle.DataCentreID(r.name(ev.Centre)), Revision: stoatpaddle.Version(ev.Revision), Withdrawn: ev.Withdrawn,
+		})
+	}
 	if r.err != nil {
 		return told{}, r.err
 	}
@@ -291,7 +312,9 @@
 		},
 	}
 	for _, c := range w.Caps {
-		a.declaration.Caps[stoatpaddle.ServiceID(r.name(c.Service))] = c.Flows
+		service := stoatpaddle.ServiceID(r.name(c.Service))
+		a.declaration.Caps[service] = c.Flows
+		a.declaration.SetColdRate(service, c.Cold)
 	}
 	for _, b := range w.Removed {
 		a.removed = append(a.removed, r.addr(b))
@@ -301,6 +324,9 @@
 		route := stoatpaddle.Route{
 			Listen: r.addr(x.Listen), Idempotent: x.Repeat, Priority: x.Priority, Objective: time.Duration(x.AimMS) * time.Millisecond,
 		}
+		for _, place := range x.Regions {
+			route.Regions = append(route.Regions, stoatpaddle.RegionID(r.name(place)))
+		}
 		for _, b := range x.Backends {
 			route.Backends = append(route.Backends, stoatpaddle.Backend{Service: stoatpaddle.ServiceID(r.name(b.Service)), Weight: stoatpaddle.Weight(b.Weight)})
 		}
--- a/stoatedge/proof.go
+++ b/stoatedge/proof.go
@@ -8,9 +8,9 @@
 
 // proof says which revision the platform had at a time.
 //
-// Replicas cost a tenth and count toward no rate, but may be seconds behind. Of the two
-// topics one is asked exactly: its answer says which revision the platform had, and the
-// replica that tells of the other topic has to reach it.
+// Replicas cost a tenth and count toward no rate, but may be seconds behind. Of the topics one is
+// asked exactly, the configuration: its answer says which revision the platform had, and the
+// replicas that tell of the others have to reach it.
 type proof struct {
 	asOf time.Time
 	rev  stoatpaddle.Version
@@ -33,8 +33,8 @@
 	if k.open == nil {
 		return
 	}
-	for _, f := range k.feeds {
-		if f.Revision() < k.open.rev {
+	for _, t := range k.topics {
+		if k.feeds[t].Revision() < k.open.rev {
 			return
 		}
 	}
@@ -48,10 +48,10 @@
 		return
 	}
 	k.open.hurried = true
-	for t, f := range k.feeds {
-		if f.Revision() < k.open.rev {
+	for _, t := range k.topics {
+		if f := k.feeds[t]; f.Revision() < k.open.rev {
 			f.Hurry()
-			k.nudge(topic(t))
+			k.nudge(t)
 		}
 	}
 }
--- a/stoatedge/reload.go
+++ b/stoatedge/reload.go
@@ -1,6 +1,7 @@
 package stoatedge
 
 import (
+	"maps"
 	"strings"
 
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
@@ -23,7 +24,10 @@
 	}
 	e.set = next
 	e.log.level(next.Level)
-	e.post(rebound{apply: next.Bound(), back: next.Return, life: next.Life, seeds: namedSeeds(next)})
+	e.engineMu.Lock()
+	e.engine.SetRegions(next.Regions)
+	e.engineMu.Unlock()
+	e.post(rebound{apply: next.Bound(), evacuate: next.Evacuate, back: next.Return, life: next.Life, seeds: namedSeeds(next)})
 	e.log.emit(now, EventReload, stoatevent.F("applied", strings.Join(applied, ",")), stoatevent.F("kept", strings.Join(kept, ",")))
 }
 
@@ -46,6 +50,12 @@
 	apply("log.level", old.Level != next.Level, func() { out.Level = next.Level })
 	apply("platform.apply", old.Apply != next.Apply, func() { out.Apply = next.Apply })
 	apply("platform.leave", old.Leave != next.Leave, func() { out.Leave = next.Leave })
+	// Whether evacuations are followed at all is settled at the start: one that comes to follow them
+	// would know none until it has read them, and send flows where none may go.
+	follows := old.Evacuate > 0 && next.Evacuate > 0
+	apply("platform.evacuate", follows && old.Evacuate != next.Evacuate, func() { out.Evacuate = next.Evacuate })
+	keep("platform.evacuate", !follows && old.Evacuate != next.Evacuate)
+	apply("regions", !maps.Equal(old.Regions, next.Regions), func() { out.Regions = next.Regions })
 	apply("platform.return", old.Return != next.Return, func() { out.Return = next.Return })
 	apply("flow.life", old.Life != next.Life, func() { out.Life = next.Life })
 	apply("stop.deadline", old.Stop != next.Stop, func() { out.Stop = next.Stop })
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -72,10 +72,7 @@
 }
 
 func kindOf(t topic) string {
-	if t == declarations {
-		return platform.KindConfig
-	}
-	return platform.KindUpstream
+	return [...]string{platform.KindConfig, platform.KindUpstream, platform.KindEvacuation}[t]
 }
 
 // call does one call to the platform and reports its end. given is cancelled when the call
@@ -148,6 +145,10 @@
 // readChange decodes one object.
 func readChange(t topic, o *platform.Object, gone bool) change {
 	c := change{name: o.Meta.Name, revision: stoatpaddle.Version(o.Meta.Revision), gone: gone}
+	if t == evacuations && c.name != "" && (gone || o.Fault == nil) {
+		c.evacuation = &stoatpaddle.Evacuation{DataCentre: stoatpaddle.DataCentreID(c.name), Revision: c.revision, Withdrawn: gone}
+		return c
+	}
 	if gone {
 		return c
 	}
@@ -162,7 +163,7 @@
 		}
 		return c
 	}
-	if o.Meta.Name != platform.NameConfig {
+	if t != declarations || o.Meta.Name != platform.NameConfig {
 		return c
 	}
 	d, err := platform.Declaration(o.Spec)
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -8,6 +8,7 @@
 	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -135,6 +136,9 @@
 		if a.Reason == stoatpacket.DropOverload {
 			fields = append(fields, append(loadFields(a), stoatevent.F("bound", a.Bound.Round(time.Millisecond).String()))...)
 		}
+		if a.Reason == stoatpacket.DropNoUpstream {
+			fields = append(fields, excludedFields(&a.Excluded)...)
+		}
 		e.logFlow(now, EventReset, t, a, p, fields...)
 	case stoatecho.Drop:
 		e.logDrop(now, p, a.Reason)
@@ -156,6 +160,17 @@
 	}
 }
 
+// excludedFields say why upstreams might not get a flow.
+func excludedFields(x *stoatecho.Excluded) []stoatevent.Field {
+	var out []stoatevent.Field
+	for v, n := range x {
+		if n > 0 {
+			out = append(out, stoatevent.F(stoatfilter.Verdict(v).String(), strconv.Itoa(n)))
+		}
+	}
+	return out
+}
+
 // loadFields are the load on which a placement or refusal was decided.
 func loadFields(a stoatecho.Action) []stoatevent.Field {
 	return []stoatevent.Field{stoatevent.F("busy", strconv.Itoa(a.Busy)), stoatevent.F("mean", a.Mean.Round(time.Millisecond).String())}
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -13,6 +13,13 @@
 	return &entry{up: Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold), Started: r.Cold > 0}}
 }
 
+// cooled takes in how much longer the upstream says to be cold. One may become cold without a start,
+// as when its data centre was evacuated.
+func (e *entry) cooled(now time.Time, cold time.Duration) {
+	e.up.Warm = now.Add(cold)
+	e.up.Started = e.up.Started || cold > 0
+}
+
 // Config configures a Book; zero values take the defaults.
 type Config struct {
 	// Return is how long after the platform's return a registration that lapsed meanwhile
@@ -21,6 +28,8 @@
 	// Keep is how long an upstream that is gone stays known, and a route the services it
 	// had: as long as a flow lives.
 	Keep time.Duration
+	// Evacuations says that evacuations are to be known before flows are placed.
+	Evacuations bool
 }
 
 const (
@@ -52,8 +61,9 @@
 	follows  bool   // another entry says what becomes of missing registrations
 	changes  uint64 // so many so far
 	altered  uint64 // changes when decl was adopted
-	table    *Table
-	dirty    bool // more than proven changed since table was made
+	evacuations
+	table *Table
+	dirty bool // more than proven changed since table was made
 }
 
 // NewBook returns an empty Book.
@@ -74,7 +84,7 @@
 }
 
 // SetBounds changes the bounds for what is taken in from now on.
-func (b *Book) SetBounds(cfg Config) { b.cfg = cfg.filled() }
+func (b *Book) SetBounds(cfg Config) { b.cfg = cfg.filled(); b.dirty = true }
 
 // KeyOf returns the cookie that names the upstream; 0 names none. Targets of 32 bits map one
 // to one; a hash would let two of 43,000 upstreams share a cookie one time in five.
@@ -122,7 +132,7 @@
 
 func sameRoute(a, b *stoatpaddle.Route) bool {
 	return a.Listen == b.Listen && a.Idempotent == b.Idempotent && a.Priority == b.Priority &&
-		a.Objective == b.Objective && slices.Equal(a.Backends, b.Backends)
+		a.Objective == b.Objective && slices.Equal(a.Backends, b.Backends) && slices.Equal(a.Regions, b.Regions)
 }
 
 // maxDropped bounds the memory of routes that were taken out. Whoever knows less than what is
@@ -308,13 +318,13 @@
 func (b *Book) build() *Table {
 	t := &Table{
 		Declaration: b.decl, Revision: b.revision, Proven: b.proven, Declared: b.declared, Listed: b.listed,
-		Change: b.changes, Altered: b.altered,
+		Change: b.changes, Altered: b.altered, evacuations: b.evacuations.clone(b.cfg.Evacuations),
 		routes: b.routes, dropped: b.dropped, forgot: b.forgot, byKey: make(map[stoatpaddle.UpstreamKey]*Upstream, len(b.ups)),
 		services: map[stoatpaddle.ServiceID][]*Upstream{},
 	}
 	for _, e := range b.ups {
 		u := e.up
-		u.Cap = b.decl.Caps[u.Service]
+		u.Cap, u.ColdRate = b.decl.Caps[u.Service], b.decl.ColdRates[u.Service]
 		t.held = append(t.held, &u)
 		if other := t.byKey[u.Key]; other == nil || older(&u, other) {
 			t.byKey[u.Key] = &u
--- /dev/null
+++ b/stoatroute/evacuation.go
@@ -0,0 +1,78 @@
+package stoatroute
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// evacuations are the data centres of which operators wanted that their upstreams get no new flows.
+//
+// One that was withdrawn stays known, with the revision of its withdrawal: an entry that is behind, or
+// a replica, may still say that it holds. Whoever cannot read the platform keeps what is believed for
+// as long as that lasts: a data centre that is about to lose its power must not get flows again since
+// the platform is away.
+type evacuations struct {
+	states map[stoatpaddle.DataCentreID]evacuationState
+	known  bool // they were listed at least once, or need not be
+}
+
+type evacuationState struct {
+	stoatpaddle.Evacuation
+	change uint64 // the book's count of changes at its last one
+}
+
+func (e evacuations) clone(needed bool) evacuations {
+	return evacuations{states: maps.Clone(e.states), known: e.known || !needed}
+}
+
+// Evacuated tells whether upstreams of the data centre are to get no new flows.
+func (e *evacuations) Evacuated(d stoatpaddle.DataCentreID) bool {
+	s, known := e.states[d]
+	return known && !s.Withdrawn
+}
+
+// EvacuationsSince returns the states that changed after the book's count was that, ascending by data
+// centre.
+func (e *evacuations) EvacuationsSince(change uint64) []stoatpaddle.Evacuation {
+	var out []stoatpaddle.Evacuation
+	for _, s := range e.states {
+		if s.change > change {
+			out = append(out, s.Evacuation)
+		}
+	}
+	slices.SortFunc(out, func(a, b stoatpaddle.Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return out
+}
+
+// Evacuate takes in what operators want of a data centre, and tells whether that changes where flows
+// may go. An earlier state than the known one is ignored, whoever brings it.
+func (b *Book) Evacuate(e stoatpaddle.Evacuation) bool {
+	old, known := b.states[e.DataCentre]
+	if known && !e.Supersedes(old.Evacuation) {
+		return false
+	}
+	if b.states == nil {
+		b.states = map[stoatpaddle.DataCentreID]evacuationState{}
+	}
+	b.changes++
+	b.states[e.DataCentre] = evacuationState{Evacuation: e, change: b.changes}
+	b.dirty = true
+	return e.Withdrawn == (known && !old.Withdrawn)
+}
+
+// EvacuationsListed takes in which data centres a complete list names that is as of a revision. The
+// others are not evacuated any more; it returns those that were.
+func (b *Book) EvacuationsListed(names map[stoatpaddle.DataCentreID]bool, asOf stoatpaddle.Version) []stoatpaddle.DataCentreID {
+	b.known, b.dirty = true, true
+	var lifted []stoatpaddle.DataCentreID
+	for d, s := range b.states {
+		if !names[d] && !s.Withdrawn && b.Evacuate(stoatpaddle.Evacuation{DataCentre: d, Revision: asOf, Withdrawn: true}) {
+			lifted = append(lifted, d)
+		}
+	}
+	slices.Sort(lifted)
+	return lifted
+}
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -46,6 +46,9 @@
 	if !b.listed && b.declared {
 		b.listed, b.dirty = true, true
 	}
+	if !b.known && b.declared {
+		b.known, b.dirty = true, true
+	}
 	if !x.Later {
 		return news
 	}
@@ -74,6 +77,8 @@
 	case LifeOf(&e.up.Registration).compare(LifeOf(&x.Registration)) == laterLife:
 		*e = *newEntry(now, &x.Registration)
 		fresh = true
+	case x.Revision > e.up.Revision:
+		e.cooled(now, x.Cold)
 	}
 	was := e.up.Standing
 	e.up.Registration, e.up.Revision, e.up.Standing = x.Registration, x.Revision, x.Standing
--- a/stoatroute/register.go
+++ b/stoatroute/register.go
@@ -59,6 +59,7 @@
 		return Contradicted
 	case sameLife:
 	}
+	e.cooled(now, r.Cold)
 	b.adopt(e, r, revision, standingOf(&r))
 	if was != e.up.Standing {
 		return Changed
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -30,6 +30,7 @@
 	Key      stoatpaddle.UpstreamKey
 	Standing Standing
 	Cap      int       // flows it may hold; 0: not limited
+	ColdRate float64   // requests a second that it bears while it is cold; 0: not limited
 	Warm     time.Time // when its slow start ends
 	Started  bool      // it was cold when it was first heard of
 	Change   uint64    // the book's count of changes at its last one
@@ -78,6 +79,7 @@
 	Declared bool // there is a declaration
 	Listed   bool // the upstreams were listed at least once
 
+	evacuations
 	routes   map[netip.AddrPort]*Route
 	dropped  map[netip.AddrPort]uint64 // routes taken out of the declaration, and the change that did
 	forgot   uint64                    // the last change whose dropped routes are forgotten
@@ -105,7 +107,7 @@
 }
 
 // Ready tells whether the table is enough to place flows.
-func (t *Table) Ready() bool { return t.Declared && t.Listed }
+func (t *Table) Ready() bool { return t.Declared && t.Listed && t.evacuations.known }
 
 // Since returns the upstreams that changed after the book's count was that, also those that
 // are gone, in any order.
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -27,13 +27,16 @@
 	Metrics    netip.AddrPort   // metrics alone, HTTP; echo fabric only; invalid: none
 	Apply      time.Duration    // how soon a change has to be in force; echo fabric only
 	Leave      time.Duration    // how soon a leaving upstream gets no new flows; echo fabric only; 0: as Apply
-	Share      float64          // the part of a core that this instance has; echo fabric only; 0: not known
-	Life       time.Duration    // how long a flow lives at most; echo fabric only
-	Return     time.Duration    // how long a lapsed registration may take to come back; echo fabric only
-	Dead       time.Duration    // of silence, until a peer counts as dead
-	Level      string
-	Stop       time.Duration // a planned stop takes no longer
-	Settle     time.Duration // how long earlier owners are asked after a change
+	Evacuate   time.Duration    // how soon an evacuation has to be in force; echo fabric only; 0: there are none
+	// Regions are the regions of data centres, for routes that allow only some; echo fabric only.
+	Regions map[stoatpaddle.DataCentreID]stoatpaddle.RegionID
+	Share   float64       // the part of a core that this instance has; echo fabric only; 0: not known
+	Life    time.Duration // how long a flow lives at most; echo fabric only
+	Return  time.Duration // how long a lapsed registration may take to come back; echo fabric only
+	Dead    time.Duration // of silence, until a peer counts as dead
+	Level   string
+	Stop    time.Duration // a planned stop takes no longer
+	Settle  time.Duration // how long earlier owners are asked after a change
 }
 
 // Fabric tells how flows keep to their upstream.
@@ -95,6 +98,8 @@
 		Ready:      listen.AddrPort("ready", defaultReady),
 		Apply:      r.Section("platform").Duration("apply", defaultApply),
 		Leave:      r.Section("platform").Duration("leave", 0),
+		Evacuate:   r.Section("platform").Duration("evacuate", 0),
+		Regions:    regions(r.Section("regions")),
 		Share:      instance.Number("share", 0, 0, maxShare),
 		Link:       instance.Number("link", 0, 0, maxLink),
 		Return:     r.Section("platform").Duration("return", defaultReturn),
@@ -116,6 +121,15 @@
 	return s, nil
 }
 
+// regions reads the region of each data centre.
+func regions(sec *stoatini.Section) map[stoatpaddle.DataCentreID]stoatpaddle.RegionID {
+	out := map[stoatpaddle.DataCentreID]stoatpaddle.RegionID{}
+	for _, centre := range sec.Keys() {
+		out[stoatpaddle.DataCentreID(centre)] = stoatpaddle.RegionID(sec.Word(centre, ""))
+	}
+	return out
+}
+
 // distinct reports listeners that would take each other's address.
 func distinct(sec *stoatini.Section, s Settings) {
 	type listener struct {
--- a/stoatsetting/template_test.go
+++ b/stoatsetting/template_test.go
@@ -27,6 +27,8 @@
 		"{{#limits.cpu_share}}", "", "{{/limits.cpu_share}}", "", "{{limits.cpu_share}}", "0.4",
 		"{{#limits.link_mbps}}", "", "{{/limits.link_mbps}}", "", "{{limits.link_mbps}}", "1000.0",
 		"{{#bounds.drain_ms}}", "", "{{/bounds.drain_ms}}", "", "{{bounds.drain_ms}}", "3000",
+		"{{#bounds.evacuate_ms}}", "", "{{/bounds.evacuate_ms}}", "", "{{bounds.evacuate_ms}}", "5000",
+		"{{#zones}}{{@}} = {{.}}\n{{/zones}}", "ruwi = muscat\nseeb = muscat\n",
 		"{{#seeds.0}}", "", "{{/seeds.0}}", "", "{{seeds}}", "10.1.0.10:8166,10.2.0.40:8166,10.3.0.7:8166",
 		"{{platform.address}}", "10.200.1.7:8169", "{{bounds.config_apply_ms}}", "3000",
 		"{{bounds.grace_s}}", "6", "{{bounds.flow_lifetime_s}}", "60",
@@ -36,7 +38,8 @@
 		t.Errorf("filled in:\n%s", body)
 	}
 	set, err := stoatsetting.Parse("entry.ini", []byte(text))
-	if err != nil || set.Fabric != stoatsetting.FabricEcho || len(set.Seeds) != 3 || set.Share != 0.4 || set.Link != 1000 || set.Bound() != 3*time.Second || !set.Metrics.IsValid() {
+	if err != nil || set.Fabric != stoatsetting.FabricEcho || len(set.Seeds) != 3 || set.Share != 0.4 || set.Link != 1000 || set.Bound() != 3*time.Second || !set.Metrics.IsValid() ||
+		set.Evacuate != 5*time.Second || set.Regions["seeb"] != "muscat" || len(set.Regions) != 2 {
 		t.Errorf("%+v %v", set, err)
 	}
 }
