--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -98,6 +98,7 @@
 type Engine struct {
 	cfg      Config
 	filter   stoatfilter.Filter
+	placing  stoatfilter.Placing
 	health   map[stoatpaddle.UpstreamKey]*health // of upstreams that this entry met
 	flows    map[stoatpacket.Tuple]*flow
 	unproven map[stoatpaddle.UpstreamKey]time.Time // since when a cookie waits for proof
@@ -135,6 +136,12 @@
 	}
 }
 
+// SetPlace takes in this entry's place among those of its data centre.
+func (e *Engine) SetPlace(now time.Time, p stoatfilter.Place) {
+	e.placing.Set(now, p)
+	e.filter.Place = e.placing.At(now)
+}
+
 // SetRegions replaces the regions of data centres.
 func (e *Engine) SetRegions(r stoatfilter.Regions) { e.filter.Regions = r }
 
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -57,13 +57,13 @@
 func (n naming) follows() bool { return n.others && !n.self }
 
 // rebind takes in which entries the settings name.
-func (k *keeper) rebind(n naming) {
+func (k *keeper) rebind(now time.Time, n naming) {
 	k.follow.others, k.follow.allowed = n.others, n.follows()
 	for _, t := range k.topics {
 		k.feeds[t].SetStart(n.follows(), n.self)
 	}
 	if !n.follows() && !k.reading {
-		k.read("the settings changed")
+		k.read(now, "the settings changed")
 	}
 	if !n.others {
 		k.leave("the settings name nobody")
@@ -208,7 +208,7 @@
 
 // read begins to read the platform, exactly and at once. The first question finds out whether
 // it answers this entry at all: in an outage each one is paid for by each entry.
-func (k *keeper) read(why string) {
+func (k *keeper) read(now time.Time, why string) {
 	k.reading, k.unwatched = true, true
 	k.log(EventReads, stoatevent.F("why", why), stoatevent.F("parent", k.follow.parent))
 	for _, t := range k.topics {
@@ -219,14 +219,14 @@
 		}
 	}
 	if !k.pending[declarations] {
-		k.ask(declarations)
+		k.ask(now, declarations)
 	}
 }
 
 // watchParent notices that the parent's word has grown old.
 func (k *keeper) watchParent(now time.Time) {
 	if !k.reading && !k.relies(now) {
-		k.read("the parent's word is old")
+		k.read(now, "the parent's word is old")
 	}
 	if k.wantsParent(now) {
 		k.seek(now)
@@ -265,13 +265,13 @@
 
 // resumed follows a pause of this process, which the steady clock may not have counted: what
 // is believed is older by it.
-func (k *keeper) resumed(gap time.Duration) {
+func (k *keeper) resumed(now time.Time, gap time.Duration) {
 	if !k.follow.fresh.IsZero() {
 		k.follow.fresh = k.follow.fresh.Add(-gap)
 	}
 	if k.reading {
 		for _, t := range []topic{declarations, upstreams} {
-			k.doubt(t)
+			k.doubt(now, t)
 		}
 	}
 }
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -17,6 +17,10 @@
 	// settle is how long a replica may take to bring what a proof shows to exist, and the
 	// platform to answer at the start, before somebody is asked: many times an answer's 4 ms.
 	settle = 150 * time.Millisecond
+	// parentWait is how long an entry that has just started and has its lists leaves the platform alone
+	// while it looks for a parent: the search takes some tens of milliseconds, and a watch that is given
+	// up then is paid for like any other. Its lists are older by that at most, once in a life.
+	parentWait = time.Second
 )
 
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
@@ -39,6 +43,7 @@
 	open      *proof        // not matched yet
 	rnd       *rand.Rand
 	known     stoatpaddle.Version // everything up to it, of both topics, once ready
+	begun     time.Time           // when the entry started
 	heard     time.Time           // when the platform last answered; at first the start
 	ready     bool
 	table     *stoatroute.Table
@@ -74,7 +79,7 @@
 	k.feeds[declarations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd})
 	k.feeds[upstreams] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
 	k.feeds[evacuations] = stoatfeed.New(stoatfeed.Config{Bound: min(cfg.Apply, cfg.Evacuate), Rand: rnd, Stale: true})
-	k.rebind(cfg.Seeds)
+	k.rebind(time.Time{}, cfg.Seeds)
 	return k
 }
 
@@ -83,9 +88,9 @@
 	k.out = nil
 	switch x := ev.(type) {
 	case started:
-		k.heard = now
+		k.begun, k.heard = now, now
 		for _, t := range k.topics {
-			k.ask(t)
+			k.ask(now, t)
 		}
 		if k.wantsParent(now) {
 			k.seek(now)
@@ -99,12 +104,12 @@
 	case parted:
 		k.parted(now, x)
 	case resumed:
-		k.resumed(x.gap)
+		k.resumed(now, x.gap)
 	case doubted:
-		k.doubt(upstreams)
+		k.doubt(now, upstreams)
 	case rebound:
 		k.bound = x.apply
-		k.rebind(x.seeds)
+		k.rebind(now, x.seeds)
 		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life, Evacuations: len(k.topics) > int(evacuations)})
 		for _, t := range k.topics {
 			k.feeds[t].SetBound(x.apply)
@@ -142,18 +147,21 @@
 	k.do(logged{entry: e, fields: fields})
 }
 
-func (k *keeper) ask(t topic) {
+func (k *keeper) ask(now time.Time, t topic) {
 	k.feeds[t].SetTold(k.follow.allowed && k.follow.parent != "")
 	c := k.feeds[t].Next()
+	if !c.List && c.Wait > time.Millisecond && k.follow.allowed && k.follow.parent == "" {
+		c.Pause = max(c.Pause, k.begun.Add(parentWait).Sub(now))
+	}
 	k.waiting[t], k.pending[t] = !c.List && c.Wait > time.Millisecond, true
 	k.do(ask{topic: t, call: c})
 }
 
 // doubt has a topic asked at once, exactly.
-func (k *keeper) doubt(t topic) {
+func (k *keeper) doubt(now time.Time, t topic) {
 	k.feeds[t].Doubt()
 	if !k.reading && !k.pending[t] {
-		k.ask(t)
+		k.ask(now, t)
 		return
 	}
 	k.nudge(t)
@@ -188,7 +196,7 @@
 	k.waiting[x.topic], k.pending[x.topic] = false, false
 	if k.stale[x.topic] {
 		k.stale[x.topic] = false
-		k.next(x.topic)
+		k.next(now, x.topic)
 		return
 	}
 	if x.result.Outcome == stoatfeed.Answered {
@@ -221,12 +229,12 @@
 			k.compareParent(now)
 		}
 	}
-	k.next(x.topic)
+	k.next(now, x.topic)
 }
 
 // next asks about a topic again. While the platform answers none, one question at a
 // time finds out that it is back: each is paid for.
-func (k *keeper) next(t topic) {
+func (k *keeper) next(now time.Time, t topic) {
 	if !k.reading {
 		return
 	}
@@ -234,7 +242,7 @@
 		k.parked[t] = true
 		return
 	}
-	k.ask(t)
+	k.ask(now, t)
 	if !k.feeds[declarations].Failing().IsZero() {
 		return
 	}
@@ -244,7 +252,7 @@
 		}
 		k.parked[t] = false
 		if !k.pending[t] {
-			k.ask(t)
+			k.ask(now, t)
 		}
 	}
 }
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -34,14 +34,17 @@
 
 // startSession returns a session of an entry whose settings name others, and not itself.
 func startSession(t *testing.T, others, follows bool) *session {
-	s := &session{t: t, now: time.Unix(1000, 0), events: map[stoatevent.Number]int{}}
-	s.k = newKeeper(keeperConfig{
+	s := newSessionOf(t, keeperConfig{
 		Apply: 3 * time.Second, Return: 2 * time.Second, Life: time.Minute, Seeds: naming{others: others, self: others && !follows}, Seed: 1,
 	})
 	s.step(started{})
 	return s
 }
 
+func newSessionOf(t *testing.T, cfg keeperConfig) *session {
+	return &session{t: t, now: time.Unix(1000, 0), events: map[stoatevent.Number]int{}, k: newKeeper(cfg)}
+}
+
 func (s *session) step(ev any) {
 	for _, effect := range s.k.step(s.now, ev) {
 		switch x := effect.(type) {
--- a/stoatedge/news.go
+++ b/stoatedge/news.go
@@ -22,6 +22,8 @@
 	Seen      []stoatoutlier.WireReport // which upstreams fail, as all entries of the child's data centre saw it
 	Whole     bool                      // Seen has all, and not what changed
 	Body      bool                      // a wireBody follows
+	Rank      int                       // of the child among the entries of its data centre
+	Entries   int                       // how many these are; 0: it is in another one, or that is not known
 }
 
 type wireBody struct {
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -14,6 +14,7 @@
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatcount"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
 )
@@ -108,6 +109,7 @@
 		return
 	}
 	e.pool.Follow(clock(), netip.AddrPort{}, stoatoutlier.Update{})
+	e.givePlace(netip.AddrPort{}, stoatfilter.Place{})
 	if left := context.Cause(ctx); left != nil {
 		cause = left
 	}
@@ -208,9 +210,11 @@
 	if stoatpaddle.DataCentreID(h.Centre) == e.settings().DataCentre {
 		now := clock()
 		e.pool.Follow(now, addr, stoatoutlier.Update{Whole: h.Whole, Reports: stoatoutlier.Decode(now, h.Seen)})
+		e.givePlace(addr, stoatfilter.Place{Rank: h.Rank, Entries: h.Entries})
 		e.notice()
 	} else {
 		e.pool.Follow(clock(), netip.AddrPort{}, stoatoutlier.Update{})
+		e.givePlace(netip.AddrPort{}, stoatfilter.Place{})
 	}
 	e.post(x)
 	return nil
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -20,6 +20,9 @@
 // pathSeen is where an entry tells its parent which upstreams it saw failing.
 const pathSeen = "/v1/seen"
 
+// askSize says how many entries of the data centre are below the sender, itself included.
+const askSize = "size"
+
 // askWhole says that a report has all that its sender saw, and not what changed.
 const askWhole = "whole"
 
@@ -37,7 +40,17 @@
 		return
 	}
 	now := clock()
+	if size, err := strconv.Atoi(r.URL.Query().Get(askSize)); err == nil {
+		e.place.mu.Lock()
+		e.place.tree.SetSize(from, size)
+		e.place.mu.Unlock()
+		e.notice()
+	}
 	u := stoatoutlier.Update{Whole: r.URL.Query().Get(askWhole) != "", Reports: stoatoutlier.Decode(now, list)}
+	if len(list) == 0 && !u.Whole {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	if !e.pool.Take(now, from, u) {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -89,7 +102,9 @@
 	e.engineMu.Unlock()
 	sum, report, to := e.pool.Turn(now, own, e.reporting.Load())
 	delay, steady := e.pool.Delay(), e.pool.Steady(now)
+	place, size, parent := e.placedNow()
 	e.engineMu.Lock()
+	e.engine.SetPlace(now, place)
 	e.engine.TakeSum(now, sum)
 	marked := e.engine.Judge(now, t)
 	var silent []stoatecho.Silent
@@ -106,9 +121,13 @@
 	if _, due := e.rung.Next(now, sum, stoatoutlier.SinceFirst); due {
 		e.place.bell.ring()
 	}
+	// Counts are needed only where entries share something.
+	if !to.IsValid() && !e.reporting.Load() && len(t.Declaration.ColdRates) > 0 {
+		to = parent
+	}
 	if to.IsValid() {
 		e.reporting.Store(true)
-		e.reports <- pendingReport{to: to, update: report}
+		e.reports <- pendingReport{to: to, update: report, size: size}
 	}
 }
 
@@ -125,6 +144,7 @@
 type pendingReport struct {
 	to     netip.AddrPort
 	update stoatoutlier.Update
+	size   int // how many entries are below this one
 }
 
 // sendReports sends reports one after the other, so that none overtakes a later one.
@@ -134,8 +154,10 @@
 		case <-e.ctx.Done():
 			return nil
 		case x := <-e.reports:
+			e.place.sized.Store(int64(x.size))
 			if !e.sendReport(x) {
 				e.pool.Lost()
+				e.place.sized.Store(0)
 			}
 			e.reporting.Store(false)
 			e.notice()
@@ -163,7 +185,7 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, seekTimeout)
 	defer cancel()
-	url := "http://" + x.to.String() + pathSeen + "?" + askFrom + "=" + e.settings().Admin.String()
+	url := "http://" + x.to.String() + pathSeen + "?" + askFrom + "=" + e.settings().Admin.String() + "&" + askSize + "=" + strconv.Itoa(x.size)
 	if x.update.Whole {
 		url += "&" + askWhole + "=1"
 	}
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -77,6 +77,8 @@
 	sent   atomic.Int64                          // bytes to children
 	heard  atomic.Int64                          // bytes from parents
 	parent parentCancel
+	given  atomic.Pointer[givenPlace] // nil: no parent in this data centre
+	sized  atomic.Int64               // how many entries below this one the parent was told of; 0: none
 }
 
 func newPlace(cfg stoattree.Config) *place {
@@ -207,6 +209,9 @@
 	}
 	e.place.mu.Lock()
 	h.Relatives = addrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
+	if own := e.ownPlace(); ask.Centre == e.settings().DataCentre && own.Entries > 0 {
+		h.Rank, h.Entries = e.place.tree.RankOf(ask.From, own.Rank), own.Entries
+	}
 	e.place.mu.Unlock()
 	return encodeWire(&h)
 }
--- a/stoatfilter/cold.go
+++ b/stoatfilter/cold.go
@@ -23,17 +23,11 @@
 	// each other: two halves of a data centre that are cut off from each other count half of the
 	// entries each, and deal out everything twice.
 	coldShare = 0.5
-	// turnMost bounds how long a turn is open: callers come every some ten milliseconds in a herd, and
-	// late flows of one turn must not meet those of the next ones.
-	turnMost = 150 * time.Millisecond
+	// turnOpen is the part of the time until the next entry's turn for which a turn is open: long enough
+	// for a caller to come, and short enough that a late flow of one turn does not meet the next one's.
+	turnOpen = 0.5
 )
 
-// Place is an entry's place among those of its data centre.
-type Place struct {
-	Rank    int // from 0
-	Entries int // 0: not known, and nothing is taken
-}
-
 // Load is what one flow asks of its upstream.
 type Load struct {
 	// Requests are how many a flow of the service is seen to carry while an upstream is cold.
@@ -54,7 +48,8 @@
 	first := (p.Rank + int(uint32(u.Key)*spread>>spreadShift)) % p.Entries
 	period := between * time.Duration(p.Entries)
 	begun := time.Duration(now.UnixNano()-int64(between)*int64(first)) % period
-	return begun < min(between, turnMost) && now.Sub(load.Taken) > turnMost
+	open := time.Duration(turnOpen * float64(between))
+	return begun < open && now.Sub(load.Taken) > open
 }
 
 // spread and spreadShift spread upstreams over entries (Knuth's multiplicative hash): their keys may
--- /dev/null
+++ b/stoatfilter/filter_test.go
@@ -0,0 +1,168 @@
+package stoatfilter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+var start = time.Unix(1000, 0)
+
+// upstreams returns so many in data centre here, cold until a time, which bear so much until then.
+func upstreams(n int, rate float64, warm time.Time) []*stoatroute.Upstream {
+	var out []*stoatroute.Upstream
+	for i := range n {
+		u := &stoatroute.Upstream{Key: stoatpaddle.UpstreamKey(i + 1), ColdRate: rate, Warm: warm}
+		u.DataCentre = "here"
+		out = append(out, u)
+	}
+	return out
+}
+
+func TestFilter(t *testing.T) {
+	b := stoatroute.NewBook(stoatroute.Config{})
+	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "left", Revision: 1})
+	table := b.Table()
+	regions := stoatfilter.Regions{"here": "south", "there": "north", "left": "north"}
+	for name, c := range map[string]struct {
+		centre  stoatpaddle.DataCentreID
+		regions []stoatpaddle.RegionID
+		rate    float64
+		cold    time.Duration
+		place   stoatfilter.Place
+		want    stoatfilter.Verdict
+	}{
+		"anywhere":                     {centre: "there", want: stoatfilter.Eligible},
+		"evacuated":                    {centre: "left", want: stoatfilter.Evacuated},
+		"evacuated, in its region":     {centre: "left", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Evacuated},
+		"in its region":                {centre: "there", regions: []stoatpaddle.RegionID{"east", "north"}, want: stoatfilter.Eligible},
+		"outside":                      {centre: "here", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Outside},
+		"of no known region":           {centre: "lost", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Outside},
+		"cold without a limit":         {centre: "here", cold: time.Second, want: stoatfilter.Eligible},
+		"warm with a limit":            {centre: "here", rate: 3, want: stoatfilter.Eligible},
+		"cold, place not known":        {centre: "here", rate: 3, cold: time.Second, want: stoatfilter.Cold},
+		"cold, elsewhere":              {centre: "there", rate: 3, cold: time.Second, place: stoatfilter.Place{Entries: 1}, want: stoatfilter.Cold},
+		"cold, no place of that rank":  {centre: "here", rate: 3, cold: time.Second, place: stoatfilter.Place{Rank: 2, Entries: 2}, want: stoatfilter.Cold},
+		"cold, bears more than anyone": {centre: "here", rate: 1e6, cold: time.Second, place: stoatfilter.Place{Entries: 1}, want: stoatfilter.Spare},
+	} {
+		f := stoatfilter.Filter{DataCentre: "here", Regions: regions, Place: c.place}
+		u := &stoatroute.Upstream{Key: 7, ColdRate: c.rate, Warm: start.Add(c.cold)}
+		u.DataCentre = c.centre
+		r := &stoatroute.Route{Route: stoatpaddle.Route{Regions: c.regions}}
+		if got := f.Open(start, table, r, u, stoatfilter.Load{}); got != c.want {
+			t.Errorf("%s: %s, expected %s", name, got, c.want)
+		}
+	}
+}
+
+// herd plays a data centre whose upstreams come back cold while callers wait at all entries: each entry
+// tries an opening every 10 ms, at any upstream that it may use. It returns the most flows that one
+// upstream got in a second, over all of them, and how many all got.
+func herd(entries []stoatfilter.Place, ups []*stoatroute.Upstream, requests float64, skew time.Duration, seed uint64) (most, all int) {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	table := stoatroute.NewBook(stoatroute.Config{}).Table()
+	route := &stoatroute.Route{}
+	taken := map[[2]int]time.Time{}
+	got := make([][]time.Time, len(ups))
+	clocks := make([]time.Duration, len(entries))
+	for i := range clocks {
+		clocks[i] = time.Duration(rnd.Int64N(int64(2*skew)+1)) - skew
+	}
+	for now := start; now.Before(ups[0].Warm); now = now.Add(10 * time.Millisecond) {
+		for i, place := range entries {
+			f := stoatfilter.Filter{DataCentre: "here", Place: place}
+			own := now.Add(clocks[i])
+			for j, u := range ups {
+				x := *u
+				x.Warm = own.Add(time.Second)
+				load := stoatfilter.Load{Requests: requests, Taken: taken[[2]int{i, j}]}
+				if f.Open(own, table, route, &x, load) == stoatfilter.Spare {
+					taken[[2]int{i, j}] = own
+					got[j] = append(got[j], now)
+					all++
+					break
+				}
+			}
+		}
+	}
+	for _, times := range got {
+		for i := range times {
+			n := 0
+			for _, at := range times[i:] {
+				if at.Sub(times[i]) < time.Second {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	return most, all
+}
+
+func places(n int) []stoatfilter.Place {
+	var out []stoatfilter.Place
+	for i := range n {
+		out = append(out, stoatfilter.Place{Rank: i, Entries: n})
+	}
+	return out
+}
+
+// A data centre's upstreams come back cold, all at once, with callers waiting at every entry, also at
+// those that were cut off from each other and count themselves, and at those whose clocks differ. No
+// upstream gets more in any second than it bears, and what they bear is used to a third at least.
+func TestColdUpstreamsGetWhatTheyBear(t *testing.T) {
+	for _, n := range []int{1, 9, 30, 150} {
+		for _, rate := range []float64{2, 5, 20} {
+			ups := upstreams(40, rate, start.Add(4*time.Second))
+			for name, c := range map[string]struct {
+				entries []stoatfilter.Place
+				skew    time.Duration
+				limit   float64 // of the rate
+			}{
+				"together":         {entries: places(n), limit: 1},
+				"in two halves":    {entries: append(places(n), places(n)...), limit: 1.5},
+				"clocks that vary": {entries: places(n), skew: 20 * time.Millisecond, limit: 1},
+			} {
+				most, all := herd(c.entries, ups, 1, c.skew, uint64(n))
+				t.Logf("%d entries, %g a second, %s: at most %d in a second, %d in all", n, rate, name, most, all)
+				if float64(most) > c.limit*rate+1 {
+					t.Errorf("%d entries, %g a second, %s: %d in a second", n, rate, name, most)
+				}
+				// An entry tries a hundred times a second.
+				if could := min(rate*4*40, float64(400*n)); float64(all) < could/3 {
+					t.Errorf("%d entries, %g a second, %s: %d in all of %g", n, rate, name, all, could)
+				}
+			}
+		}
+	}
+}
+
+// Flows that carry four requests each while their upstream is cold come a quarter as often.
+func TestColdUpstreamsAndLongFlows(t *testing.T) {
+	ups := upstreams(40, 8, start.Add(4*time.Second))
+	if most, _ := herd(places(30), ups, 4, 0, 1); most > 8/4+1 {
+		t.Errorf("%d flows of four requests in a second", most)
+	}
+}
+
+// A turn that nobody used lapses: callers come after three seconds of silence, and the turns of that
+// time are not made up for.
+func TestUnusedTurnsLapse(t *testing.T) {
+	ups := upstreams(40, 5, start.Add(4*time.Second))
+	later := start
+	start = start.Add(3 * time.Second)
+	defer func() { start = later }()
+	if most, _ := herd(places(30), ups, 1, 0, 1); most > 5+1 {
+		t.Errorf("%d in a second", most)
+	}
+}
+
+func ExampleVerdict() {
+	fmt.Println(stoatfilter.Evacuated, stoatfilter.Outside, stoatfilter.Cold)
+	// Output: evacuated outside cold
+}
--- /dev/null
+++ b/stoatroute/evacuation_test.go
@@ -0,0 +1,83 @@
+package stoatroute_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// What operators want of a data centre reaches an entry along several ways, in any order. The latest
+// state wins, and of a request and a withdrawal with one revision the withdrawal.
+func TestLatestEvacuationWins(t *testing.T) {
+	in := func(revision stoatpaddle.Version) stoatpaddle.Evacuation {
+		return stoatpaddle.Evacuation{DataCentre: "here", Revision: revision}
+	}
+	out := func(revision stoatpaddle.Version) stoatpaddle.Evacuation {
+		e := in(revision)
+		e.Withdrawn = true
+		return e
+	}
+	states := []stoatpaddle.Evacuation{in(5), out(5), in(8), out(9), in(12)}
+	for first := range states {
+		b := stoatroute.NewBook(stoatroute.Config{Evacuations: true})
+		for i := range states {
+			b.Evacuate(states[(first+i)%len(states)])
+		}
+		if !b.Table().Evacuated("here") {
+			t.Errorf("begun with state %d: not evacuated", first)
+		}
+		if b.Evacuate(out(11)) || !b.Evacuate(out(12)) || b.Evacuate(out(13)) {
+			t.Errorf("begun with state %d: a change is not told from none", first)
+		}
+		if b.Table().Evacuated("here") || b.Table().Evacuated("there") {
+			t.Errorf("begun with state %d: evacuated", first)
+		}
+	}
+}
+
+// A list that is complete as of a revision lacks a data centre: its evacuation was withdrawn, unless it
+// was asked for later than the list.
+func TestListOfEvacuations(t *testing.T) {
+	b := stoatroute.NewBook(stoatroute.Config{Evacuations: true})
+	for d, revision := range map[stoatpaddle.DataCentreID]stoatpaddle.Version{"old": 5, "new": 20, "kept": 6} {
+		b.Evacuate(stoatpaddle.Evacuation{DataCentre: d, Revision: revision})
+	}
+	lifted := b.EvacuationsListed(map[stoatpaddle.DataCentreID]bool{"kept": true}, 10)
+	if !slices.Equal(lifted, []stoatpaddle.DataCentreID{"old"}) {
+		t.Error(lifted)
+	}
+	table := b.Table()
+	if table.Evacuated("old") || !table.Evacuated("new") || !table.Evacuated("kept") {
+		t.Errorf("%+v", table.EvacuationsSince(0))
+	}
+}
+
+// An upstream that runs becomes cold again, as after its data centre was evacuated: it says so under
+// the same id. Also one that is told along the relay tree is cold for as long as it says.
+func TestUpstreamBecomesColdAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := stoatpaddle.Registration{ID: "i-1", Target: 1, Service: "app", DataCentre: "here", Slots: 2}
+	warm := func(b *stoatroute.Book) time.Duration {
+		u, _ := b.Registered("i-1")
+		return u.Warm.Sub(now)
+	}
+	b, child := stoatroute.NewBook(stoatroute.Config{}), stoatroute.NewBook(stoatroute.Config{})
+	b.Register(now, r, 1)
+	child.Mirror(now, stoatroute.Telling{Upstreams: []stoatroute.Told{{Registration: r, Revision: 1}}, Later: true})
+	now = now.Add(time.Minute)
+	r.Cold = 4 * time.Second
+	b.Register(now, r, 2)
+	child.Mirror(now, stoatroute.Telling{Upstreams: []stoatroute.Told{{Registration: r, Revision: 2}}, Later: true})
+	if warm(b) != 4*time.Second || warm(child) != 4*time.Second {
+		t.Errorf("cold for %s, told: %s", warm(b), warm(child))
+	}
+	now = now.Add(time.Second)
+	r.Cold = 0
+	b.Register(now, r, 3)
+	if warm(b) > 0 {
+		t.Errorf("it says that it is warm, and counts as cold for %s", warm(b))
+	}
+}
--- a/stoattree/tree.go
+++ b/stoattree/tree.go
@@ -69,6 +69,7 @@
 type child struct {
 	centre stoatpaddle.DataCentreID
 	ticket Ticket
+	size   int // entries of its data centre that it told of, itself included
 }
 
 // State is what an entry is as others see it.
@@ -160,7 +161,7 @@
 		return Answer{Refusal: Full, Try: t.childrenIn(a.Centre, a.Skip)}
 	}
 	t.tickets++
-	t.children[a.From] = child{centre: a.Centre, ticket: t.tickets}
+	t.children[a.From] = child{centre: a.Centre, ticket: t.tickets, size: max(1, t.children[a.From].size)}
 	return Answer{Ticket: t.tickets}
 }
 
@@ -221,6 +222,37 @@
 	return list[:min(len(list), hints)]
 }
 
+// SetSize takes in how many entries of its data centre are below a child, itself included.
+func (t *Tree) SetSize(from netip.AddrPort, n int) {
+	if c, known := t.children[from]; known {
+		c.size = max(1, n)
+		t.children[from] = c
+	}
+}
+
+// Size returns how many entries of this data centre are below this one, itself included.
+func (t *Tree) Size() int {
+	n := 1
+	for _, c := range t.children {
+		if c.centre == t.cfg.Centre {
+			n += c.size
+		}
+	}
+	return n
+}
+
+// RankOf returns the rank of a child of this data centre, this entry having rank own: each is followed
+// by those below it, one child after the other.
+func (t *Tree) RankOf(from netip.AddrPort, own int) int {
+	rank := own + 1
+	for a, c := range t.children {
+		if c.centre == t.cfg.Centre && a.Compare(from) < 0 {
+			rank += c.size
+		}
+	}
+	return rank
+}
+
 // Part takes a child out, unless it has been accepted anew.
 func (t *Tree) Part(from netip.AddrPort, ticket Ticket) {
 	if t.children[from].ticket == ticket {
