stoatecho: new flows leave a data centre whose upstreams all fall silent, on two unanswered openings

Cause: with forty upstreams of a data centre lost at once, an entry learned of one after the other (shunned after 0.3 s each), and callers' three tries met another entry each time; what the data centre knows together is bounded to a third of a group. Hypothesis: a group that lives is never silent as a whole, so that two openings without an answer and no sign of any of the group are enough. TestWholeGroupIsLost fails without it; TestGroupThatAnswersIsNotLost bounds it.

--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -32,8 +32,46 @@
 	inProgress int     // openings and requests from here
 	refused    float64 // share of openings of late that were refused for overload
 	load       flowLoad
+	silence    groupSilence
 }
 
+// groupSilence notices that a whole group answers nothing.
+//
+// The load: the upstreams of a data centre are lost at once. Their machines refuse towards callers, past
+// the entries, and callers with three tries are back within milliseconds, at another entry. An entry
+// that learns of one upstream after the other sends some flows to each of forty, and hundreds of
+// entries do so each for itself. But no group that lives is silent: of its other upstreams an entry
+// hears many times a second. So two upstreams that leave openings unanswered while none of the group
+// gave a sign send new flows to other data centres, if these answer. Open flows go on.
+type groupSilence struct {
+	heard   time.Time     // the last sign of any of the group
+	last    *health       // the upstream that left an opening unanswered last, without a sign of the group since
+	until   time.Time     // until when new flows prefer other data centres
+	backoff time.Duration // the last one
+}
+
+// groupBackoffLeast and groupBackoffMost bound how long flows prefer others until some of them find
+// out whether the group is back; each time doubles it, a sign or a new upstream ends it.
+const (
+	groupBackoffLeast = 400 * time.Millisecond
+	groupBackoffMost  = 3200 * time.Millisecond
+)
+
+// unanswered notes that an opening to the upstream, sent at that time, waits for longer than usual.
+func (s *groupSilence) unanswered(now time.Time, h *health, sent time.Time) {
+	switch {
+	case !sent.After(s.heard):
+	case s.last == nil:
+		s.last = h
+	case h != s.last && !now.Before(s.until):
+		s.backoff = min(groupBackoffMost, max(groupBackoffLeast, 2*s.backoff))
+		s.until, s.last = now.Add(s.backoff), nil
+	}
+}
+
+// ended takes in a sign of life of one of the group, or that an upstream is new in it.
+func (s *groupSilence) ended(now time.Time) { *s = groupSilence{heard: now} }
+
 // flowLoadAge is the time in which what is known of flows fades to a third: some times as long as
 // upstreams are cold after a start, since few flows open in a quiet time.
 const flowLoadAge = 10 * time.Second
--- /dev/null
+++ b/stoatecho/group_test.go
@@ -0,0 +1,105 @@
+package stoatecho_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+)
+
+// manyHere adds upstreams of service app to this data centre, forty in all.
+func (w *world) manyHere() {
+	for target := stoatpaddle.Target(100); target < 138; target++ {
+		w.register(target, "app", "here")
+	}
+}
+
+// tryThere sends an opening, and completes the handshake if it went to the other data centre; it tells
+// whether it did.
+func (w *world) tryThere() bool {
+	c := w.caller(feed)
+	a := c.syn(0)
+	if a.Upstream.DataCentre == "here" {
+		return false
+	}
+	c.cookie = a.Upstream.Key
+	w.after(10 * ms)
+	c.send(stoatpacket.Packet{Ack: 1})
+	return true
+}
+
+// All forty upstreams of this data centre are lost at once, and their machines refuse towards callers,
+// past the entries. A caller with three tries meets another entry each time, and none may have to
+// learn of forty upstreams one by one: after two openings without an answer, and no sign of any of the
+// forty, new flows go to the other data centre.
+func TestWholeGroupIsLost(t *testing.T) {
+	w := newWorld(t)
+	w.manyHere()
+	for range 5 {
+		w.caller(feed).open()
+	}
+	w.after(time.Second)
+	lost := 0
+	for range 40 {
+		if !w.tryThere() {
+			lost++
+		}
+		w.after(20 * ms)
+	}
+	// Callers take 10 ms, so that an opening is overdue after 30 ms at most.
+	if lost > 5 {
+		t.Errorf("%d of 40 flows were sent to a data centre that answers nothing", lost)
+	}
+}
+
+// The same, and it is back after a second: some flows find out, and the others come home.
+func TestLostGroupComesBack(t *testing.T) {
+	w := newWorld(t)
+	w.manyHere()
+	w.caller(feed).open()
+	w.after(time.Second)
+	for range 50 {
+		w.tryThere()
+		w.after(20 * ms)
+	}
+	home, last := 0, 0
+	for i := range 100 {
+		c := w.caller(feed)
+		if c.open().DataCentre == "here" {
+			home++
+			last = i
+		}
+		w.after(40 * ms)
+	}
+	if home < 20 || last < 95 {
+		t.Errorf("%d of 100 flows came home, the last one was number %d", home, last)
+	}
+}
+
+// One upstream of forty is dead, every tenth packet is lost, and the others answer. Its group is well:
+// flows stay in this data centre, which costs no bytes between two.
+func TestGroupThatAnswersIsNotLost(t *testing.T) {
+	w := newWorld(t)
+	w.manyHere()
+	away := 0
+	for i := range 300 {
+		c := w.caller(feed)
+		switch a := c.syn(0); {
+		case a.Upstream.DataCentre != "here":
+			away++
+		case a.Upstream.Target == 1 || i%10 == 0:
+		default:
+			c.cookie = a.Upstream.Key
+			w.after(10 * ms)
+			c.ack = 1
+			c.ask()
+			w.after(20 * ms)
+			c.done()
+		}
+		w.after(20 * ms)
+	}
+	if away > 3 {
+		t.Errorf("%d of 300 flows were sent to another data centre", away)
+	}
+}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -135,7 +135,7 @@
 
 // slowToAnswer tells whether new flows should rather go elsewhere for now.
 func (h *health) slowToAnswer(now time.Time, patience time.Duration) bool {
-	return h.trial || now.Before(h.shunned) || now.Before(h.preferOthers) || now.Before(h.mark.until) ||
+	return h.trial || now.Before(h.group.silence.until) || now.Before(h.shunned) || now.Before(h.preferOthers) || now.Before(h.mark.until) ||
 		h.opening > 0 && now.Sub(h.openFrom) > patience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
 }
 
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -89,7 +89,11 @@
 		if f == nil || !f.opening || !f.seen.Equal(x.since) {
 			continue
 		}
-		if !e.waits(now, e.health[f.key], x.since) {
+		h := e.health[f.key]
+		if !e.behind(now) && !h.sign.After(x.since) {
+			h.group.silence.unanswered(now, h, x.since)
+		}
+		if !e.waits(now, h, x.since) {
 			again = append(again, x)
 		}
 	}
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -51,6 +51,7 @@
 		e.observed = true
 	}
 	h.heard(now)
+	h.group.silence.ended(now)
 	e.sign = now
 }
 
@@ -186,6 +187,7 @@
 		h.group.inProgress -= h.opening + h.busy
 		e.health[k] = e.newHealth(u)
 		e.health[k].renewed = now
+		e.health[k].group.silence.ended(now)
 		renewed[k] = true
 	}
 	if len(renewed) > 0 {
