stoatsoak: evacuations, full queues and cold upstreams beside the other steps; promises evacuate and cold

The plans of known seeds keep their steps. The checker notices an entry that breaks either promise (TestBrokenEntryIsNoticed).

--- a/stoatsoak/checker.go
+++ b/stoatsoak/checker.go
@@ -11,20 +11,22 @@
 
 // The promises.
 const (
-	RightService Promise = "route"   // a request is run by a service that its route has or had
-	WholeAnswer  Promise = "mixed"   // an answer belongs to its request and is whole
-	Once         Promise = "twice"   // a request that may not be repeated runs once at most
-	FlowLives    Promise = "flow"    // no open flow is reset while its upstream lives
-	Drained      Promise = "drain"   // a leaving upstream gets no new flows after the bound
-	InForce      Promise = "config"  // a configuration is in force after the bound
-	NeverBack    Promise = "back"    // what is in force never goes back
-	Recovers     Promise = "recover" // requests are served some time after a disturbance
-	Runs         Promise = "runs"    // an entry does not end by itself
+	RightService Promise = "route"    // a request is run by a service that its route has or had
+	WholeAnswer  Promise = "mixed"    // an answer belongs to its request and is whole
+	Once         Promise = "twice"    // a request that may not be repeated runs once at most
+	FlowLives    Promise = "flow"     // no open flow is reset while its upstream lives
+	Evacuated    Promise = "evacuate" // an evacuated data centre gets no new flows after the bound
+	Spared       Promise = "cold"     // a cold upstream gets no more new flows than it bears
+	Drained      Promise = "drain"    // a leaving upstream gets no new flows after the bound
+	InForce      Promise = "config"   // a configuration is in force after the bound
+	NeverBack    Promise = "back"     // what is in force never goes back
+	Recovers     Promise = "recover"  // requests are served some time after a disturbance
+	Runs         Promise = "runs"     // an entry does not end by itself
 )
 
 // timed tells whether a promise speaks of time: a machine that is slow enough breaks it.
 func (p Promise) timed() bool {
-	return p == FlowLives || p == Drained || p == InForce || p == Recovers
+	return p == FlowLives || p == Evacuated || p == Spared || p == Drained || p == InForce || p == Recovers
 }
 
 // Breach is a promise that was broken.
@@ -40,16 +42,20 @@
 }
 
 // span is a disturbance; to is 0 while it goes on.
-type span struct{ from, to time.Duration }
+type span struct {
+	from, to time.Duration
+	load     bool // callers wait longer, or are refused, and nothing else changes
+}
 
 // checker gathers what callers and upstreams see. Times count from the start of the run.
 type checker struct {
 	mu       sync.Mutex
 	bounds   Bounds
 	troubles []*span
-	tick     time.Duration  // when the run last noted that it goes on; 0: it is not watched
-	runs     map[string]int // of requests that may not be repeated, by id
-	versions map[string]int // the highest configuration an entry's life said to be in force
+	tick     time.Duration              // when the run last noted that it goes on; 0: it is not watched
+	runs     map[string]int             // of requests that may not be repeated, by id
+	versions map[string]int             // the highest configuration an entry's life said to be in force
+	colds    map[string][]time.Duration // when a cold upstream got new flows
 	breaches []Breach
 	counts   Counts
 	noticed  func(p Promise) // called at each breach, or nil
@@ -73,7 +79,7 @@
 }
 
 func newChecker(b Bounds) *checker {
-	return &checker{bounds: b, runs: map[string]int{}, versions: map[string]int{}}
+	return &checker{bounds: b, runs: map[string]int{}, versions: map[string]int{}, colds: map[string][]time.Duration{}}
 }
 
 func (c *checker) breach(now time.Duration, p Promise, format string, args ...any) {
@@ -88,9 +94,17 @@
 
 // begin notes a disturbance and returns what ends it.
 func (c *checker) begin(now time.Duration) func(now time.Duration) {
+	return c.note(&span{from: now})
+}
+
+// load notes that upstreams are loaded, and returns what ends it.
+func (c *checker) load(now time.Duration) func(now time.Duration) {
+	return c.note(&span{from: now, load: true})
+}
+
+func (c *checker) note(s *span) func(now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := &span{from: now}
 	c.troubles = append(c.troubles, s)
 	return func(now time.Duration) {
 		c.mu.Lock()
@@ -105,7 +119,7 @@
 		return false
 	}
 	for _, s := range c.troubles {
-		if s.from <= now && (s.to == 0 || s.to+c.bounds.Stable >= since) {
+		if !s.load && s.from <= now && (s.to == 0 || s.to+c.bounds.Stable >= since) {
 			return false
 		}
 	}
@@ -155,6 +169,38 @@
 	}
 }
 
+// openedThere notes an opening at an upstream of a data centre that was evacuated at that time.
+func (c *checker) openedThere(now, since time.Duration, upstream, centre string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if late := now - since; late > c.bounds.Apply+c.bounds.Slack && c.calm(since, now) {
+		c.breach(now, Evacuated, "%s got a new flow %s after %s was evacuated", upstream, late, centre)
+	}
+}
+
+// Of what a cold upstream bears, as its service says it, so much more may come in a second: copies of
+// openings, and flows that were under way when it said that it is cold.
+const (
+	coldOver  = 1.5
+	coldSlack = 5
+)
+
+// openedCold notes a new flow at an upstream that is cold and bears so many a second.
+func (c *checker) openedCold(now time.Duration, upstream string, rate float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recent := []time.Duration{now}
+	for _, at := range c.colds[upstream] {
+		if now-at < time.Second {
+			recent = append(recent, at)
+		}
+	}
+	c.colds[upstream] = recent
+	if most := coldOver*rate + coldSlack; float64(len(recent)) > most && !c.stalled(now) {
+		c.breach(now, Spared, "%s is cold and got %d new flows within a second, %g are allowed", upstream, len(recent), most)
+	}
+}
+
 // looked notes what a new flow to a route met at one entry: allowed says whether the
 // configuration, acknowledged at that time, has the route.
 func (c *checker) looked(now, acked time.Duration, entry, route string, allowed, opened bool) {
--- a/stoatsoak/checker_test.go
+++ b/stoatsoak/checker_test.go
@@ -1,6 +1,7 @@
 package stoatsoak
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -65,11 +66,31 @@
 			c.ticked(19*second + 920*time.Millisecond)
 			c.wasReset(20*second, "f", "u")
 		}, []Promise{FlowLives}},
-		"a leaving upstream gets a flow":       {func(c *checker) { c.openedAt(15*second, 10*second, "u") }, []Promise{Drained}},
-		"a leaving upstream gets one at first": {func(c *checker) { c.openedAt(13*second, 10*second, "u") }, nil},
-		"a new route is refused":               {func(c *checker) { c.looked(15*second, 10*second, "e", "x", true, false) }, []Promise{InForce}},
-		"an old route opens":                   {func(c *checker) { c.looked(15*second, 10*second, "e", "x", false, true) }, []Promise{InForce}},
-		"a new route is refused at first":      {func(c *checker) { c.looked(12*second, 10*second, "e", "x", true, false) }, nil},
+		"a leaving upstream gets a flow":             {func(c *checker) { c.openedAt(15*second, 10*second, "u") }, []Promise{Drained}},
+		"a leaving upstream gets one at first":       {func(c *checker) { c.openedAt(13*second, 10*second, "u") }, nil},
+		"an evacuated data centre gets a flow":       {func(c *checker) { c.openedThere(15*second, 10*second, "u", "east") }, []Promise{Evacuated}},
+		"an evacuated data centre gets one at first": {func(c *checker) { c.openedThere(13*second, 10*second, "u", "east") }, nil},
+		"an evacuated one gets a flow in an outage": {func(c *checker) {
+			c.begin(11 * second)
+			c.openedThere(15*second, 10*second, "u", "east")
+		}, nil},
+		"a cold upstream gets too many flows": {func(c *checker) {
+			for range 9 {
+				c.openedCold(20*second, "u", 2)
+			}
+		}, []Promise{Spared}},
+		"a cold upstream gets as many over a while": {func(c *checker) {
+			for i := range 9 {
+				c.openedCold(20*second+time.Duration(i)*second/4, "u", 2)
+			}
+		}, nil},
+		"a flow is reset while upstreams are full": {func(c *checker) {
+			c.load(19 * second)
+			c.wasReset(20*second, "f", "u")
+		}, []Promise{FlowLives}},
+		"a new route is refused":          {func(c *checker) { c.looked(15*second, 10*second, "e", "x", true, false) }, []Promise{InForce}},
+		"an old route opens":              {func(c *checker) { c.looked(15*second, 10*second, "e", "x", false, true) }, []Promise{InForce}},
+		"a new route is refused at first": {func(c *checker) { c.looked(12*second, 10*second, "e", "x", true, false) }, nil},
 		"a configuration goes back": {func(c *checker) {
 			c.inForce(0, "e#1", 5)
 			c.inForce(0, "e#1", 3)
@@ -117,7 +138,7 @@
 		var b strings.Builder
 		for _, s := range NewPlan(seed, time.Minute) {
 			b.WriteString(s.String() + "\n")
-			if s.At < warmUp || s.At > time.Minute-coolDown || s.For < second || s.For > longest {
+			if s.At < warmUp || s.At > time.Minute-coolDown || s.For < second || s.For > longest && !slices.Contains(beside, s.Kind) || s.For > besideLongest {
 				t.Error(s)
 			}
 		}
@@ -132,7 +153,7 @@
 			kinds[s.Kind] = true
 		}
 	}
-	if len(kinds) != len(planned)+len(disturbances) {
+	if len(kinds) != len(planned)+len(beside)+len(disturbances) {
 		t.Error("some kinds never come:", kinds)
 	}
 }
--- a/stoatsoak/plan.go
+++ b/stoatsoak/plan.go
@@ -1,6 +1,7 @@
 package stoatsoak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -21,6 +22,8 @@
 	Storm     Kind = "storm"     // ten configurations within a second
 	Settings  Kind = "settings"  // the settings file changes, with or without a signal
 	Foreign   Kind = "foreign"   // another writer writes over an upstream's entry, and adds one
+	Evacuate  Kind = "evacuate"  // a data centre is evacuated, and taken back
+	Queue     Kind = "queue"     // upstreams answer late, as through a full queue
 
 	Kill      Kind = "kill"    // SIGKILL to an entry
 	KillAll   Kind = "killall" // SIGKILL to all entries at once
@@ -40,11 +43,12 @@
 
 var (
 	planned      = []Kind{Terminate, Rolling, Drain, Release, Routes, Storm, Settings, Foreign}
+	beside       = []Kind{Evacuate, Queue} // come beside the others
 	disturbances = []Kind{Kill, KillAll, Freeze, Crash, Restart, StoreDown, StoreSlow, StoreLag, StoreMute, Forget, Refuse, Silence, OneWay, Lossy}
 )
 
 // Planned tells whether every promise holds while it goes on.
-func (k Kind) Planned() bool { return slices.Contains(planned, k) }
+func (k Kind) Planned() bool { return slices.Contains(planned, k) || slices.Contains(beside, k) }
 
 // Step is one fault or change of a plan.
 type Step struct {
@@ -67,6 +71,9 @@
 	// stepGap is the mean pause between two steps: they overlap half of the time.
 	stepGap = 3 * time.Second
 	longest = 4 * time.Second
+	// besideLongest is the same for steps that come beside the others: what has to hold some seconds
+	// after they began is seen.
+	besideLongest = 2 * longest
 )
 
 // NewPlan returns the steps of a run, the same for the same seed and length.
@@ -82,5 +89,20 @@
 		s.For = time.Second + time.Duration(rnd.Int64N(int64(longest-time.Second))).Truncate(time.Millisecond)
 		steps = append(steps, s)
 	}
+	return mix(steps, seed, length)
+}
+
+// besideGap is the mean pause between two steps that come beside the others.
+const besideGap = 7 * time.Second
+
+// mix adds steps beside those of a plan, which stay what they are for the seed.
+func mix(steps []Step, seed uint64, length time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 13))
+	for at := warmUp + time.Duration(rnd.Int64N(int64(besideGap))); at < length-coolDown; at += besideGap/2 + time.Duration(rnd.Int64N(int64(besideGap))) {
+		s := Step{At: at, Kind: beside[rnd.IntN(len(beside))], Target: rnd.IntN(1000)}
+		s.For = longest + time.Duration(rnd.Int64N(int64(besideLongest-longest))).Truncate(time.Millisecond)
+		steps = append(steps, s)
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/stoatsoak/run_entry.go
+++ b/stoatsoak/run_entry.go
@@ -118,11 +118,12 @@
 [platform]
 address = %s
 apply = %s
+evacuate = %s
 [log]
 level = %s
 [stop]
 deadline = 6s
-`, e.name, e.centre(), e.at(e.w.port), e.at(readyPort), e.at(adminPort), strings.Join(seeds, ","), e.store.addr, e.w.cfg.Bounds.Apply, level)
+`, e.name, e.centre(), e.at(e.w.port), e.at(readyPort), e.at(adminPort), strings.Join(seeds, ","), e.store.addr, e.w.cfg.Bounds.Apply, e.w.cfg.Bounds.Apply, level)
 	file := filepath.Join(e.w.cfg.Dir, e.name+".ini")
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -52,6 +52,10 @@
 		}
 	case Foreign:
 		w.spoil(s)
+	case Evacuate:
+		w.evacuate(s)
+	case Queue:
+		w.fill(s)
 	case Settings:
 		e.mu.Lock()
 		e.level++
@@ -62,6 +66,48 @@
 	}
 }
 
+// evacuate has operators evacuate a data centre, and take it back. Not while another one is, or while
+// an upstream is cold: what is left then may not bear what callers ask.
+func (w *world) evacuate(s Step) {
+	centre := centreOf(s.Target)
+	w.mu.Lock()
+	busy := w.evacuated != "" || w.cold > 0
+	if !busy {
+		w.evacuated, w.evacuatedAt = centre, max(1, w.now())
+	}
+	w.mu.Unlock()
+	if busy {
+		return
+	}
+	w.store.Write(platform.KindEvacuation, centre, map[string]any{})
+	w.after(s.For, func() {
+		w.store.Remove(platform.KindEvacuation, centre)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.evacuated = ""
+	})
+}
+
+// evacuatedSince tells since when a data centre is evacuated; 0: it is not.
+func (w *world) evacuatedSince(centre string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.evacuated != centre {
+		return 0
+	}
+	return w.evacuatedAt
+}
+
+// fill has all upstreams answer late. New flows may be refused for it; open ones go on.
+func (w *world) fill(s Step) {
+	ended := w.check.load(w.now())
+	w.queued.Add(1)
+	w.after(s.For, func() {
+		w.queued.Add(-1)
+		ended(w.now())
+	})
+}
+
 // leaveAfter is how much longer than the bound a leaving upstream serves.
 const leaveAfter = 3 * time.Second
 
@@ -250,7 +296,7 @@
 	w.after(pause, func() {
 		u.drop()
 		// Somebody may have taken the port meanwhile.
-		_, _ = w.startUpstream(u.target, u.service, u.centre, at)
+		_, _ = w.startUpstream(u.target, u.service, u.centre, at, coldFor)
 	})
 }
 
--- a/stoatsoak/run_sabotage.go
+++ b/stoatsoak/run_sabotage.go
@@ -29,6 +29,16 @@
 	case Drained:
 		late := w.cfg.Bounds.Apply + w.cfg.Bounds.Slack
 		return s.Opens && f.tuple[1] == pledgeAddr && w.misdeliver(packet, func(u *upstream) bool { return u.left > 0 && w.now()-u.left > late })
+	case Evacuated:
+		late := w.cfg.Bounds.Apply + w.cfg.Bounds.Slack
+		return s.Opens && f.tuple[1] == pledgeAddr && w.misdeliver(packet, func(u *upstream) bool {
+			since := w.evacuatedSince(u.centre)
+			return since > 0 && w.now()-since > late && u.service == "app"
+		})
+	case Spared:
+		if s.Opens && f.tuple[1] == pledgeAddr {
+			w.overrun(s)
+		}
 	case InForce:
 		return s.Opens && f.entry != nil && w.misdeliver(packet, func(u *upstream) bool { return u.service == "app" })
 	case Recovers:
@@ -53,6 +63,14 @@
 	return false
 }
 
+// overrun opens many flows at an upstream that is cold.
+func (w *world) overrun(s platform.Segment) {
+	for n := range uint16(20) {
+		opening := platform.Segment{Src: netip.AddrPortFrom(s.Src.Addr(), 60000+n), Dst: s.Dst, Opens: true, Seq: s.Seq}
+		w.misdeliver(platform.AppendSegment(nil, &opening), func(u *upstream) bool { return u.warm > 0 })
+	}
+}
+
 func (w *world) toUpstream(u *upstream, packet []byte) {
 	_, _ = w.entries[0].conn.WriteToUDPAddrPort(append(make([]byte, platform.TargetSize), packet...), u.addr)
 }
--- a/stoatsoak/run_upstream.go
+++ b/stoatsoak/run_upstream.go
@@ -28,6 +28,7 @@
 	mu    sync.Mutex
 	flows map[netip.AddrPort]*served // by caller
 	left  time.Duration              // when the store took its mark; 0: it serves
+	warm  time.Duration              // until then it is cold
 	dead  atomic.Bool
 }
 
@@ -43,20 +44,24 @@
 }
 
 const (
-	workTime = 30 * time.Millisecond
-	slots    = 3
+	workTime  = 30 * time.Millisecond
+	queueTime = 500 * time.Millisecond // through a full queue; callers repeat after 0.2 s
+	slots     = 3
+	coldFor   = 2 * time.Second
+	coldRate  = 5.0 // requests a second that a cold upstream bears
 )
 
 // newUpstream starts one life at the address, which is free; port 0 takes any.
 func (w *world) newUpstream(service, centre string, at netip.AddrPort) (*upstream, error) {
-	return w.startUpstream(firstTarget+w.lives.Add(1), service, centre, at)
+	return w.startUpstream(firstTarget+w.lives.Add(1), service, centre, at, coldFor)
 }
 
 // firstTarget is the number of the first upstream's id.
 const firstTarget = 0x5000_0000
 
-// startUpstream starts a life of the upstream with that number.
-func (w *world) startUpstream(target uint64, service, centre string, at netip.AddrPort) (*upstream, error) {
+// startUpstream starts a life of the upstream with that number, which is cold for so long; not while a
+// data centre is evacuated, or what is left might not bear what callers ask.
+func (w *world) startUpstream(target uint64, service, centre string, at netip.AddrPort, cold time.Duration) (*upstream, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, err
@@ -68,16 +73,38 @@
 	}
 	w.mu.Lock()
 	w.upstreams = append(w.upstreams, u)
+	if w.evacuated == "" && cold > 0 {
+		w.cold++
+		u.warm = w.now() + cold
+		w.after(cold, u.warmed)
+	}
 	w.mu.Unlock()
 	w.group.Go(u.serve)
 	u.register(false)
 	return u, nil
 }
 
+// warmed has it say that it is not cold any more.
+func (u *upstream) warmed() {
+	u.w.mu.Lock()
+	u.w.cold--
+	u.w.mu.Unlock()
+	u.mu.Lock()
+	u.warm = 0
+	left := u.left
+	u.mu.Unlock()
+	if !u.dead.Load() {
+		u.register(left > 0)
+	}
+}
+
 // register writes what a server says about itself, as servers do without regard to entries.
 func (u *upstream) register(leaving bool) {
+	u.mu.Lock()
+	cold := max(0, u.warm-u.w.now())
+	u.mu.Unlock()
 	u.w.store.Write(platform.KindUpstream, u.id, platform.RegistrationSpec(&stoatpaddle.Registration{
-		Service: stoatpaddle.ServiceID(u.service), Addr: u.addr, DataCentre: stoatpaddle.DataCentreID(u.centre), Slots: slots, Leaving: leaving, Incarnation: u.born,
+		Service: stoatpaddle.ServiceID(u.service), Addr: u.addr, DataCentre: stoatpaddle.DataCentreID(u.centre), Slots: slots, Leaving: leaving, Incarnation: u.born, Cold: cold,
 	}))
 }
 
@@ -148,6 +175,12 @@
 		if u.left > 0 {
 			u.w.check.openedAt(u.w.now(), u.left, u.id)
 		}
+		if since := u.w.evacuatedSince(u.centre); since > 0 {
+			u.w.check.openedThere(u.w.now(), since, u.id, u.centre)
+		}
+		if f == nil && u.warm > 0 {
+			u.w.check.openedCold(u.w.now(), u.id, coldRate)
+		}
 		if f == nil {
 			f = &served{isn: u.w.random(), parts: map[uint32]string{}}
 			u.flows[s.Src] = f
@@ -194,7 +227,11 @@
 	f.running = true
 	reply := *s
 	u.w.check.ran(u.w.now(), words[0], u.service, words[2], words[3] == "true")
-	u.w.after(workTime, func() { u.finish(f, &reply, words[0], first, end) })
+	takes := workTime
+	if u.w.queued.Load() > 0 {
+		takes = queueTime
+	}
+	u.w.after(takes, func() { u.finish(f, &reply, words[0], first, end) })
 }
 
 // finish answers a request that has run.
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -60,6 +60,7 @@
 	entries   []*entry
 	ids       atomic.Uint64
 	lives     atomic.Uint64
+	queued    atomic.Int64 // so many reasons for upstreams to answer late
 
 	// mu is never held while an upstream's is taken: upstreams take it while they answer.
 	mu        sync.Mutex
@@ -69,6 +70,10 @@
 	lossy     bool
 	version   int
 	routes    map[string]routed
+	cold      int    // upstreams that have just started
+	evacuated string // a data centre
+	// evacuatedAt is when the store took that.
+	evacuatedAt time.Duration
 }
 
 // routed is a route that was added or removed at a time.
@@ -151,7 +156,7 @@
 		if i >= appUpstreams {
 			service = "intake"
 		}
-		if _, err := w.newUpstream(service, centreOf(i), netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		if _, err := w.startUpstream(firstTarget+w.lives.Add(1), service, centreOf(i), netip.MustParseAddrPort("127.0.0.1:0"), 0); err != nil {
 			return err
 		}
 	}
@@ -301,6 +306,7 @@
 	change(w.routes)
 	d := stoatpaddle.Declaration{
 		Version: stoatpaddle.Version(w.version), Idle: 15 * time.Second, Caps: map[stoatpaddle.ServiceID]int{"app": 2000, "intake": 2000},
+		ColdRates: map[stoatpaddle.ServiceID]float64{"app": coldRate, "intake": coldRate},
 	}
 	add := func(listen netip.AddrPort, service string, repeatable bool) {
 		d.Routes = append(d.Routes, stoatpaddle.Route{
--- a/stoatsoak/soak_test.go
+++ b/stoatsoak/soak_test.go
@@ -42,7 +42,7 @@
 	}
 	r := run(t, stoatsoak.Config{Seed: 1, Length: 16 * time.Second, Plan: []stoatsoak.Step{
 		at(3, stoatsoak.Routes, 1), at(3, stoatsoak.Drain, 0), at(4, stoatsoak.Terminate, 0), at(5, stoatsoak.Storm, 2), at(6, stoatsoak.Crash, 1),
-		at(4, stoatsoak.Foreign, 3), at(6, stoatsoak.Foreign, 0), at(7, stoatsoak.Restart, 3), at(9, stoatsoak.Restart, 2),
+		at(4, stoatsoak.Foreign, 3), at(6, stoatsoak.Foreign, 0), at(7, stoatsoak.Restart, 3), at(5, stoatsoak.Evacuate, 1), at(11, stoatsoak.Queue, 0), at(9, stoatsoak.Restart, 2),
 		at(7, stoatsoak.StoreDown, 0), at(8, stoatsoak.Kill, 1), at(10, stoatsoak.Freeze, 2), at(11, stoatsoak.Lossy, 0), at(12, stoatsoak.KillAll, 0),
 	}})
 	for _, b := range r.Breaches {
@@ -57,7 +57,7 @@
 // which the run's processes are real ones; so each run goes on until then, and the upstreams that
 // leave do so one after the other, after the start has ceased to count as a disturbance.
 func TestBrokenEntryIsNoticed(t *testing.T) {
-	for i, p := range []stoatsoak.Promise{stoatsoak.RightService, stoatsoak.WholeAnswer, stoatsoak.Once, stoatsoak.FlowLives, stoatsoak.Drained, stoatsoak.InForce, stoatsoak.Recovers, stoatsoak.Runs} {
+	for i, p := range []stoatsoak.Promise{stoatsoak.RightService, stoatsoak.WholeAnswer, stoatsoak.Once, stoatsoak.FlowLives, stoatsoak.Drained, stoatsoak.InForce, stoatsoak.Recovers, stoatsoak.Runs, stoatsoak.Evacuated, stoatsoak.Spared} {
 		t.Run(string(p), func(t *testing.T) {
 			plan := []stoatsoak.Step{}
 			if p == stoatsoak.Drained {
@@ -65,6 +65,12 @@
 					plan = append(plan, stoatsoak.Step{At: at, Kind: stoatsoak.Drain, Target: 0})
 				}
 			}
+			if p == stoatsoak.Evacuated || p == stoatsoak.Spared {
+				kind := map[stoatsoak.Promise]stoatsoak.Kind{stoatsoak.Evacuated: stoatsoak.Evacuate, stoatsoak.Spared: stoatsoak.Drain}[p]
+				for at := 12 * time.Second; at < brokenFor; at += 10 * time.Second {
+					plan = append(plan, stoatsoak.Step{At: at, For: 8 * time.Second, Kind: kind, Target: 0})
+				}
+			}
 			r := run(t, stoatsoak.Config{Seed: uint64(20 + i), Length: brokenFor, Plan: plan, Sabotage: p})
 			for _, b := range r.Breaches {
 				if b.Promise == p {
