stoatedge: entries below are woken by what changed, not by the next proof

Cause: children were woken when the revision up to which everything is known changed, which is the least of all topics; a change of an upstream or an evacuation waited for the next answer about the configuration.

--- a/stoatedge/evacuation_test.go
+++ b/stoatedge/evacuation_test.go
@@ -207,3 +207,34 @@
 		t.Errorf("without a parent it goes on reading: %+v", c)
 	}
 }
+
+// A reader hears that upstreams leave, ten within 0.1 s, while the exact watch of the configuration is
+// still waiting. Those below it must not hear of them only when that ends, seconds later: they are
+// woken for the first one at once, for the others together, and for an evacuation at any time.
+func TestChangesWakeOthers(t *testing.T) {
+	s := evacuating(t, false, false).serving()
+	s.pass(time.Second)
+	s.woken = 0
+	for i := range stoatpaddle.Version(10) {
+		s.now = s.now.Add(10 * ms)
+		x := registered("i-1", 1, 20+i)
+		x.registration.Slots = int(20 + i)
+		s.answer(upstreams, 20+i, x)
+	}
+	if s.woken != 1 {
+		t.Errorf("woken %d times by a swarm of changes", s.woken)
+	}
+	s.answer(evacuations, 40, evacuated("here", 40))
+	if s.woken != 2 {
+		t.Errorf("woken %d times, the last time by an evacuation", s.woken)
+	}
+	s.answer(upstreams, 50, registered("i-2", 2, 50))
+	s.pass(ringEvery + tickEvery)
+	if s.woken != 3 {
+		t.Errorf("woken %d times, the last time for what came just after", s.woken)
+	}
+	s.pass(time.Second)
+	if s.woken != 3 {
+		t.Errorf("woken %d times though nothing changed", s.woken)
+	}
+}
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -108,6 +108,8 @@
 		reads bool
 		asOf  time.Time
 	}
+	// changed wakes those who are told: there is something for them.
+	changed struct{}
 	// touched tells whether the platform answers.
 	touched struct{ answers bool }
 	// publish makes a table the one that traffic reads.
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -48,7 +48,8 @@
 	ready     bool
 	table     *stoatroute.Table
 	said      stands // as last said to others
-	out       []any  // effects of the present step
+	rung      rung
+	out       []any // effects of the present step
 }
 
 type keeperConfig struct {
@@ -118,9 +119,36 @@
 	}
 	k.publish()
 	k.tell()
+	k.ring(now)
 	return k.out
 }
 
+// ringEvery is how often children are sent what changed at most: changes of upstreams come in swarms,
+// and each message costs a small machine 0.2 ms of its processor whatever is in it.
+const ringEvery = 200 * time.Millisecond
+
+// rung is what children were last woken for.
+type rung struct {
+	at         time.Time
+	change     uint64 // the table's count
+	evacuation uint64 // the same, at the last change of an evacuation
+}
+
+// ring wakes children for what changed of what they mirror. Without it they would hear of it with the
+// next proof, which comes with the next answer about the configuration: 0.6 s later, and 1.4 s at most.
+// An evacuation does not wait.
+func (k *keeper) ring(now time.Time) {
+	t := k.table
+	if t == nil || !k.ready || t.Change == k.rung.change {
+		return
+	}
+	if t.Evacuations() == k.rung.evacuation && now.Sub(k.rung.at) < ringEvery {
+		return // the next tick is near
+	}
+	k.rung = rung{at: now, change: t.Change, evacuation: t.Evacuations()}
+	k.do(changed{})
+}
+
 // tell says what others may rely on, if it changed, after what they read is published.
 func (k *keeper) tell() {
 	reads := k.reading && k.ready && k.failing().IsZero()
@@ -138,6 +166,10 @@
 	if !now.same(&k.said) {
 		k.said = now
 		k.do(now)
+		if k.table != nil {
+			// This wakes children too, and the table is published by then.
+			k.rung.change, k.rung.evacuation = k.table.Change, k.table.Evacuations()
+		}
 	}
 }
 
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -26,6 +26,7 @@
 	left   int                 // how often a parent was left
 	knows  stoatpaddle.Version // as said to others
 	reads  bool                // as said to others
+	woken  int                 // how often others were woken
 }
 
 func newSession(t *testing.T) *session {
@@ -68,6 +69,9 @@
 			s.step(parted{serial: x.serial, cause: &leftError{why: x.why}})
 		case stands:
 			s.knows, s.reads = x.known, x.reads
+			s.woken++
+		case changed:
+			s.woken++
 		}
 	}
 }
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -58,6 +58,8 @@
 	case stands:
 		e.place.stands.Store(&x)
 		e.place.bell.ring()
+	case changed:
+		e.place.bell.ring()
 	case publish:
 		e.table.Store(x.table)
 		if x.table.Ready() {
--- a/stoatroute/evacuation.go
+++ b/stoatroute/evacuation.go
@@ -17,15 +17,19 @@
 type evacuations struct {
 	states map[stoatpaddle.DataCentreID]evacuationState
 	known  bool // they were listed at least once, or need not be
+	change uint64
 }
 
+// Evacuations returns the book's count of changes at the last one of an evacuation.
+func (e *evacuations) Evacuations() uint64 { return e.change }
+
 type evacuationState struct {
 	stoatpaddle.Evacuation
 	change uint64 // the book's count of changes at its last one
 }
 
 func (e evacuations) clone(needed bool) evacuations {
-	return evacuations{states: maps.Clone(e.states), known: e.known || !needed}
+	return evacuations{states: maps.Clone(e.states), known: e.known || !needed, change: e.change}
 }
 
 // Evacuated tells whether upstreams of the data centre are to get no new flows.
@@ -59,6 +63,7 @@
 	}
 	b.changes++
 	b.states[e.DataCentre] = evacuationState{Evacuation: e, change: b.changes}
+	b.evacuations.change = b.changes
 	b.dirty = true
 	return e.Withdrawn == (known && !old.Withdrawn)
 }
