stoatecho: upstreams that were given up on are tried rarely, and never by the copy of an opening

When an ejection or a backoff ends, its upstream has nothing in progress and costs least, at all entries.

--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -49,7 +49,8 @@
 // refused: sent to another data centre, it fills that one next when all have too much. Ejected
 // upstreams are the last resort: if all are ejected the evidence speaks of this entry's network
 // rather than of them.
-func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey) (*stoatroute.Upstream, bool, Excluded) {
+// Again says that it is a copy of an opening which went unanswered.
+func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey, again bool) (*stoatroute.Upstream, bool, Excluded) {
 	var o offers
 	var excluded Excluded
 	patience := e.handshake.patience()
@@ -65,6 +66,9 @@
 		}
 		// The order of equals must differ from entry to entry, or all would start with the same.
 		cost := h.cost(now, u, patience) * (1 + jitter*e.rnd.Float64())
+		if h.suspected() && (again || now.Before(h.group.trial)) {
+			cost *= slowPenalty
+		}
 		full := !admits(now, h, r)
 		switch home := u.DataCentre == e.cfg.DataCentre; {
 		case h.isEjected(now) || u.Key == except:
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -244,7 +244,7 @@
 	if p.Copies == 0 {
 		except = e.refusedBefore(now, p)
 	}
-	u, admitted, excluded := e.choose(now, t, r, except)
+	u, admitted, excluded := e.choose(now, t, r, except, a.Moved)
 	if a.Upstream = u; u == nil {
 		a.Excluded = excluded
 		return e.refuse(a, stoatpacket.DropNoUpstream)
@@ -261,6 +261,9 @@
 	}
 	e.stats.Opened++
 	h.taken = now
+	if h.suspected() {
+		h.group.trial = now.Add(trialEvery/2 + time.Duration(e.rnd.Int64N(int64(trialEvery))))
+	}
 	h.group.load.opened(now)
 	if len(e.flows) < e.cfg.MaxFlows {
 		h.opened(now)
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -33,8 +33,18 @@
 	refused    float64 // share of openings of late that were refused for overload
 	load       flowLoad
 	silence    groupSilence
+	trial      time.Time // when a suspected upstream may get a flow next
 }
 
+// trialEvery is the mean pause between two flows of this entry that find out whether suspected upstreams
+// of a group are back.
+//
+// The load: thirty of 150 upstreams are lost for good while the store is silent, so that their
+// registrations stay for ten seconds. Each was ejected at all entries, and when that ends it has nothing
+// in progress: it looks better than any that serves, at eighty entries at once. One flow in five went
+// there, and the copies of its opening to two others of the kind.
+const trialEvery = time.Second
+
 // groupSilence notices that a whole group answers nothing.
 //
 // The load: the upstreams of a data centre are lost at once. Their machines refuse towards callers, past
--- a/stoatecho/group_test.go
+++ b/stoatecho/group_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
 // manyHere adds upstreams of service app to this data centre, forty in all.
@@ -103,3 +104,34 @@
 		t.Errorf("%d of 300 flows were sent to another data centre", away)
 	}
 }
+
+// Ten of forty upstreams are lost for good, and their registrations stay, since the store is silent. They
+// are ejected. When that ends they have nothing in progress and look better than any that serves: all
+// the same they get a flow now and then only, and a copy of its opening goes to one that serves.
+func TestLostUpstreamsAreTriedRarely(t *testing.T) {
+	w := newWorld(t)
+	w.manyHere()
+	dead := func(u *stoatroute.Upstream) bool { return u.Target >= 100 && u.Target < 110 }
+	lost, copies := 0, 0
+	for range 1000 {
+		c := w.caller(feed)
+		a := c.syn(0)
+		if dead(a.Upstream) {
+			lost++
+			w.after(200 * ms)
+			if a = c.syn(1); dead(a.Upstream) {
+				copies++
+			}
+		}
+		if !dead(a.Upstream) {
+			c.cookie = a.Upstream.Key
+			w.after(10 * ms)
+			c.send(stoatpacket.Packet{Ack: 1})
+		}
+		w.after(10 * ms)
+	}
+	// Each is met once, and then one of them every second of the 25 that this takes.
+	if lost > 10+2*25 || copies > 10 {
+		t.Errorf("of 1000 flows %d were sent to upstreams that are lost, and %d of their copies", lost, copies)
+	}
+}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -162,6 +162,9 @@
 	return min(patienceMost, max(patienceLeast, x.mean+4*x.deviation))
 }
 
+// suspected tells whether the upstream let packets go unanswered and gave no sign since.
+func (h *health) suspected() bool { return !h.ejected.IsZero() || h.shun > 0 }
+
 func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejected) }
 
 // silenceOf is how long the upstream may be silent: longer where its like take long to answer.
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -50,6 +50,10 @@
 		// Others wait for it, or go by what this entry said.
 		e.observed = true
 	}
+	if h.suspected() {
+		// It is back, and others may be.
+		h.group.trial = now
+	}
 	h.heard(now)
 	h.group.silence.ended(now)
 	e.sign = now
