stoatecho: what a data centre's entries know together of silent upstreams counts for other data centres' too

One condition less. TestSilenceElsewhereIsPooled fails without it (checked before the change: no silent upstream is named).

--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -134,21 +135,28 @@
 	Waiting  int // requests from here that wait there
 }
 
-// JudgeSilence looks for upstreams of this data centre that answer nobody, by what its entries saw
+// JudgeSilence looks for upstreams that answer nobody, by what the entries of this data centre saw
 // together, and returns those that are ejected now. What is not heard of within the delay did not
-// happen.
+// happen. Upstreams of other data centres are judged too: while the own one is evacuated, all of its
+// flows go there.
 func (e *Engine) JudgeSilence(now time.Time, t *stoatroute.Table, delay time.Duration) []Silent {
 	if len(e.together) == 0 {
 		return nil
 	}
 	var out []Silent
 	for _, service := range t.Services() {
-		out = append(out, e.judgeSilence(now, t.Service(service), delay)...)
+		byCentre := map[stoatpaddle.DataCentreID][]*stoatroute.Upstream{}
+		for _, u := range t.Service(service) {
+			byCentre[u.DataCentre] = append(byCentre[u.DataCentre], u)
+		}
+		for _, list := range byCentre {
+			out = append(out, e.judgeSilence(now, list, delay)...)
+		}
 	}
 	return out
 }
 
-// judgeSilence judges the upstreams of one service, those first for which most entries wait.
+// judgeSilence judges the upstreams of one service in one data centre, those first for which most entries wait.
 func (e *Engine) judgeSilence(now time.Time, list []*stoatroute.Upstream, delay time.Duration) []Silent {
 	var out []Silent
 	named, quota := e.namedSilent(now, list)
@@ -170,15 +178,11 @@
 	return out
 }
 
-// namedSilent returns the upstreams of this data centre for which entries wait, and how many may be
-// avoided for it.
+// namedSilent returns the upstreams for which entries wait, and how many may be avoided for it.
 func (e *Engine) namedSilent(now time.Time, list []*stoatroute.Upstream) ([]*stoatroute.Upstream, silentQuota) {
 	var named []*stoatroute.Upstream
 	var quota silentQuota
 	for _, u := range list {
-		if u.DataCentre != e.cfg.DataCentre {
-			continue
-		}
 		quota.count(now, e.health[u.Key])
 		if e.together[u.Key].Entries > 0 {
 			named = append(named, u)
--- a/stoatecho/silent_test.go
+++ b/stoatecho/silent_test.go
@@ -312,3 +312,31 @@
 		}
 	}
 }
+
+// The own data centre is evacuated, and all flows of its entries go to another one. An upstream there
+// falls silent: two entries that wait for it are enough here too.
+func TestSilenceElsewhereIsPooled(t *testing.T) {
+	x := newEntries(t, 3)
+	for _, w := range x.list {
+		w.register(4, "app", "there")
+		w.register(5, "app", "there")
+	}
+	for _, w := range x.list {
+		w.evacuate("here", false)
+	}
+	x.level()
+	x.sign()
+	x.list[0].opening(3)
+	x.list[1].opening(3)
+	x.after(210 * ms)
+	x.sign()
+	x.wait()
+	for i, silent := range x.pool() {
+		if len(silent) != 1 || silent[0].Upstream.Target != 3 {
+			t.Errorf("entry %d: %+v", i, silent)
+		}
+	}
+	if got := x.list[2].opened(30); got["i-3"] != 0 {
+		t.Error("new flows go on to it:", got)
+	}
+}
