--- a/stoatedge/answer_test.go
+++ b/stoatedge/answer_test.go
@@ -1,16 +1,12 @@
 package stoatedge
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
-	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
 // A page of a list ends with an object whose name cannot be read. The list goes on after the last
@@ -39,28 +35,6 @@
 	}
 }
 
-// A parent's message carries an upstream's incarnation: without it, a child would take a start
-// for a heartbeat.
-func TestIncarnationIsTold(t *testing.T) {
-	now := time.Unix(1000, 0)
-	b := stoatroute.NewBook(stoatroute.Config{})
-	r := registered("i-1", 1, 5).registration
-	r.Incarnation, r.Cold, r.Addr = 1_790_000_000_000, 3*time.Second, netip.MustParseAddrPort("10.0.0.1:80")
-	b.Register(now, *r, 5)
-	data, err := encodeWire(encodeBody(now, b.Table(), heldBy{}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	var w wireBody
-	if err := msgpack.Unmarshal(data, &w); err != nil {
-		t.Fatal(err)
-	}
-	x, err := decodeNews(&wireHead{}, &w)
-	if err != nil || len(x.upstreams) != 1 || x.upstreams[0].Registration != *r {
-		t.Errorf("%v %+v", err, x.upstreams)
-	}
-}
-
 // A call is given up while it still pauses, since the parent tells now: it ends at once, without
 // a question to the platform.
 func TestInterruptDuringAPause(t *testing.T) {
--- a/stoatedge/evacuation_test.go
+++ b/stoatedge/evacuation_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
-	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
 // evacuating returns a session of an entry that follows evacuations, and of which nothing is answered.
@@ -161,35 +160,6 @@
 	s.want("told by one that has never heard of it", true)
 }
 
-// What a child lacks of evacuations is told to it, over the wire, and no more.
-func TestEvacuationCodec(t *testing.T) {
-	b := stoatroute.NewBook(stoatroute.Config{Evacuations: true})
-	b.Declare(*declared(1, 5).declaration, 5)
-	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "here", Revision: 7})
-	b.EvacuationsListed(map[stoatpaddle.DataCentreID]bool{"here": true}, 8)
-	first := b.Table()
-	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "there", Revision: 9})
-	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "here", Revision: 10, Withdrawn: true})
-	for child, want := range map[heldBy]int{{}: 2, holds(first): 2, holds(b.Table()): 0} {
-		got := 0
-		if w := encodeBody(time.Unix(1000, 0), b.Table(), child); w != nil {
-			x, err := decodeNews(&wireHead{}, overTheWire(t, w))
-			if err != nil {
-				t.Fatal(err)
-			}
-			got = len(x.evacuations)
-			for _, ev := range x.evacuations {
-				if ev.Withdrawn != (ev.DataCentre == "here") || ev.Revision < 9 {
-					t.Errorf("%+v", ev)
-				}
-			}
-		}
-		if got != want {
-			t.Errorf("%d states told to a child that holds %+v, expected %d", got, child, want)
-		}
-	}
-}
-
 // An entry starts, has its lists and looks for a parent. A watch of the platform that it gives up some
 // milliseconds later would be paid for: it begins after a second, or never if a parent is found.
 func TestWatchWaitsForAParent(t *testing.T) {
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -8,6 +8,7 @@
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -60,7 +61,7 @@
 		known       stoatpaddle.Version
 		age         time.Duration
 		whole       bool
-		amendment   *amendment // of the declaration, if it changed
+		delta       *stoatrelay.Delta // of the declaration, if it changed
 		upstreams   []stoatroute.Told
 		evacuations []stoatpaddle.Evacuation
 	}
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -127,7 +127,7 @@
 			stoatevent.F("revision", x.known.String()), stoatevent.F("age", ageText(x.age)))
 	}
 	f.path = x.path
-	if current := k.book.Declaration().Version; !x.amendment.fits(current) {
+	if current := k.book.Declaration().Version; !x.delta.Fits(current) {
 		// This entry read a version of its own in between. None of the message counts: had it
 		// been taken for known, the configuration would stay as it is until the next change.
 		// Everything is told anew after a new search.
@@ -160,8 +160,8 @@
 		k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", ageText(x.age)),
 			stoatevent.F("upstreams", countOf(len(x.upstreams))))
 	}
-	if x.amendment != nil {
-		k.amend(now, x)
+	if x.delta != nil {
+		k.applyDelta(now, x)
 	}
 	for _, ev := range x.evacuations {
 		k.evacuate(ev, x.from)
@@ -171,14 +171,14 @@
 	}
 }
 
-// amend adopts the declaration that the parent tells, if it is later than the one in force.
-func (k *keeper) amend(now time.Time, x told) {
+// applyDelta adopts the declaration that the parent tells, if it is later than the one in force.
+func (k *keeper) applyDelta(now time.Time, x told) {
 	current := k.book.Declaration()
-	if x.amendment.declaration.Version <= current.Version {
+	if x.delta.Declaration.Version <= current.Version {
 		return
 	}
-	d := x.amendment.onto(&current)
-	k.apply(now, declarations, []change{{revision: x.amendment.revision, declaration: &d}}, x.from)
+	d := x.delta.Onto(&current)
+	k.apply(now, declarations, []change{{revision: x.delta.Revision, declaration: &d}}, x.from)
 }
 
 func ageText(d time.Duration) string {
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -8,6 +8,7 @@
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -128,7 +129,7 @@
 	for i := range changes {
 		c := &changes[i]
 		if c.declaration != nil {
-			x.amendment = &amendment{declaration: *c.declaration, revision: c.revision}
+			x.delta = &stoatrelay.Delta{Declaration: *c.declaration, Revision: c.revision}
 			continue
 		}
 		x.upstreams = append(x.upstreams, stoatroute.Told{Registration: *c.registration, Revision: c.revision})
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -8,10 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/google/go-cmp/cmp/cmpopts"
-	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
@@ -85,130 +82,6 @@
 	}
 }
 
-// What one entry tells, another takes in as the same; later it is told what changed alone.
-func TestNewsCodec(t *testing.T) {
-	c, r := declared(4, 9), registered("i-2", 2, 7)
-	c.declaration.Caps = map[stoatpaddle.ServiceID]int{"app": 2000}
-	c.declaration.Idle = 15 * time.Second
-	c.declaration.Routes[0].Idempotent = true
-	r.registration.Leaving = true
-	r.registration.Addr = listen
-	r.registration.Cold = 3 * time.Second
-	now := time.Unix(1000, 0)
-	b := stoatroute.NewBook(stoatroute.Config{})
-	b.Declare(*c.declaration, c.revision)
-	b.Register(now, *r.registration, r.revision)
-	first := b.Table()
-	got, err := decodeNews(&wireHead{Known: 12}, overTheWire(t, encodeBody(now.Add(time.Second), first, heldBy{})))
-	if err != nil || got.amendment == nil || len(got.upstreams) != 1 || !got.whole || got.known != 12 {
-		t.Fatalf("%+v %v", got, err)
-	}
-	a := got.amendment
-	if diff := cmp.Diff(*c.declaration, a.declaration, cmp.Comparer(sameAddr)); diff != "" || a.revision != 9 || a.base != 0 {
-		t.Error(diff, a.revision, a.base)
-	}
-	want := *r.registration
-	want.Cold = 2 * time.Second
-	if u := got.upstreams[0]; u.Registration != want || u.Revision != 7 || u.Standing != stoatroute.Leaving {
-		t.Errorf("%+v", u)
-	}
-	b.Remove(now, "i-2", 12)
-	got, err = decodeNews(&wireHead{}, overTheWire(t, encodeBody(now, b.Table(), holds(first))))
-	if err != nil || got.amendment != nil || len(got.upstreams) != 1 || got.upstreams[0].Standing != stoatroute.Gone || got.upstreams[0].Revision != 12 {
-		t.Errorf("%+v %v", got, err)
-	}
-	if w := encodeBody(now, b.Table(), holds(b.Table())); w != nil {
-		t.Errorf("told again: %+v", w)
-	}
-	for _, spoil := range []func(w *wireBody){
-		func(w *wireBody) { w.Upstreams[0].Addr = []byte{1} },
-		func(w *wireBody) { w.Upstreams[0].Standing = 9 },
-		func(w *wireBody) { w.Upstreams[0].Service = 99 },
-		func(w *wireBody) { w.Upstreams[0].Centre = -1 },
-		func(w *wireBody) { w.Declared.Routes[0].Listen = nil },
-	} {
-		w := encodeBody(now, first, heldBy{})
-		spoil(w)
-		if _, err := decodeNews(&wireHead{}, w); err == nil {
-			t.Errorf("a faulty parent is believed: %+v", w)
-		}
-	}
-	if _, err := decodeNews(&wireHead{Path: []string{"x"}}, nil); err == nil {
-		t.Error("a faulty path is believed")
-	}
-}
-
-func sameAddr(a, b netip.AddrPort) bool { return a == b }
-
-func overTheWire(t *testing.T, w *wireBody) *wireBody {
-	t.Helper()
-	data, err := encodeWire(w)
-	if err != nil {
-		t.Fatal(err)
-	}
-	out := &wireBody{}
-	if err := msgpack.Unmarshal(data, out); err != nil {
-		t.Fatal(err)
-	}
-	return out
-}
-
-// A route moved to another service while flows are open at the one before. An entry that
-// starts afterwards, and is told by one that saw it, forwards their packets too.
-func TestEarlierServicesAreTold(t *testing.T) {
-	b := stoatroute.NewBook(stoatroute.Config{})
-	first, moved := declared(1, 5), declared(2, 9)
-	moved.declaration.Routes[0].Backends[0].Service = "other"
-	b.Declare(*first.declaration, first.revision)
-	b.Declare(*moved.declaration, moved.revision)
-	got, err := decodeNews(&wireHead{}, overTheWire(t, encodeBody(time.Unix(1000, 0), b.Table(), heldBy{})))
-	if err != nil {
-		t.Fatal(err)
-	}
-	later := stoatroute.NewBook(stoatroute.Config{})
-	later.Declare(got.amendment.declaration, got.amendment.revision)
-	if r := later.Table().Route(listen); !r.Had("app") || !r.Had("other") || r.Had("third") {
-		t.Error(r.Earlier())
-	}
-}
-
-// A configuration of two thousand routes changes: one route is added, one changed, one
-// removed. What is told is those three, and makes the same of the version before.
-func TestDifferenceOfDeclarations(t *testing.T) {
-	route := func(i int, priority int) stoatpaddle.Route {
-		addr := netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)})
-		return stoatpaddle.Route{Listen: netip.AddrPortFrom(addr, 443), Priority: priority, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}}}
-	}
-	old := stoatpaddle.Declaration{Version: 3, Caps: map[stoatpaddle.ServiceID]int{}}
-	for i := range 2000 {
-		old.Routes = append(old.Routes, route(i, 1))
-	}
-	b := stoatroute.NewBook(stoatroute.Config{})
-	b.Declare(old, 10)
-	before := b.Table()
-	next := old
-	next.Version = 8
-	next.Routes = append([]stoatpaddle.Route{route(0, 5)}, old.Routes[2:]...)
-	next.Routes = append(next.Routes, route(5000, 1))
-	b.Declare(next, 20)
-	w := overTheWire(t, encodeBody(time.Unix(1000, 0), b.Table(), holds(before)))
-	if len(w.Declared.Routes) != 2 || len(w.Declared.Removed) != 1 || w.Declared.Base != 3 {
-		t.Fatal(len(w.Declared.Routes), len(w.Declared.Removed), w.Declared.Base)
-	}
-	got, err := decodeNews(&wireHead{}, w)
-	if err != nil {
-		t.Fatal(err)
-	}
-	made, fits := got.amendment.onto(&old), got.amendment.fits(old.Version)
-	byListen := cmpopts.SortSlices(func(a, b stoatpaddle.Route) bool { return a.Listen.Compare(b.Listen) < 0 })
-	if diff := cmp.Diff(next, made, cmp.Comparer(sameAddr), byListen); diff != "" || !fits {
-		t.Error(fits, diff)
-	}
-	if got.amendment.fits(old.Version + 1) {
-		t.Error("fits a version between")
-	}
-}
-
 // A flood meets an entry that has nothing to serve by yet: what finds no room is counted.
 func TestFullHoldIsCounted(t *testing.T) {
 	e := &Edge{engine: stoatecho.New(stoatecho.Config{Start: clock()}), log: newEventLog(io.Discard, stoatsetting.Settings{})}
@@ -237,7 +110,7 @@
 		t.Fatal(err)
 	}
 	got, err := readAsk(q)
-	if diff := cmp.Diff(want, got, cmp.Comparer(sameAddr)); err != nil || diff != "" {
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); err != nil || diff != "" {
 		t.Error(err, diff)
 	}
 	for _, key := range []string{askFrom, askKnown, askWithin, askSkip} {
--- a/stoatedge/proof_test.go
+++ b/stoatedge/proof_test.go
@@ -8,6 +8,7 @@
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
+	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 	"github.com/stoatpaddle/stoatpaddle/stoatsetting"
 )
@@ -135,7 +136,7 @@
 	s := following(t)
 	s.step(parted{serial: 1, cause: &silentError{}})
 	s.pass(500 * ms)
-	s.step(told{serial: 1, from: "parent", known: 20, amendment: &amendment{revision: 15, declaration: *declared(2, 15).declaration}})
+	s.step(told{serial: 1, from: "parent", known: 20, delta: &stoatrelay.Delta{Revision: 15, Declaration: *declared(2, 15).declaration}})
 	if s.table.Declaration.Version != 1 {
 		t.Error("taken in")
 	}
@@ -163,7 +164,7 @@
 func TestDifferenceThatDoesNotFit(t *testing.T) {
 	s := following(t)
 	d := declared(4, 30)
-	s.step(told{serial: 1, from: "parent", known: 30, amendment: &amendment{revision: 30, base: 2, declaration: *d.declaration}})
+	s.step(told{serial: 1, from: "parent", known: 30, delta: &stoatrelay.Delta{Revision: 30, Base: 2, Declaration: *d.declaration}})
 	if s.table.Declaration.Version != 1 || s.left != 1 {
 		t.Error(s.table.Declaration.Version, s.left)
 	}
@@ -180,7 +181,7 @@
 		t.Errorf("not read: %+v", c)
 	}
 	s = following(t)
-	s.step(told{serial: 1, from: "parent", known: 30, amendment: &amendment{revision: 30, base: 1, declaration: *d.declaration}})
+	s.step(told{serial: 1, from: "parent", known: 30, delta: &stoatrelay.Delta{Revision: 30, Base: 1, Declaration: *d.declaration}})
 	if s.table.Declaration.Version != 4 || s.left != 0 {
 		t.Error(s.table.Declaration.Version, s.left)
 	}
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -16,6 +16,7 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
 )
 
@@ -133,7 +134,7 @@
 		return false, e.refused(addr, dec)
 	}
 	for {
-		h, body, err := readNews(dec)
+		h, body, err := stoatrelay.Read(dec)
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
@@ -150,16 +151,6 @@
 	}
 }
 
-// readNews reads one message; there is no body if nothing changed.
-func readNews(dec *msgpack.Decoder) (*wireHead, *wireBody, error) {
-	h := &wireHead{}
-	if err := dec.Decode(h); err != nil || !h.Body {
-		return h, nil, err
-	}
-	w := &wireBody{}
-	return h, w, dec.Decode(w)
-}
-
 func (e *Edge) askEntry(ctx context.Context, addr netip.AddrPort, ask stoattree.Ask) (*http.Response, error) {
 	url := "http://" + addr.String() + pathNews + "?" + writeAsk(ask)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -175,11 +166,11 @@
 
 // refused takes in whom an entry that refused names instead.
 func (e *Edge) refused(addr netip.AddrPort, dec *msgpack.Decoder) error {
-	var w wireRefusal
+	var w stoatrelay.Refusal
 	if err := dec.Decode(&w); err != nil {
 		return &stoatpaddle.DecodeError{What: "a refusal of " + addr.String(), Cause: err}
 	}
-	try, err := parseAddrs(w.Try)
+	try, err := stoatrelay.ParseAddrs(w.Try)
 	if err != nil {
 		return err
 	}
@@ -190,16 +181,19 @@
 }
 
 // takeNews hands a parent's message to the keeper, or tells why the parent is to be left.
-func (e *Edge) takeNews(serial int, addr netip.AddrPort, h *wireHead, w *wireBody) error {
-	x, err := decodeNews(h, w)
+func (e *Edge) takeNews(serial int, addr netip.AddrPort, h *stoatrelay.Head, w *stoatrelay.Body) error {
+	m, err := stoatrelay.Decode(h, w)
 	if err != nil {
 		return err
 	}
-	relatives, err := parseAddrs(h.Relatives)
+	x := told{
+		serial: serial, from: addr.String(), path: m.Path, known: m.Known, age: m.Age, whole: m.Whole, delta: m.Delta,
+		upstreams: m.Upstreams, evacuations: m.Evacuations,
+	}
+	relatives, err := stoatrelay.ParseAddrs(h.Relatives)
 	if err != nil {
 		return err
 	}
-	x.serial, x.from = serial, addr.String()
 	e.place.mu.Lock()
 	e.place.tree.Learn(relatives)
 	looped := e.place.tree.Looped(x.path)
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -15,6 +15,7 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
 )
 
 // pathSeen is where an entry tells its parent which upstreams it saw failing.
@@ -179,7 +180,7 @@
 // sendReport sends a report, and tells whether the parent took it. One that does not is noticed by
 // its silence, or lacks what was reported before.
 func (e *Edge) sendReport(x pendingReport) bool {
-	body, err := encodeWire(stoatoutlier.Encode(clock(), x.update.Reports))
+	body, err := stoatrelay.Encode(stoatoutlier.Encode(clock(), x.update.Reports))
 	if err != nil {
 		return false
 	}
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -1,7 +1,6 @@
 package stoatedge
 
 import (
-	"bytes"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -11,13 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatcount"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 	"github.com/stoatpaddle/stoatpaddle/stoattree"
 )
@@ -131,14 +129,14 @@
 func refuseAsk(w http.ResponseWriter, a stoattree.Answer) {
 	w.WriteHeader(http.StatusServiceUnavailable)
 	// Whoever hung up asks another one.
-	_ = msgpack.NewEncoder(w).Encode(&wireRefusal{Reason: string(a.Refusal), Try: addrTexts(a.Try)})
+	_ = stoatrelay.EncodeRefusal(w, &stoatrelay.Refusal{Reason: string(a.Refusal), Try: stoatrelay.AddrTexts(a.Try)})
 }
 
 // tellChild sends messages until something ends it, and returns what did.
 func (e *Edge) tellChild(w http.ResponseWriter, r *http.Request, ask stoattree.Ask) string {
 	rc := http.NewResponseController(w)
 	out := &stoatcount.Writer{W: w, N: &e.place.sent}
-	var child heldBy
+	var child stoatrelay.Holds
 	var seen stoatoutlier.Stream
 	for {
 		next := e.place.bell.wait()
@@ -166,7 +164,7 @@
 }
 
 // message returns the next one for a child, encoded, and what the child holds with it.
-func (e *Edge) message(now time.Time, ask stoattree.Ask, child heldBy, seen *stoatoutlier.Stream) ([]byte, heldBy, error) {
+func (e *Edge) message(now time.Time, ask stoattree.Ask, child stoatrelay.Holds, seen *stoatoutlier.Stream) ([]byte, stoatrelay.Holds, error) {
 	// First how far everything is known, then the table: it holds that much at least.
 	s, t := e.place.stands.Load(), e.table.Load()
 	body, err := e.place.bodies.of(now, t, child)
@@ -177,7 +175,7 @@
 	if err != nil {
 		return nil, child, err
 	}
-	return append(head, body...), holds(t), nil
+	return append(head, body...), stoatrelay.HoldsOf(t), nil
 }
 
 // waitForNews returns when there is some or a message is due anyway, or with what ended the telling.
@@ -197,9 +195,9 @@
 
 // headFor returns the head of a message to one child, encoded.
 func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool, stream *stoatoutlier.Stream) ([]byte, error) {
-	h := wireHead{
+	h := stoatrelay.Head{
 		Known: uint64(s.known), AgeMS: ageAt(now, s.asOf).Milliseconds(), Body: body,
-		Path: addrTexts(append(s.path[:len(s.path):len(s.path)], e.settings().Admin)),
+		Path: stoatrelay.AddrTexts(append(s.path[:len(s.path):len(s.path)], e.settings().Admin)),
 	}
 	h.Centre = string(e.settings().DataCentre)
 	if seen := e.place.seen.Load(); seen != nil && ask.Centre == e.settings().DataCentre {
@@ -208,29 +206,19 @@
 		}
 	}
 	e.place.mu.Lock()
-	h.Relatives = addrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
+	h.Relatives = stoatrelay.AddrTexts(e.place.tree.Relatives(ask.From, ask.Centre))
 	if own := e.ownPlace(); ask.Centre == e.settings().DataCentre && own.Entries > 0 {
 		h.Rank, h.Entries = e.place.tree.RankOf(ask.From, own.Rank), own.Entries
 	}
 	e.place.mu.Unlock()
-	return encodeWire(&h)
-}
-
-func encodeWire(v any) ([]byte, error) {
-	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(v); err != nil {
-		return nil, err
-	}
-	return buf.Bytes(), nil
+	return stoatrelay.Encode(&h)
 }
 
 // bodies keeps the last body: children that were told the same are told the same next.
 type bodies struct {
 	mu    sync.Mutex
-	held  heldBy // of the table that it was made from
-	child heldBy
+	held  stoatrelay.Holds // of the table that it was made from
+	child stoatrelay.Holds
 	made  time.Time
 	text  []byte
 }
@@ -239,20 +227,20 @@
 const bodyKept = 200 * time.Millisecond
 
 // of returns what t has that a child does not, encoded; nothing if there is nothing.
-func (b *bodies) of(now time.Time, t *stoatroute.Table, child heldBy) ([]byte, error) {
+func (b *bodies) of(now time.Time, t *stoatroute.Table, child stoatrelay.Holds) ([]byte, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.held == holds(t) && b.child == child && now.Sub(b.made) < bodyKept {
+	if b.held == stoatrelay.HoldsOf(t) && b.child == child && now.Sub(b.made) < bodyKept {
 		return b.text, nil
 	}
 	var text []byte
-	if w := encodeBody(now, t, child); w != nil {
+	if w := stoatrelay.EncodeBody(now, t, child); w != nil {
 		var err error
-		if text, err = encodeWire(w); err != nil {
+		if text, err = stoatrelay.Encode(w); err != nil {
 			return nil, err
 		}
 	}
-	b.held, b.child, b.made, b.text = holds(t), child, now, text
+	b.held, b.child, b.made, b.text = stoatrelay.HoldsOf(t), child, now, text
 	return text, nil
 }
 
@@ -278,7 +266,7 @@
 		Near: q.Get(askNear) != "", Within: time.Duration(within) * time.Millisecond,
 	}
 	if skip := q.Get(askSkip); skip != "" {
-		if a.Skip, err = parseAddrs(strings.Split(skip, ",")); err != nil {
+		if a.Skip, err = stoatrelay.ParseAddrs(strings.Split(skip, ",")); err != nil {
 			return fail(askSkip, err)
 		}
 	}
@@ -294,6 +282,6 @@
 	if a.Near {
 		q.Set(askNear, "1")
 	}
-	q.Set(askSkip, strings.Join(addrTexts(a.Skip), ","))
+	q.Set(askSkip, strings.Join(stoatrelay.AddrTexts(a.Skip), ","))
 	return q.Encode()
 }
--- a/stoatedge/bench_test.go
+++ b/stoatrelay/bench_test.go
@@ -1,4 +1,4 @@
-package stoatedge
+package stoatrelay
 
 import (
 	"fmt"
@@ -32,39 +32,39 @@
 
 // A message without news, as each child gets one with each proof.
 func BenchmarkHead(b *testing.B) {
-	h := &wireHead{
+	h := &Head{
 		Known: 1234567, AgeMS: 40, Path: []string{"10.1.0.10:8166", "10.1.0.77:8166", "10.1.0.78:8166"},
 		Relatives: []string{"10.1.0.80:8166", "10.1.0.81:8166", "10.1.0.82:8166"}, Centre: "ruwi",
 	}
 	b.ReportAllocs()
 	for range b.N {
-		data, err := encodeWire(h)
+		data, err := Encode(h)
 		if err != nil {
 			b.Fatal(err)
 		}
 		b.SetBytes(int64(len(data)))
-		var out wireHead
+		var out Head
 		if err := msgpack.Unmarshal(data, &out); err != nil {
 			b.Fatal(err)
 		}
-		if _, err := decodeNews(&out, nil); err != nil {
+		if _, err := Decode(&out, nil); err != nil {
 			b.Fatal(err)
 		}
 	}
 }
 
 // toldOver writes a body, and reads it as a child does.
-func toldOver(b *testing.B, w *wireBody) told {
-	data, err := encodeWire(w)
+func toldOver(b *testing.B, w *Body) Message {
+	data, err := Encode(w)
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.SetBytes(int64(len(data)))
-	var out wireBody
+	var out Body
 	if err := msgpack.Unmarshal(data, &out); err != nil {
 		b.Fatal(err)
 	}
-	x, err := decodeNews(&wireHead{}, &out)
+	x, err := Decode(&Head{}, &out)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -80,8 +80,8 @@
 			now := time.Unix(1000, 0)
 			b.ReportAllocs()
 			for range b.N {
-				x := toldOver(b, encodeBody(now, t, heldBy{}))
-				stoatroute.NewBook(stoatroute.Config{}).Mirror(now, stoatroute.Telling{Upstreams: x.upstreams, Whole: true, Later: true})
+				x := toldOver(b, EncodeBody(now, t, Holds{}))
+				stoatroute.NewBook(stoatroute.Config{}).Mirror(now, stoatroute.Telling{Upstreams: x.Upstreams, Whole: true, Later: true})
 			}
 		})
 	}
@@ -96,15 +96,15 @@
 			now := time.Unix(1000, 0)
 			b.ReportAllocs()
 			for i := range b.N {
-				child := holds(book.Table())
+				child := HoldsOf(book.Table())
 				d.Version++
 				d.Routes[0].Priority = i
 				book.Declare(d, d.Version)
-				x := toldOver(b, encodeBody(now, book.Table(), child))
-				if !x.amendment.fits(held.Version) {
+				x := toldOver(b, EncodeBody(now, book.Table(), child))
+				if !x.Delta.Fits(held.Version) {
 					b.Fatal("does not fit")
 				}
-				held = x.amendment.onto(&held)
+				held = x.Delta.Onto(&held)
 			}
 		})
 	}
