--- a/stoatedge/apply.go
+++ b/stoatedge/apply.go
@@ -90,11 +90,11 @@
 	return strconv.FormatUint(uint64(r.Incarnation), 10) + " " + string(r.Service) + " " + r.Addr.String()
 }
 
-// maxStandings is how many upstreams have a line of their own in one step.
+// maxLinesAtOnce is how many upstreams have a line of their own at one moment.
 //
 // The load: the store was away, and 150 of 293 registrations lapse at once, at each of 195 entries:
 // 30,559 lines in 27 s. At 43,000 upstreams one outage would be as many lines an entry.
-const maxStandings = 8
+const maxLinesAtOnce = 8
 
 // standingChange is what an upstream's standing came to be, and why.
 type standingChange struct {
@@ -114,7 +114,7 @@
 func (k *keeper) logStandings() {
 	list := k.changes
 	k.changes = nil
-	if len(list) <= maxStandings {
+	if len(list) <= maxLinesAtOnce {
 		for i := range list {
 			k.logStanding(&list[i])
 		}
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -139,6 +139,11 @@
 		Title: "evacuation of a data centre is withdrawn",
 		Text:  "Its upstreams get new flows again at once; those that say they are cold get no more than the service's limit allows.",
 	})
+	EventManySilent = stoatevent.Register(stoatevent.Entry{
+		Number: 1434, Severity: stoatevent.Warning, Since: "0.6",
+		Title: "many upstreams answer nobody in this data centre",
+		Text:  "As SP1430, for more than eight of them at once; names has 64 at most. All of one data centre: look at the network towards it.",
+	})
 	EventUnreported = stoatevent.Register(stoatevent.Entry{
 		Number: 1428, Severity: stoatevent.Info, Since: "0.3",
 		Title: "what was seen of upstreams did not reach the parent",
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -132,8 +132,17 @@
 	}
 }
 
-// logSilent says which upstreams get no flows since they answer nobody.
+// logSilent says which upstreams get no flows since they answer nobody: in one line where a data centre
+// is lost, which is as many at each entry.
 func (e *Edge) logSilent(now time.Time, silent []stoatecho.Silent) {
+	if len(silent) > maxLinesAtOnce {
+		var names []string
+		for _, s := range silent {
+			names = append(names, string(s.Upstream.ID))
+		}
+		e.log.emit(now, EventManySilent, stoatevent.F("count", strconv.Itoa(len(names))), stoatevent.F("names", joinNames(names)))
+		return
+	}
 	for _, s := range silent {
 		e.log.emit(now, EventSilent, stoatevent.F("upstream", string(s.Upstream.ID)), stoatevent.F("service", string(s.Upstream.Service)),
 			stoatevent.F("entries", strconv.Itoa(s.Entries)), stoatevent.F("silence", s.Silence.Round(time.Millisecond).String()),
