--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -66,7 +66,7 @@
 		}
 		// The order of equals must differ from entry to entry, or all would start with the same.
 		cost := h.cost(now, u, patience) * (1 + jitter*e.rnd.Float64())
-		if h.suspected() && (again || now.Before(h.group.trial)) {
+		if h.suspected() && (again || now.Before(h.group.nextTrial)) {
 			cost *= slowPenalty
 		}
 		full := !admits(now, h, r)
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -262,7 +262,7 @@
 	e.stats.Opened++
 	h.taken = now
 	if h.suspected() {
-		h.group.trial = now.Add(trialEvery/2 + time.Duration(e.rnd.Int64N(int64(trialEvery))))
+		h.group.nextTrial = now.Add(trialEvery/2 + time.Duration(e.rnd.Int64N(int64(trialEvery))))
 	}
 	h.group.load.opened(now)
 	if len(e.flows) < e.cfg.MaxFlows {
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -33,7 +33,7 @@
 	refused    float64 // share of openings of late that were refused for overload
 	load       flowLoad
 	silence    groupSilence
-	trial      time.Time // when a suspected upstream may get a flow next
+	nextTrial  time.Time // when a suspected upstream may get a flow next
 }
 
 // trialEvery is the mean pause between two flows of this entry that find out whether suspected upstreams
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -52,7 +52,7 @@
 	}
 	if h.suspected() {
 		// It is back, and others may be.
-		h.group.trial = now
+		h.group.nextTrial = now
 	}
 	h.heard(now)
 	h.group.silence.ended(now)
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -144,10 +144,10 @@
 	if t == nil || !k.ready || t.Change == k.rung.change {
 		return
 	}
-	if t.Evacuations() == k.rung.evacuation && now.Sub(k.rung.at) < ringEvery {
+	if t.EvacuationChange() == k.rung.evacuation && now.Sub(k.rung.at) < ringEvery {
 		return // the next tick is near
 	}
-	k.rung = rung{at: now, change: t.Change, evacuation: t.Evacuations()}
+	k.rung = rung{at: now, change: t.Change, evacuation: t.EvacuationChange()}
 	k.do(changed{})
 }
 
@@ -170,7 +170,7 @@
 		k.do(now)
 		if k.table != nil {
 			// This wakes children too, and the table is published by then.
-			k.rung.change, k.rung.evacuation = k.table.Change, k.table.Evacuations()
+			k.rung.change, k.rung.evacuation = k.table.Change, k.table.EvacuationChange()
 		}
 	}
 }
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
@@ -82,6 +83,31 @@
 	}
 }
 
+// How soon evacuations have to be in force is changed at once. Whether they are followed at all needs a
+// start: an entry that came to follow them would know none yet, and send flows where none may go. Regions
+// are in force at once.
+func TestMergeEvacuations(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, next, want time.Duration
+		applied, kept   int
+	}{
+		"sooner":            {old: 5 * time.Second, next: time.Second, want: time.Second, applied: 1},
+		"followed from now": {next: time.Second, kept: 1},
+		"not any more":      {old: time.Second, want: time.Second, kept: 1},
+		"as before":         {old: time.Second, next: time.Second, want: time.Second},
+	} {
+		got, applied, kept := merge(stoatsetting.Settings{Evacuate: c.old}, stoatsetting.Settings{Evacuate: c.next})
+		if got.Evacuate != c.want || len(applied) != c.applied || len(kept) != c.kept {
+			t.Errorf("%s: %s, applied %v, kept %v", name, got.Evacuate, applied, kept)
+		}
+	}
+	regions := map[stoatpaddle.DataCentreID]stoatpaddle.RegionID{"here": "south"}
+	got, applied, _ := merge(stoatsetting.Settings{}, stoatsetting.Settings{Regions: regions})
+	if got.Regions["here"] != "south" || len(applied) != 1 {
+		t.Errorf("%+v, applied %v", got.Regions, applied)
+	}
+}
+
 // A flood meets an entry that has nothing to serve by yet: what finds no room is counted.
 func TestFullHoldIsCounted(t *testing.T) {
 	e := &Edge{engine: stoatecho.New(stoatecho.Config{Start: clock()}), log: newEventLog(io.Discard, stoatsetting.Settings{})}
--- a/stoatedge/run_place.go
+++ b/stoatedge/run_place.go
@@ -28,9 +28,9 @@
 	return stoatfilter.Place{Entries: e.place.tree.Size()}
 }
 
-// placedNow returns this entry's place, and what its parent has to be told of how many are below it; an
+// findPlace returns this entry's place, and what its parent has to be told of how many are below it; an
 // invalid address means nothing.
-func (e *Edge) placedNow() (own stoatfilter.Place, size int, to netip.AddrPort) {
+func (e *Edge) findPlace() (own stoatfilter.Place, size int, to netip.AddrPort) {
 	e.place.mu.Lock()
 	defer e.place.mu.Unlock()
 	own, size = e.ownPlace(), e.place.tree.Size()
--- a/stoatedge/run_seen.go
+++ b/stoatedge/run_seen.go
@@ -103,7 +103,7 @@
 	e.engineMu.Unlock()
 	sum, report, to := e.pool.Turn(now, own, e.reporting.Load())
 	delay, steady := e.pool.Delay(), e.pool.Steady(now)
-	place, size, parent := e.placedNow()
+	place, size, parent := e.findPlace()
 	e.engineMu.Lock()
 	e.engine.SetPlace(now, place)
 	e.engine.TakeSum(now, sum)
--- a/stoatroute/evacuation.go
+++ b/stoatroute/evacuation.go
@@ -15,13 +15,13 @@
 // as long as that lasts: a data centre that is about to lose its power must not get flows again since
 // the platform is away.
 type evacuations struct {
-	states map[stoatpaddle.DataCentreID]evacuationState
-	known  bool // they were listed at least once, or need not be
-	change uint64
+	evacuationStates map[stoatpaddle.DataCentreID]evacuationState
+	evacuationsKnown bool   // they were listed at least once, or need not be
+	evacuationChange uint64 // the book's count of changes at the last one
 }
 
-// Evacuations returns the book's count of changes at the last one of an evacuation.
-func (e *evacuations) Evacuations() uint64 { return e.change }
+// EvacuationChange returns the book's count of changes at the last one of an evacuation.
+func (e *evacuations) EvacuationChange() uint64 { return e.evacuationChange }
 
 type evacuationState struct {
 	stoatpaddle.Evacuation
@@ -29,12 +29,12 @@
 }
 
 func (e evacuations) clone(needed bool) evacuations {
-	return evacuations{states: maps.Clone(e.states), known: e.known || !needed, change: e.change}
+	return evacuations{evacuationStates: maps.Clone(e.evacuationStates), evacuationsKnown: e.evacuationsKnown || !needed, evacuationChange: e.evacuationChange}
 }
 
 // Evacuated tells whether upstreams of the data centre are to get no new flows.
 func (e *evacuations) Evacuated(d stoatpaddle.DataCentreID) bool {
-	s, known := e.states[d]
+	s, known := e.evacuationStates[d]
 	return known && !s.Withdrawn
 }
 
@@ -42,7 +42,7 @@
 // centre.
 func (e *evacuations) EvacuationsSince(change uint64) []stoatpaddle.Evacuation {
 	var out []stoatpaddle.Evacuation
-	for _, s := range e.states {
+	for _, s := range e.evacuationStates {
 		if s.change > change {
 			out = append(out, s.Evacuation)
 		}
@@ -54,16 +54,16 @@
 // Evacuate takes in what operators want of a data centre, and tells whether that changes where flows
 // may go. An earlier state than the known one is ignored, whoever brings it.
 func (b *Book) Evacuate(e stoatpaddle.Evacuation) bool {
-	old, known := b.states[e.DataCentre]
+	old, known := b.evacuationStates[e.DataCentre]
 	if known && !e.Supersedes(old.Evacuation) {
 		return false
 	}
-	if b.states == nil {
-		b.states = map[stoatpaddle.DataCentreID]evacuationState{}
+	if b.evacuationStates == nil {
+		b.evacuationStates = map[stoatpaddle.DataCentreID]evacuationState{}
 	}
 	b.changes++
-	b.states[e.DataCentre] = evacuationState{Evacuation: e, change: b.changes}
-	b.evacuations.change = b.changes
+	b.evacuationStates[e.DataCentre] = evacuationState{Evacuation: e, change: b.changes}
+	b.evacuationChange = b.changes
 	b.dirty = true
 	return e.Withdrawn == (known && !old.Withdrawn)
 }
@@ -71,9 +71,9 @@
 // EvacuationsListed takes in which data centres a complete list names that is as of a revision. The
 // others are not evacuated any more; it returns those that were.
 func (b *Book) EvacuationsListed(names map[stoatpaddle.DataCentreID]bool, asOf stoatpaddle.Version) []stoatpaddle.DataCentreID {
-	b.known, b.dirty = true, true
+	b.evacuationsKnown, b.dirty = true, true
 	var lifted []stoatpaddle.DataCentreID
-	for d, s := range b.states {
+	for d, s := range b.evacuationStates {
 		if !names[d] && !s.Withdrawn && b.Evacuate(stoatpaddle.Evacuation{DataCentre: d, Revision: asOf, Withdrawn: true}) {
 			lifted = append(lifted, d)
 		}
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -46,8 +46,8 @@
 	if !b.listed && b.declared {
 		b.listed, b.dirty = true, true
 	}
-	if !b.known && b.declared {
-		b.known, b.dirty = true, true
+	if !b.evacuationsKnown && b.declared {
+		b.evacuationsKnown, b.dirty = true, true
 	}
 	if !x.Later {
 		return news
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -107,7 +107,7 @@
 }
 
 // Ready tells whether the table is enough to place flows.
-func (t *Table) Ready() bool { return t.Declared && t.Listed && t.evacuations.known }
+func (t *Table) Ready() bool { return t.Declared && t.Listed && t.evacuationsKnown }
 
 // Since returns the upstreams that changed after the book's count was that, also those that
 // are gone, in any order.
