--- a/stoatecho/group_test.go
+++ b/stoatecho/group_test.go
@@ -135,3 +135,32 @@
 		t.Errorf("of 1000 flows %d were sent to upstreams that are lost, and %d of their copies", lost, copies)
 	}
 }
+
+// An entry joins, and the fabric hands nearly all flows to other entries than before: openings that were
+// sent from here are followed up elsewhere, and flows come that others placed. That two upstreams seem
+// to leave openings unanswered says nothing of the group: flows stay in this data centre.
+func TestMovedFlowsAreNoLostGroup(t *testing.T) {
+	w := newWorld(t)
+	w.manyHere()
+	for range 5 {
+		w.caller(feed).open()
+	}
+	w.after(time.Second)
+	for range 4 {
+		w.caller(feed).syn(0)
+	}
+	w.after(5 * ms)
+	adopted := w.caller(feed)
+	adopted.cookie, adopted.ack = 100, 1
+	adopted.send(stoatpacket.Packet{Ack: 1})
+	away := 0
+	for range 5 {
+		w.after(10 * ms)
+		if w.caller(feed).syn(0).Upstream.DataCentre != "here" {
+			away++
+		}
+	}
+	if away > 1 {
+		t.Errorf("%d of 5 flows were sent to another data centre", away)
+	}
+}
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		h := e.health[f.key]
-		if !e.behind(now) && !h.sign.After(x.since) {
+		if !e.behind(now) && !h.sign.After(x.since) && !e.moved.After(x.since) {
 			h.group.silence.unanswered(now, h, x.since)
 		}
 		if !e.waits(now, h, x.since) {
--- a/stoatfake/caller.go
+++ b/stoatfake/caller.go
@@ -39,7 +39,7 @@
 	closing bool
 	waiting bool // for an acknowledgment
 	// asked is when what it waits for was first sent.
-	asked time.Time
+	asked   time.Time
 	since   time.Time
 	payload []byte
 }
