--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -63,12 +63,6 @@
 	Seed     uint64
 }
 
-// pages are what the pages of the list under way hold.
-type pages struct {
-	names    map[string]bool
-	nameless bool // an object in them has a name that cannot be read
-}
-
 func newKeeper(cfg keeperConfig) *keeper {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
 	k := &keeper{
@@ -125,56 +119,6 @@
 	return k.out
 }
 
-// ringEvery is how often children are sent what changed at most: changes of upstreams come in swarms,
-// and each message costs a small machine 0.2 ms of its processor whatever is in it.
-const ringEvery = 200 * time.Millisecond
-
-// rung is what children were last woken for.
-type rung struct {
-	at         time.Time
-	change     uint64 // the table's count
-	evacuation uint64 // the same, at the last change of an evacuation
-}
-
-// ring wakes children for what changed of what they mirror. Without it they would hear of it with the
-// next proof, which comes with the next answer about the configuration: 0.6 s later, and 1.4 s at most.
-// An evacuation does not wait.
-func (k *keeper) ring(now time.Time) {
-	t := k.table
-	if t == nil || !k.ready || t.Change == k.rung.change {
-		return
-	}
-	if t.EvacuationChange() == k.rung.evacuation && now.Sub(k.rung.at) < ringEvery {
-		return // the next tick is near
-	}
-	k.rung = rung{at: now, change: t.Change, evacuation: t.EvacuationChange()}
-	k.do(changed{})
-}
-
-// tell says what others may rely on, if it changed, after what they read is published.
-func (k *keeper) tell() {
-	reads := k.reading && k.ready && k.failing().IsZero()
-	if answers := k.ready && (reads || !k.reading); answers != k.answers {
-		k.answers = answers
-		k.do(touched{answers: answers})
-	}
-	if k.ready {
-		k.known = k.feeds[declarations].Revision()
-		for _, t := range k.topics {
-			k.known = min(k.known, k.feeds[t].Revision())
-		}
-	}
-	now := stands{known: k.known, path: k.follow.path, reads: reads, asOf: k.asOf()}
-	if !now.same(&k.said) {
-		k.said = now
-		k.do(now)
-		if k.table != nil {
-			// This wakes children too, and the table is published by then.
-			k.rung.change, k.rung.evacuation = k.table.Change, k.table.EvacuationChange()
-		}
-	}
-}
-
 func (k *keeper) do(effect any) { k.out = append(k.out, effect) }
 
 func (k *keeper) log(e *stoatevent.Entry, fields ...stoatevent.Field) {
@@ -293,52 +237,6 @@
 
 func (k *keeper) lost(t topic) bool { return k.feeds[t].Lost() }
 
-// complete compares a finished list with what was known.
-func (k *keeper) complete(now time.Time, x ended, v stoatfeed.Verdict) {
-	if x.topic == declarations || !x.call.List {
-		return
-	}
-	p := &k.pages[x.topic]
-	if x.call.After == "" || p.names == nil {
-		*p = pages{names: map[string]bool{}}
-	}
-	for _, c := range x.changes {
-		p.names[c.name] = true
-		p.nameless = p.nameless || c.name == ""
-	}
-	if !v.Complete {
-		return
-	}
-	if x.topic == upstreams {
-		k.listedUpstreams(now, p, v)
-	} else {
-		k.listedEvacuations(p)
-	}
-	*p = pages{}
-}
-
-func (k *keeper) listedUpstreams(now time.Time, p *pages, v stoatfeed.Verdict) {
-	names := make(map[stoatpaddle.UpstreamID]bool, len(p.names))
-	for name := range p.names {
-		names[stoatpaddle.UpstreamID(name)] = true
-	}
-	// What the list lacks may be the object without a name: it is given time to come back.
-	for _, id := range k.book.Listed(now, names, v.Away || k.unwatched || p.nameless) {
-		k.standing(id, "not in the list")
-	}
-}
-
-func (k *keeper) listedEvacuations(p *pages) {
-	names := make(map[stoatpaddle.DataCentreID]bool, len(p.names))
-	for name := range p.names {
-		names[stoatpaddle.DataCentreID(name)] = true
-	}
-	// The list is as of the revision of its first page, which the feed knows now.
-	for _, d := range k.book.EvacuationsListed(names, k.feeds[evacuations].Revision()) {
-		k.logEvacuation(stoatpaddle.Evacuation{DataCentre: d, Revision: k.feeds[evacuations].Revision(), Withdrawn: true}, "not in the list")
-	}
-}
-
 // prove notes until when the view is proven up to date: by an exact answer about the
 // upstreams, or by replicas' answers that are as new as an exact one.
 func (k *keeper) prove(now time.Time, x ended, v stoatfeed.Verdict) {
