--- a/stoatedge/evacuation_test.go
+++ b/stoatedge/evacuation_test.go
@@ -115,6 +115,18 @@
 	s.want("withdrawn", false)
 }
 
+// Another writer's object, whose name cannot be read, is in the list of evacuations in place of the one
+// that was known. No data centre gets flows back for that; the next good list says what is true.
+func TestEvacuationListWithoutAName(t *testing.T) {
+	s := evacuating(t, false, false).serving(evacuated("here", 8))
+	s.end(evacuations, stoatfeed.Result{Outcome: stoatfeed.Forgotten})
+	s.answer(evacuations, 15, bad("", 12))
+	s.want("a list with an object that has no name", true)
+	s.end(evacuations, stoatfeed.Result{Outcome: stoatfeed.Forgotten})
+	s.answer(evacuations, 16)
+	s.want("an empty list", false)
+}
+
 // A replica never says that a data centre was evacuated: its watch is silent. The exact watch of the
 // configuration says that the platform has a later revision; within half a second the replica is asked
 // again, and then the platform itself.
--- a/stoatedge/lists.go
+++ b/stoatedge/lists.go
@@ -53,6 +53,12 @@
 	for name := range p.names {
 		names[stoatpaddle.DataCentreID(name)] = true
 	}
+	if p.nameless {
+		// What the list seems to lack may be the object without a name: nothing is withdrawn for it.
+		for _, ev := range k.book.Table().EvacuationsSince(0) {
+			names[ev.DataCentre] = true
+		}
+	}
 	// The list is as of the revision of its first page, which the feed knows now.
 	for _, d := range k.book.EvacuationsListed(names, k.feeds[evacuations].Revision()) {
 		k.logEvacuation(stoatpaddle.Evacuation{DataCentre: d, Revision: k.feeds[evacuations].Revision(), Withdrawn: true}, "not in the list")
