--- a/stoatfilter/cold.go
+++ b/stoatfilter/cold.go
@@ -19,10 +19,10 @@
 // However many callers wait, the flows of all entries come no faster than turns do. Another data
 // centre's entries get none: the two may not reach each other, and have other upstreams.
 const (
-	// coldShare is the part of the limit that is dealt out. The rest is for entries that do not know
-	// each other: two halves of a data centre that are cut off from each other count half of the
-	// entries each, and deal out everything twice.
-	coldShare = 0.5
+	// coldShare is the part of the limit that is dealt out. The rest is a reserve: two parts of a data
+	// centre that never heard of each other deal out everything twice, which is then half as much again
+	// as the upstream bears.
+	coldShare = 0.75
 	// turnOpen is the part of the time until the next entry's turn for which a turn is open: long enough
 	// for a caller to come, and short enough that a late flow of one turn does not meet the next one's.
 	turnOpen = 0.5
