--- a/stoatfilter/filter_test.go
+++ b/stoatfilter/filter_test.go
@@ -37,17 +37,17 @@
 		place   stoatfilter.Place
 		want    stoatfilter.Verdict
 	}{
-		"anywhere":                     {centre: "there", want: stoatfilter.Eligible},
-		"evacuated":                    {centre: "left", want: stoatfilter.Evacuated},
-		"evacuated, in its region":     {centre: "left", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Evacuated},
-		"in its region":                {centre: "there", regions: []stoatpaddle.RegionID{"east", "north"}, want: stoatfilter.Eligible},
-		"outside":                      {centre: "here", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Outside},
-		"of no known region":           {centre: "lost", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Outside},
-		"cold without a limit":         {centre: "here", cold: time.Second, want: stoatfilter.Eligible},
-		"warm with a limit":            {centre: "here", rate: 3, want: stoatfilter.Eligible},
-		"cold, place not known":        {centre: "here", rate: 3, cold: time.Second, want: stoatfilter.Cold},
-		"cold, elsewhere":              {centre: "there", rate: 3, cold: time.Second, place: stoatfilter.Place{Entries: 1}, want: stoatfilter.Cold},
-		"cold, no place of that rank":  {centre: "here", rate: 3, cold: time.Second, place: stoatfilter.Place{Rank: 2, Entries: 2}, want: stoatfilter.Cold},
+		"anywhere":                    {centre: "there", want: stoatfilter.Eligible},
+		"evacuated":                   {centre: "left", want: stoatfilter.Evacuated},
+		"evacuated, in its region":    {centre: "left", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Evacuated},
+		"in its region":               {centre: "there", regions: []stoatpaddle.RegionID{"east", "north"}, want: stoatfilter.Eligible},
+		"outside":                     {centre: "here", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Outside},
+		"of no known region":          {centre: "lost", regions: []stoatpaddle.RegionID{"north"}, want: stoatfilter.Outside},
+		"cold without a limit":        {centre: "here", cold: time.Second, want: stoatfilter.Eligible},
+		"warm with a limit":           {centre: "here", rate: 3, want: stoatfilter.Eligible},
+		"cold, place not known":       {centre: "here", rate: 3, cold: time.Second, want: stoatfilter.Cold},
+		"cold, elsewhere":             {centre: "there", rate: 3, cold: time.Second, place: stoatfilter.Place{Entries: 1}, want: stoatfilter.Cold},
+		"cold, no place of that rank": {centre: "here", rate: 3, cold: time.Second, place: stoatfilter.Place{Rank: 2, Entries: 2}, want: stoatfilter.Cold},
 	} {
 		f := stoatfilter.Filter{DataCentre: "here", Regions: regions, Place: c.place}
 		u := &stoatroute.Upstream{Key: 7, ColdRate: c.rate, Warm: start.Add(c.cold)}
