--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -53,6 +53,7 @@
 	Curve     bool    `help:"measure imbalance against the tracked share instead"`
 	Spread    bool    `help:"measure ways of choosing upstreams on an echo fabric instead"`
 	Silence   bool    `help:"measure how soon a data centre notices upstreams that answer nobody instead"`
+	Overload  bool    `help:"measure what becomes of new flows when callers ask more than upstreams can do instead"`
 	Parallel  int     `default:"4" help:"experiments run at once"`
 	JSON      bool    `arg:"--json" help:"print JSON"`
 }
@@ -78,6 +79,9 @@
 	if a.Silence {
 		return stoatmeasure.ReportSilence(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
 	}
+	if a.Overload {
+		return stoatmeasure.ReportOverload(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
+	}
 	plan := stoatmeasure.Plan{Only: a.Only, Parallel: a.Parallel, Config: stoatmeasure.Config{
 		Entries: a.Entries, Upstreams: a.Upstreams, Flows: a.Flows, Opens: a.Opens, Lean: lean, Gain: a.Gain, Seed: a.Seed,
 	}}
