stoatecho: requests that an upstream is at work on outlive its registration

By reading: the registration of an upstream that alone cannot reach the platform ends while it answers; what it was asked some milliseconds ago was reset at that moment, a pledge among it for good.

--- a/stoatecho/ended.go
+++ b/stoatecho/ended.go
@@ -1,6 +1,8 @@
 package stoatecho
 
 import (
+	"time"
+
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -32,11 +34,16 @@
 //
 // The failure: an upstream takes a request and dies. Its caller has nothing to repeat and waits until
 // it gives up, or its next repeat is 1.6 s away; told now, it is served elsewhere in time.
-func (e *Engine) TakeEnded(t *stoatroute.Table) []Unanswered {
+//
+// A registration ends too when its upstream alone cannot reach the platform. One that lives is at work
+// on what it was asked a moment ago, and its answers must reach their callers: so only requests are given
+// up that wait for longer than callers wait until they repeat, at an upstream that gave no sign for as long.
+func (e *Engine) TakeEnded(now time.Time, t *stoatroute.Table) []Unanswered {
 	var out []Unanswered
 	ended := map[*stoatroute.Upstream]bool{}
 	for _, u := range t.Since(e.endedUpTo) {
-		if u.Standing == stoatroute.Gone && e.health[u.Key] != nil && e.health[u.Key].busy > 0 && t.Upstream(u.Key) == u {
+		h := e.health[u.Key]
+		if u.Standing == stoatroute.Gone && h != nil && h.busy > 0 && now.Sub(h.sign) >= repeatLeast && t.Upstream(u.Key) == u {
 			ended[u] = e.hasEnded(u)
 		}
 	}
@@ -46,7 +53,7 @@
 	}
 	for tuple, f := range e.flows {
 		u := t.Upstream(f.key)
-		if f.asked.IsZero() || !ended[u] || t.Route(tuple.Dst) == nil {
+		if f.asked.IsZero() || now.Sub(f.asked) < repeatLeast || !ended[u] || t.Route(tuple.Dst) == nil {
 			continue
 		}
 		out = append(out, Unanswered{Tuple: tuple, Ack: f.ack, Upstream: u})
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -90,7 +90,7 @@
 	held := e.hold.Take()
 	t := e.table.Load()
 	e.engine.Retain(now, t)
-	ended := e.engine.TakeEnded(t)
+	ended := e.engine.TakeEnded(now, t)
 	e.engineMu.Unlock()
 	e.resetEnded(now, t, ended)
 	e.replay(now, held)
