--- a/stoatrelay/codec_test.go
+++ b/stoatrelay/codec_test.go
@@ -217,3 +217,35 @@
 		t.Errorf("%v %+v", err, x.Upstreams)
 	}
 }
+
+// Entries are replaced in turn, so that some are of the release before: its messages lack the last
+// fields, and it passes over those that it does not know.
+func TestMessagesOfTheReleaseBefore(t *testing.T) {
+	type earlier struct {
+		_msgpack  struct{} `msgpack:",as_array"`
+		Known     uint64
+		AgeMS     int64
+		Path      []string
+		Relatives []string
+		Centre    string
+		Seen      []int
+		Whole     bool
+		Body      bool
+	}
+	old, err := Encode(&earlier{Known: 7, Centre: "here", Whole: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var h Head
+	if err := msgpack.Unmarshal(old, &h); err != nil || h.Known != 7 || h.Centre != "here" || !h.Whole || h.Entries != 0 {
+		t.Errorf("%+v %v", h, err)
+	}
+	now, err := Encode(&Head{Known: 9, Centre: "there", Rank: 3, Entries: 30})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x earlier
+	if err := msgpack.Unmarshal(now, &x); err != nil || x.Known != 9 || x.Centre != "there" {
+		t.Errorf("%+v %v", x, err)
+	}
+}
