--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -55,8 +55,9 @@
 	check     *checker
 	store     *stoatfake.Platform
 	storeAddr string
-	port      uint16 // of the fabric, and of callers
-	net       byte   // the second byte of the run's addresses
+	port      uint16       // of the fabric, and of callers
+	net       byte         // the second byte of the run's addresses
+	claimed   *net.UDPConn // no other run uses them while it is open
 	entries   []*entry
 	ids       atomic.Uint64
 	lives     atomic.Uint64
@@ -131,6 +132,10 @@
 	if waited := group.Wait(); err == nil {
 		err = waited
 	}
+	// Not before its processes have ended: another run would find their ports in use.
+	if w.claimed != nil {
+		_ = w.claimed.Close()
+	}
 	counts, breaches := w.check.result()
 	return Result{Seed: cfg.Seed, Steps: plan, Counts: counts, Breaches: breaches}, err
 }
@@ -240,14 +245,14 @@
 )
 
 // claim finds a part of the loopback addresses that no other run on this machine uses, and
-// keeps it until the sockets are closed.
+// keeps it until its processes have ended.
 func (w *world) claim() error {
 	var last error
 	for i := range uint64(nets) {
 		n := byte(1 + (w.cfg.Seed+i)%nets)
 		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n, 255, 1}), lockPort)))
 		if err == nil {
-			w.net, w.sockets = n, append(w.sockets, conn)
+			w.net, w.claimed = n, conn
 			return nil
 		}
 		last = err
