--- a/stoatsoak/checker_test.go
+++ b/stoatsoak/checker_test.go
@@ -178,9 +178,27 @@
 		if err := w.claim(); err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = w.sockets[0].Close() })
+		t.Cleanup(func() { _ = w.claimed.Close() })
 	}
 	if one.net == two.net {
 		t.Error("both use", one.net)
 	}
 }
+
+// A run has ended its processes and closed its sockets, and they may not have ended yet. Another run that
+// took the same addresses now would find their ports in use: they are free only when all have ended.
+func TestClaimOutlivesSockets(t *testing.T) {
+	first := &world{cfg: Config{Seed: 77}}
+	if err := first.claim(); err != nil {
+		t.Fatal(err)
+	}
+	first.shut()
+	second := &world{cfg: Config{Seed: 77}}
+	if err := second.claim(); err != nil {
+		t.Fatal(err)
+	}
+	if first.net == second.net {
+		t.Error("both have 127.", first.net)
+	}
+	_, _ = first.claimed.Close(), second.claimed.Close()
+}
