stoatsetting, stoatedge: changes are looked for as often as the soonest bound needs, that of evacuations too

By reading: with a bound of evacuations shorter than that of configurations, the exact watch that finds a replica out which hides an evacuation came too late.

--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -98,7 +98,7 @@
 		return nil, err
 	}
 	k := newKeeper(keeperConfig{
-		Apply: e.set.Bound(), Evacuate: e.set.Evacuate, Return: e.set.Return, Life: e.set.Life, Seeds: namedSeeds(e.set), Seed: seed,
+		Apply: e.set.Bound(), Evacuations: e.set.Evacuate > 0, Return: e.set.Return, Life: e.set.Life, Seeds: namedSeeds(e.set), Seed: seed,
 	})
 	e.group.Go(func() error { return e.control(k) })
 	e.log.emit(now, EventStart, stoatevent.F("tunnel", e.set.Tunnel.String()), stoatevent.F("centre", string(e.set.DataCentre)),
--- a/stoatedge/evacuation_test.go
+++ b/stoatedge/evacuation_test.go
@@ -12,7 +12,7 @@
 // evacuating returns a session of an entry that follows evacuations, and of which nothing is answered.
 func evacuating(t *testing.T, others, follows bool) *session {
 	s := newSessionOf(t, keeperConfig{
-		Apply: 3 * time.Second, Evacuate: 5 * time.Second, Return: 2 * time.Second, Life: time.Minute,
+		Apply: 3 * time.Second, Evacuations: true, Return: 2 * time.Second, Life: time.Minute,
 		Seeds: naming{others: others, self: others && !follows}, Seed: 1,
 	})
 	s.step(started{})
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -76,8 +76,8 @@
 	doubted struct{}
 	// rebound carries changed bounds.
 	rebound struct {
-		apply, evacuate, back, life time.Duration
-		seeds                       naming
+		apply, back, life time.Duration
+		seeds             naming
 	}
 )
 
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -25,13 +25,15 @@
 
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
 type keeper struct {
-	book    *stoatroute.Book
-	topics  []topic // that are followed
-	feeds   [topicCount]*stoatfeed.Feed
-	reading bool             // the platform is asked; otherwise the parent tells
-	pending [topicCount]bool // a call is under way
-	stale   [topicCount]bool // and what it brings is not wanted any more
-	waiting [topicCount]bool // it is a watch that waits for a change
+	book   *stoatroute.Book
+	topics []topic // that are followed
+	// evacuations says that they are among these.
+	evacuations bool
+	feeds       [topicCount]*stoatfeed.Feed
+	reading     bool             // the platform is asked; otherwise the parent tells
+	pending     [topicCount]bool // a call is under way
+	stale       [topicCount]bool // and what it brings is not wanted any more
+	waiting     [topicCount]bool // it is a watch that waits for a change
 	// unwatched is set until the first answer about upstreams once this entry reads again: what
 	// ended meanwhile may have lapsed in an outage of which it noticed nothing.
 	unwatched bool
@@ -55,26 +57,27 @@
 
 type keeperConfig struct {
 	Apply time.Duration
-	// Evacuate is how soon an evacuation has to be in force; 0: the platform has none to follow.
-	Evacuate time.Duration
-	Return   time.Duration
-	Life     time.Duration
-	Seeds    naming
-	Seed     uint64
+	// Evacuations says that the platform has some to follow.
+	Evacuations bool
+	Return      time.Duration
+	Life        time.Duration
+	Seeds       naming
+	Seed        uint64
 }
 
 func newKeeper(cfg keeperConfig) *keeper {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
 	k := &keeper{
 		bound: cfg.Apply, rnd: rnd, reading: true, topics: []topic{declarations, upstreams},
-		book: stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life, Evacuations: cfg.Evacuate > 0}),
+		book:        stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life, Evacuations: cfg.Evacuations}),
+		evacuations: cfg.Evacuations,
 	}
-	if cfg.Evacuate > 0 {
+	if cfg.Evacuations {
 		k.topics = append(k.topics, evacuations)
 	}
 	k.feeds[declarations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd})
 	k.feeds[upstreams] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
-	k.feeds[evacuations] = stoatfeed.New(stoatfeed.Config{Bound: min(cfg.Apply, cfg.Evacuate), Rand: rnd, Stale: true})
+	k.feeds[evacuations] = stoatfeed.New(stoatfeed.Config{Bound: cfg.Apply, Rand: rnd, Stale: true})
 	k.rebind(time.Time{}, cfg.Seeds)
 	return k
 }
@@ -106,11 +109,10 @@
 	case rebound:
 		k.bound = x.apply
 		k.rebind(now, x.seeds)
-		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life, Evacuations: len(k.topics) > int(evacuations)})
+		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life, Evacuations: k.evacuations})
 		for _, t := range k.topics {
 			k.feeds[t].SetBound(x.apply)
 		}
-		k.feeds[evacuations].SetBound(min(x.apply, x.evacuate))
 	}
 	k.logStandings()
 	k.publish()
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -73,10 +73,13 @@
 
 // Bound is how soon anything that the platform says has to be in force.
 func (s Settings) Bound() time.Duration {
-	if s.Leave > 0 {
-		return min(s.Apply, s.Leave)
+	bound := s.Apply
+	for _, d := range []time.Duration{s.Leave, s.Evacuate} {
+		if d > 0 {
+			bound = min(bound, d)
+		}
 	}
-	return s.Apply
+	return bound
 }
 
 // Parse reads the settings, or returns *stoatpaddle.FaultsError with every fault.
--- a/stoatsetting/template_test.go
+++ b/stoatsetting/template_test.go
@@ -43,3 +43,17 @@
 		t.Errorf("%+v %v", set, err)
 	}
 }
+
+// Changes are looked for as often as the soonest bound needs, whichever that is.
+func TestBound(t *testing.T) {
+	for _, c := range []struct{ apply, leave, evacuate, want time.Duration }{
+		{3 * time.Second, 0, 0, 3 * time.Second},
+		{3 * time.Second, 5 * time.Second, 0, 3 * time.Second},
+		{3 * time.Second, 2 * time.Second, 4 * time.Second, 2 * time.Second},
+		{30 * time.Second, 6 * time.Second, 5 * time.Second, 5 * time.Second},
+	} {
+		if got := (stoatsetting.Settings{Apply: c.apply, Leave: c.leave, Evacuate: c.evacuate}).Bound(); got != c.want {
+			t.Errorf("%+v: %s", c, got)
+		}
+	}
+}
