stoatecho, stoatedge, stoatroute, stoatmeasure: one piece of code where two stood; behaviour unchanged

A reset was sent by the same two lines in two places (sendReset), a state shown as a gauge in three (oneIf), a backoff doubled within bounds in three (longer), JSON of a report written in four (encodeJSON). The revision of the last change of an evacuation was kept beside the states that it follows from; it is derived now. Names in a list were gathered as strings and copied into a map of ids at each complete list, 43,000 of them at the target; pages hold ids now. settle in the demo tested an error for nothing. Comments that spoke of resets on evidence say what happens instead. Tests keep their assertions.

--- a/stoatdemo/run.go
+++ b/stoatdemo/run.go
@@ -109,10 +109,7 @@
 // change broke is noticed with its next answer: on a busy machine in the next phase, to which it does not
 // belong. Flows that stay without an answer are left to the phases that follow.
 func (w *world) settle(changed time.Time) {
-	_, err := w.until("answers", settleWithin, func() bool { return w.callers.Unanswered(changed) == 0 })
-	if err != nil {
-		return
-	}
+	_, _ = w.until("answers", settleWithin, func() bool { return w.callers.Unanswered(changed) == 0 })
 }
 
 const startTimeout = 10 * time.Second
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -74,7 +74,7 @@
 	case s.last == nil:
 		s.last = h
 	case h != s.last && !now.Before(s.until):
-		s.backoff = min(groupBackoffMost, max(groupBackoffLeast, 2*s.backoff))
+		s.backoff = longer(s.backoff, groupBackoffLeast, groupBackoffMost)
 		s.until, s.last = now.Add(s.backoff), nil
 	}
 }
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -86,6 +86,9 @@
 	h.waitFrom, h.preferOthers, h.together = time.Time{}, time.Time{}, false
 }
 
+// longer returns the backoff that follows the last one: twice as long, within bounds.
+func longer(last, least, most time.Duration) time.Duration { return min(most, max(least, 2*last)) }
+
 // missed notes that an opening sent at that time went unanswered for good. A machine whose
 // server crashed refuses openings towards the caller, past this entry; the caller is back
 // within milliseconds, and would be sent there again.
@@ -93,7 +96,7 @@
 	if h.sign.After(sent) {
 		return
 	}
-	h.shun = min(shunMost, max(shunLeast, 2*h.shun))
+	h.shun = longer(h.shun, shunLeast, shunMost)
 	h.shunned = now.Add(h.shun)
 }
 
@@ -113,8 +116,8 @@
 // as long as this one has been silent nobody gave a sign, although others owe one too.
 //
 // The load: an entry sends a large configuration on, its link is full for half a second, and
-// callers' packets wait in it. A dozen upstreams look dead at once; their flows would be
-// reset although they serve. A dead upstream among others that live is told by their signs.
+// callers' packets wait in it. A dozen upstreams look dead at once, and would get no new flows
+// although they serve. A dead upstream among others that live is told by their signs.
 //
 // An entry that is behind with its own packets sees signs of others among them, as old as the
 // repeats that look like evidence; so it takes none.
@@ -172,7 +175,7 @@
 // The load: a burst of six times the traffic before 120 upstreams. Each has a dozen requests
 // in its queue and answers after 0.3 s; callers repeat after 0.2 s, and one of sixteen entries
 // hears of an answer of it three times a second. Upstreams that work at full speed would be
-// ejected, and their flows reset.
+// ejected, and get no new flows.
 func (e *Engine) silenceOf(now time.Time, u *stoatroute.Upstream) time.Duration {
 	silence := ejectSilence
 	if now.Before(u.Warm) {
@@ -200,7 +203,7 @@
 
 // eject keeps new flows away, for longer each time.
 func (h *health) eject(now time.Time) {
-	h.ejection = min(ejectMost, max(ejectLeast, 2*h.ejection))
+	h.ejection = longer(h.ejection, ejectLeast, ejectMost)
 	h.ejected = now.Add(h.ejection)
 	h.trial = false
 }
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -58,7 +58,7 @@
 //
 // The failure: an entry joins or leaves, and the fabric hands nearly all flows to other entries than
 // before. Whatever was under way is answered there: forty entries wait in vain for all upstreams at
-// once, two of them for the same one, and flows are reset whose upstreams live. What was sent before
+// once, two of them for the same one, and eject upstreams that live. What was sent before
 // flows moved is therefore no evidence, and an entry that said so takes it back.
 func (e *Engine) flowsMoved(now time.Time) {
 	if now.Sub(e.moved) < movedEvery {
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -217,8 +217,7 @@
 //
 // The failure: an upstream crashes with thirty requests in progress and starts again. Counted
 // on, they would make it look full and silent for a second, and what it answers late since it
-// is cold would be evidence against it: it would be ejected, and flows that opened there since
-// would be reset although they live.
+// is cold would be evidence against it: it would be ejected although it lives.
 //
 // Which life a flow opened at is not known here: the upstream may have started long before its
 // registration arrived, and the cookie is the same. So no flow is reset for the restart. Its
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -36,23 +36,24 @@
 	waiting     [topicCount]bool // it is a watch that waits for a change
 	// unwatched is set until the first answer about upstreams once this entry reads again: what
 	// ended meanwhile may have lapsed in an outage of which it noticed nothing.
-	unwatched bool
-	answers   bool             // the platform does, as last said to touched
-	parked    [topicCount]bool // it is not asked about until the configuration is answered
-	pages     [topicCount]pages
-	follow    follower
-	bound     time.Duration // how soon a change has to be in force
-	open      *proof        // not matched yet
-	rnd       *rand.Rand
-	known     stoatpaddle.Version // everything up to it, of both topics, once ready
-	begun     time.Time           // when the entry started
-	heard     time.Time           // when the platform last answered; at first the start
-	ready     bool
-	table     *stoatroute.Table
-	said      stands // as last said to others
-	rung      rung
-	changes   []standingChange // of the present step, to be logged
-	out       []any            // effects of the present step
+	unwatched       bool
+	answers         bool             // the platform does, as last said to touched
+	parked          [topicCount]bool // it is not asked about until the configuration is answered
+	upstreamPages   pages[stoatpaddle.UpstreamID]
+	evacuationPages pages[stoatpaddle.DataCentreID]
+	follow          follower
+	bound           time.Duration // how soon a change has to be in force
+	open            *proof        // not matched yet
+	rnd             *rand.Rand
+	known           stoatpaddle.Version // everything up to it, of both topics, once ready
+	begun           time.Time           // when the entry started
+	heard           time.Time           // when the platform last answered; at first the start
+	ready           bool
+	table           *stoatroute.Table
+	said            stands // as last said to others
+	rung            rung
+	changes         []standingChange // of the present step, to be logged
+	out             []any            // effects of the present step
 }
 
 type keeperConfig struct {
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -114,23 +114,20 @@
 		}
 		flows[u.DataCentre] += x.Flows
 		label := fmt.Sprintf("{upstream=%q,service=%q}", u.ID, u.Service)
-		ejected, failing := 0, 0
-		if x.Ejected {
-			ejected = 1
-		}
-		if x.Failing {
-			failing = 1
-		}
 		// Whoever hung up does not want it any more.
 		_, _ = fmt.Fprintf(w, "stoatpaddle_upstream_flows%s %d\nstoatpaddle_upstream_requests%s %d\n"+
 			"stoatpaddle_upstream_answer_mean_seconds%s %g\nstoatpaddle_upstream_ejected%s %d\nstoatpaddle_upstream_failing%s %d\n",
-			label, x.Flows, label, x.Requests, label, x.Mean.Seconds(), label, ejected, label, failing)
+			label, x.Flows, label, x.Requests, label, x.Mean.Seconds(), label, oneIf(x.Ejected), label, oneIf(x.Failing))
 	}
 	for _, d := range slices.Sorted(maps.Keys(flows)) {
-		evacuated := 0
-		if t.Evacuated(d) {
-			evacuated = 1
-		}
-		_, _ = fmt.Fprintf(w, "stoatpaddle_centre_flows{centre=%q} %d\nstoatpaddle_centre_evacuated{centre=%q} %d\n", d, flows[d], d, evacuated)
+		_, _ = fmt.Fprintf(w, "stoatpaddle_centre_flows{centre=%q} %d\nstoatpaddle_centre_evacuated{centre=%q} %d\n", d, flows[d], d, oneIf(t.Evacuated(d)))
+	}
+}
+
+// oneIf is how a gauge shows a state.
+func oneIf(b bool) int {
+	if b {
+		return 1
 	}
+	return 0
 }
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -130,8 +130,7 @@
 				stoatevent.F("copies", strconv.Itoa(p.Copies)), stoatevent.F("moved", strconv.FormatBool(a.Moved)))...)
 		}
 	case stoatecho.Reset:
-		platform.PutReset(m.reset, p)
-		_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
+		e.sendReset(m, p)
 		fields := []stoatevent.Field{stoatevent.F("reason", a.Reason.String()), stoatevent.F("opens", strconv.FormatBool(p.Opens))}
 		if a.Reason == stoatpacket.DropOverload {
 			fields = append(fields, append(loadFields(a), stoatevent.F("bound", a.Bound.Round(time.Millisecond).String()))...)
@@ -176,6 +175,12 @@
 	return []stoatevent.Field{stoatevent.F("busy", strconv.Itoa(a.Busy)), stoatevent.F("mean", a.Mean.Round(time.Millisecond).String())}
 }
 
+// sendReset tells the caller of the packet that its flow cannot go on.
+func (e *Edge) sendReset(m *mover, p *stoatpacket.Packet) {
+	platform.PutReset(m.reset, p)
+	_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
+}
+
 // resetEnded resets the flows that wait for an answer of upstreams which have ended.
 func (e *Edge) resetEnded(now time.Time, t *stoatroute.Table, list []stoatecho.Unanswered) {
 	if len(list) == 0 {
@@ -184,8 +189,7 @@
 	m := newMover()
 	for _, x := range list {
 		p := stoatpacket.Packet{Tuple: x.Tuple, Ack: x.Ack}
-		platform.PutReset(m.reset, &p)
-		_, _ = e.conn.WriteToUDPAddrPort(m.reset, netip.AddrPortFrom(p.Tuple.Src.Addr(), e.callers))
+		e.sendReset(m, &p)
 		e.logFlow(now, EventReset, t, stoatecho.Action{Upstream: x.Upstream}, &p,
 			stoatevent.F("reason", stoatpacket.DropGone.String()), stoatevent.F("opens", "false"), stoatevent.F("waited", "true"))
 	}
--- a/stoatmeasure/overload_report.go
+++ b/stoatmeasure/overload_report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"time"
@@ -75,9 +74,7 @@
 		return err
 	}
 	if asJSON {
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", "  ")
-		return enc.Encode(rows)
+		return encodeJSON(w, rows)
 	}
 	_, _ = fmt.Fprintf(w, "%7s %9s  %-11s %-9s %5s  %28s  %28s\n", "entries", "upstreams", "load", "admission", "share",
 		"usual: asked in time late ref", "urgent: asked in time late ref")
--- a/stoatmeasure/report.go
+++ b/stoatmeasure/report.go
@@ -150,7 +150,12 @@
 			Worst: x.Worst, Mean: x.Mean, Control: x.PerEntry, Late: x.LateOpens.Seconds(),
 		})
 	}
+	return encodeJSON(w, out)
+}
+
+// encodeJSON writes what a report shows as indented JSON.
+func encodeJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
-	return enc.Encode(out)
+	return enc.Encode(v)
 }
--- a/stoatmeasure/silence_report.go
+++ b/stoatmeasure/silence_report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 
@@ -52,9 +51,7 @@
 		return err
 	}
 	if asJSON {
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", "  ")
-		return enc.Encode(rows)
+		return encodeJSON(w, rows)
 	}
 	_, _ = fmt.Fprintf(w, "%7s %9s  %-9s  %-30s %6s %5s %6s %7s %8s %10s\n", "entries", "upstreams", "trouble", "way", "asked", "late", "failed", "wrongly", "known ms", "B/s, entry")
 	for _, r := range rows {
--- a/stoatmeasure/spread.go
+++ b/stoatmeasure/spread.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -312,9 +311,7 @@
 		}
 	}
 	if asJSON {
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", "  ")
-		return enc.Encode(rows)
+		return encodeJSON(w, rows)
 	}
 	_, _ = fmt.Fprintf(w, "%-34s %6s %8s %8s %8s %8s %8s\n", "way of choosing", "load", "asked", "turned", "p50 ms", "p99 ms", "busiest")
 	for _, r := range rows {
--- a/stoatroute/evacuation.go
+++ b/stoatroute/evacuation.go
@@ -16,12 +16,17 @@
 // the platform is away.
 type evacuations struct {
 	evacuationStates map[stoatpaddle.DataCentreID]evacuationState
-	evacuationsKnown bool   // they were listed at least once, or need not be
-	evacuationChange uint64 // the book's count of changes at the last one
+	evacuationsKnown bool // they were listed at least once, or need not be
 }
 
 // EvacuationChange returns the book's count of changes at the last one of an evacuation.
-func (e *evacuations) EvacuationChange() uint64 { return e.evacuationChange }
+func (e *evacuations) EvacuationChange() uint64 {
+	last := uint64(0)
+	for _, s := range e.evacuationStates {
+		last = max(last, s.change)
+	}
+	return last
+}
 
 type evacuationState struct {
 	stoatpaddle.Evacuation
@@ -29,7 +34,7 @@
 }
 
 func (e evacuations) clone(needed bool) evacuations {
-	return evacuations{evacuationStates: maps.Clone(e.evacuationStates), evacuationsKnown: e.evacuationsKnown || !needed, evacuationChange: e.evacuationChange}
+	return evacuations{evacuationStates: maps.Clone(e.evacuationStates), evacuationsKnown: e.evacuationsKnown || !needed}
 }
 
 // Evacuated tells whether upstreams of the data centre are to get no new flows.
@@ -63,7 +68,6 @@
 	}
 	b.changes++
 	b.evacuationStates[e.DataCentre] = evacuationState{Evacuation: e, change: b.changes}
-	b.evacuationChange = b.changes
 	b.dirty = true
 	return e.Withdrawn == (known && !old.Withdrawn)
 }
