--- a/deploy/regress.sh
+++ b/deploy/regress.sh
@@ -32,7 +32,7 @@
 [ -x "$bench" ] || { echo "no program at $bench" >&2; exit 2; }
 
 [ -n "$sites" ] || sites="further/kitamura-sapporo further-grown/kitamura-sapporo-grown grown/sawt-muscat-grown
-	grown/barrilete-edge-grown large/sawt-muscat-large"
+	grown/barrilete-edge-grown shifted/sawt-muscat-now-grown large/sawt-muscat-large"
 [ -z "$all" ] || sites="$sites sites/sawt-muscat sites/barrilete-edge"
 
 work=$(mktemp -d)
@@ -46,7 +46,7 @@
 
 # broken tells whether a report names a broken rule or a fault, and prints what it says.
 broken() {
-	grep -E '^(CONFIG|FLOW|DRAIN|ROUTE|MIXED|UNASKED|RECOVER)|BROKEN|breaks|fault:|given up' "$1" | head -5 | grep .
+	grep -E '^(CONFIG|FLOW|DRAIN|ROUTE|MIXED|UNASKED|RECOVER|EVAC|HOME|FAILBACK)|BROKEN|breaks|fault:|given up' "$1" | head -5 | grep .
 }
 
 for path in $sites; do
--- a/stoatedge/edge_test.go
+++ b/stoatedge/edge_test.go
@@ -33,6 +33,7 @@
 	caller   *net.UDPConn
 	port     uint16
 	upstream [2]*net.UDPConn
+	evacuate time.Duration // of entries started from now on; 0: they follow no evacuations
 }
 
 const (
@@ -113,7 +114,8 @@
 	set := stoatsetting.Settings{
 		Instance: "edge-" + stoatpaddle.InstanceID(host), DataCentre: "here", Level: "info", Platform: r.addr, Seeds: seeds,
 		Tunnel: netip.AddrPortFrom(netip.MustParseAddr(host), r.port), Ready: free(), Admin: free(),
-		Apply: 600 * time.Millisecond, Return: 500 * time.Millisecond, Life: time.Minute, Stop: 4 * time.Second,
+		Evacuate: r.evacuate,
+		Apply:    600 * time.Millisecond, Return: 500 * time.Millisecond, Life: time.Minute, Stop: 4 * time.Second,
 	}
 	l := &log{}
 	e, err := stoatedge.Start(context.Background(), stoatedge.Config{Settings: set, Log: l})
@@ -317,6 +319,44 @@
 	}
 }
 
+// A data centre is evacuated and taken back. The seed reads it and the entry below it is told; both
+// refuse new flows at once, since nothing else has the service, and an open flow goes on. An entry
+// that starts meanwhile places no flow there either, its first one included.
+func TestEvacuationReachesAll(t *testing.T) {
+	r := newRig(t)
+	r.evacuate = 600 * time.Millisecond
+	seed, setSeed, logSeed := r.start("127.0.0.11")
+	r.wait("the seed serves", func() bool { return isReady(setSeed) })
+	b, setB, _ := r.start("127.0.0.12", setSeed.Admin)
+	r.wait("the second is told", func() bool { return told(b) == 1 && isReady(setB) })
+	r.send(setB, packet(flagSYN, 40001, 443, 0))
+	i, _, cookie := r.arrives()
+	r.store.Write(platform.KindEvacuation, "here", map[string]any{})
+	for _, e := range []*stoatedge.Edge{seed, b} {
+		r.wait("the evacuation is in force", func() bool { return e.Table().Evacuated("here") })
+	}
+	late, setLate, logLate := r.start("127.0.0.13", setSeed.Admin)
+	for n, set := range []stoatsetting.Settings{setSeed, setB, setLate} {
+		r.send(set, packet(flagSYN, uint16(40010+n), 443, 0))
+		if reset := r.receive(r.caller); reset[0] != flagRST || binary.LittleEndian.Uint16(reset[5:]) != uint16(40010+n) {
+			t.Errorf("entry %d: % x", n, reset)
+		}
+	}
+	r.send(setLate, packet(flagACK, 40001, 443, cookie))
+	if j, _, _ := r.arrives(); j != i {
+		t.Error("the open flow went to", j)
+	}
+	r.wait("it is logged", func() bool {
+		return logSeed.has(`"event":"SP1431"`) && logLate.has(`"reason":"upstream","opens":"true","evacuated":"2"`)
+	})
+	r.store.Remove(platform.KindEvacuation, "here")
+	for _, e := range []*stoatedge.Edge{seed, b, late} {
+		r.wait("it is taken back", func() bool { return !e.Table().Evacuated("here") })
+	}
+	r.send(setB, packet(flagSYN, 40020, 443, 0))
+	r.arrives()
+}
+
 // calls returns the lines of an entry's metrics that count the calls that the store
 // answered.
 func (r *rig) calls(set stoatsetting.Settings) string {
