stoatedge, platform: logs and metrics say which revision and history an answer is of

Callers of a removed route were served 3.7 s after its removal was confirmed. No line told whether the store's revisions had gone back or whether it went on answering from an old copy: neither the revision of an answer nor that it was put aside was written anywhere.

No decision changes. SP1435 says that an answer is older than what is known, with both revisions and the store's count of its restores; SP1436 that a later configuration was read and put aside; both once. Gauges stoatpaddle_platform_revision and stoatpaddle_platform_era. The header Store-Era is read, also of a 410; the stand-in sends it, and can be restored from a copy of itself.

--- a/ids.go
+++ b/ids.go
@@ -26,6 +26,9 @@
 // Version is the platform's revision at which an object was last written; 0 means absent.
 type Version uint64
 
+// Era counts how often the platform's history was replaced by an older copy of it; 0: it is not said.
+type Era uint64
+
 // Token identifies one write attempt, so that its writer recognises it after a lost answer.
 type Token string
 
@@ -57,3 +60,6 @@
 
 // String returns the decimal revision.
 func (v Version) String() string { return strconv.FormatUint(uint64(v), 10) }
+
+// String returns the decimal count.
+func (e Era) String() string { return strconv.FormatUint(uint64(e), 10) }
--- a/stoatedge/apply.go
+++ b/stoatedge/apply.go
@@ -28,6 +28,8 @@
 			if k.book.Declare(*c.declaration, c.revision) {
 				k.log(EventDeclared, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
 					stoatevent.F("routes", countOf(len(c.declaration.Routes))), stoatevent.F("source", source))
+			} else {
+				k.notTaken(c, source)
 			}
 		case c.evacuation != nil:
 			k.evacuate(*c.evacuation, source)
@@ -45,6 +47,17 @@
 	}
 }
 
+// notTaken says once that a later version was read and put aside.
+func (k *keeper) notTaken(c *change, source string) {
+	t := k.book.Table()
+	if c.declaration.Version <= t.Declaration.Version || c.declaration.Version == k.refused {
+		return
+	}
+	k.refused = c.declaration.Version
+	k.log(EventNotTaken, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
+		stoatevent.F("inforce", t.Declaration.Version.String()), stoatevent.F("known", t.Revision.String()), stoatevent.F("source", source))
+}
+
 // evacuate takes in what operators want of a data centre.
 func (k *keeper) evacuate(e stoatpaddle.Evacuation, source string) {
 	if k.book.Evacuate(e) {
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -54,6 +54,16 @@
 		Title: "platform answers again",
 		Text:  "A call succeeded after an outage; away is its length. Upstreams that are missing now have 2.5 s to register again.",
 	})
+	EventBehind = stoatevent.Register(stoatevent.Entry{
+		Number: 1435, Severity: stoatevent.Warning, Since: "0.7",
+		Title: "platform's answer is older than what is known",
+		Text:  "The answer was put aside and the platform is asked again. Known and answered are revisions, era is the platform's count of its restores (0: not said). Said once until an answer is taken in again. One that came from a replica needs nothing; if exact is true and it lasts, the platform's history went back: look at its era.",
+	})
+	EventNotTaken = stoatevent.Register(stoatevent.Entry{
+		Number: 1436, Severity: stoatevent.Fatal, Since: "0.7",
+		Title: "later configuration is not taken in",
+		Text:  "A configuration with a higher version than the one in force was read, and its revision says that it was written before that one. Inforce and known are the version and the revision in force.",
+	})
 	EventEjected = stoatevent.Register(stoatevent.Entry{
 		Number: 1410, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "upstream gets no flows for a while",
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -37,8 +38,10 @@
 	// unwatched is set until the first answer about upstreams once this entry reads again: what
 	// ended meanwhile may have lapsed in an outage of which it noticed nothing.
 	unwatched       bool
-	answers         bool             // the platform does, as last said to touched
-	parked          [topicCount]bool // it is not asked about until the configuration is answered
+	answers         bool                // the platform does, as last said to touched
+	parked          [topicCount]bool    // it is not asked about until the configuration is answered
+	behind          [topicCount]bool    // its last answer was older than what is known
+	refused         stoatpaddle.Version // the last configuration that was read and not taken in
 	upstreamPages   pages[stoatpaddle.UpstreamID]
 	evacuationPages pages[stoatpaddle.DataCentreID]
 	follow          follower
@@ -186,6 +189,7 @@
 	f := k.feeds[x.topic]
 	failing := f.Failing()
 	v := f.Done(now, x.sent, x.call, x.result)
+	k.noteBehind(x, v)
 	if v.Lost {
 		cause := "refused by rate"
 		if x.cause != nil {
@@ -213,6 +217,19 @@
 	k.next(now, x.topic)
 }
 
+// noteBehind says once that answers are older than what is known.
+func (k *keeper) noteBehind(x ended, v stoatfeed.Verdict) {
+	if x.result.Outcome != stoatfeed.Answered || v.Behind == k.behind[x.topic] || x.result.More {
+		return
+	}
+	k.behind[x.topic] = v.Behind
+	if v.Behind {
+		k.log(EventBehind, stoatevent.F("topic", x.topic.String()), stoatevent.F("known", k.feeds[x.topic].Revision().String()),
+			stoatevent.F("answered", x.result.AsOf.String()), stoatevent.F("era", x.result.Era.String()),
+			stoatevent.F("list", strconv.FormatBool(x.call.List)), stoatevent.F("exact", strconv.FormatBool(!x.call.Stale)))
+	}
+}
+
 // next asks about a topic again. While the platform answers none, one question at a
 // time finds out that it is back: each is paid for.
 func (k *keeper) next(now time.Time, t topic) {
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -440,3 +440,24 @@
 		t.Errorf("%+v %v", got, s.events)
 	}
 }
+
+// Answers are older than what is known, one after the other, and a configuration in them is put aside.
+// Who reads the log has to see which revision was known, which one came and of which history it was:
+// without it, a store that went back looks like one that answers well. Each is said once.
+func TestOldAnswersAreSaid(t *testing.T) {
+	s := running(t)
+	s.k.book.Declare(stoatpaddle.Declaration{Version: 6}, 40)
+	s.k.feeds[declarations].Heard(40)
+	for range 3 {
+		s.answer(declarations, 30, declared(7, 25))
+	}
+	if s.events[EventBehind.Number] != 1 {
+		t.Error("older answers were said so often:", s.events[EventBehind.Number])
+	}
+	s.answer(declarations, 41, declared(8, 39))
+	s.answer(declarations, 41, declared(8, 39))
+	s.answer(declarations, 40)
+	if s.events[EventBehind.Number] != 2 || s.events[EventNotTaken.Number] != 1 {
+		t.Error(s.events[EventBehind.Number], s.events[EventNotTaken.Number])
+	}
+}
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -27,7 +27,7 @@
 }
 
 // called counts one call to the platform.
-func (c *counters) called(x ask, o stoatfeed.Outcome, took time.Duration) {
+func (c *counters) called(x ask, r stoatfeed.Result, took time.Duration) {
 	kind := "watch"
 	switch {
 	case x.call.List:
@@ -35,8 +35,13 @@
 	case x.call.Stale:
 		kind = "replica"
 	}
-	c.set.GetOrCreateCounter(fmt.Sprintf("stoatpaddle_platform_calls_total{topic=%q,kind=%q,outcome=%q}", x.topic, kind, o)).Inc()
+	c.set.GetOrCreateCounter(fmt.Sprintf("stoatpaddle_platform_calls_total{topic=%q,kind=%q,outcome=%q}", x.topic, kind, r.Outcome)).Inc()
 	c.set.GetOrCreateHistogram(fmt.Sprintf("stoatpaddle_platform_call_seconds{topic=%q,kind=%q}", x.topic, kind)).Update(took.Seconds())
+	if r.Outcome != stoatfeed.Answered {
+		return
+	}
+	c.set.GetOrCreateGauge(fmt.Sprintf("stoatpaddle_platform_revision{topic=%q}", x.topic), nil).Set(float64(r.AsOf))
+	c.set.GetOrCreateGauge("stoatpaddle_platform_era", nil).Set(float64(r.Era))
 }
 
 // begin makes what is counted from the first packet on.
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -105,7 +105,7 @@
 	if err != nil && given.Err() != nil {
 		out.result.Outcome = stoatfeed.Interrupted
 	}
-	e.counts.called(x, out.result.Outcome, took)
+	e.counts.called(x, out.result, took)
 	e.post(out)
 }
 
@@ -124,8 +124,17 @@
 	}
 }
 
+// eraOf returns which history an answer is of, also one that refuses to go on from a revision.
+func eraOf(a platform.Answer, err error) stoatpaddle.Era {
+	var history *platform.HistoryError
+	if errors.As(err, &history) {
+		return stoatpaddle.Era(history.Era)
+	}
+	return stoatpaddle.Era(a.Era)
+}
+
 func readAnswer(x ask, a platform.Answer, err error) (stoatfeed.Result, []change) {
-	r := stoatfeed.Result{Outcome: outcomeOf(err), AsOf: stoatpaddle.Version(a.AsOf), More: a.More}
+	r := stoatfeed.Result{Outcome: outcomeOf(err), AsOf: stoatpaddle.Version(a.AsOf), Era: eraOf(a, err), More: a.More}
 	var changes []change
 	for i := range a.Items {
 		changes = append(changes, readChange(x.topic, &a.Items[i], false))
--- a/stoatfake/platform.go
+++ b/stoatfake/platform.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -48,6 +49,7 @@
 	revision uint64
 	from     uint64 // the history after this revision is kept
 	lag      uint64 // the revision that replicas show, while they lag
+	era      uint64 // how often a copy was restored, and one
 	changed  chan struct{}
 	second   int64
 	writes   int
@@ -57,7 +59,33 @@
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{objects: map[key]platform.Object{}, changed: make(chan struct{})}
+	return &Platform{objects: map[key]platform.Object{}, changed: make(chan struct{}), era: 1}
+}
+
+// Copy is what a platform held at one moment.
+type Copy struct {
+	objects  map[key]platform.Object
+	history  []change
+	revision uint64
+	from     uint64
+}
+
+// Save copies what the platform holds.
+func (p *Platform) Save() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{objects: maps.Clone(p.objects), history: slices.Clone(p.history), revision: p.revision, from: p.from}
+}
+
+// Restore makes a copy what the platform holds. What was written since the copy was made is lost, and
+// its revisions are given out again.
+func (p *Platform) Restore(c Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects, p.history, p.revision, p.from = maps.Clone(c.objects), slices.Clone(c.history), c.revision, c.from
+	p.lag = min(p.lag, p.revision)
+	p.era++
+	p.wake()
 }
 
 // Set replaces the trouble.
@@ -150,6 +178,9 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(p.era, 10))
+	p.mu.Unlock()
 	write := r.Method != http.MethodGet
 	t, allowed := p.admit(write, r.URL.Query().Get("allow_stale") == "1")
 	if t.Slow > 0 {
@@ -296,7 +327,7 @@
 	defer timer.Stop()
 	for {
 		p.mu.Lock()
-		t, seen, changed, kept := p.trouble, p.revision, p.changed, p.from
+		t, seen, changed, kept, whole := p.trouble, p.revision, p.changed, p.from, p.revision
 		if t.Lagging && replica {
 			seen = min(seen, p.lag)
 		}
@@ -306,7 +337,7 @@
 		case t.Down:
 			hangUp(w)
 			return
-		case from < kept:
+		case from < kept || from > whole:
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 && !t.SilentWatch:
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -85,7 +85,8 @@
 type Result struct {
 	Outcome Outcome
 	AsOf    stoatpaddle.Version
-	More    bool // list: there are further pages
+	Era     stoatpaddle.Era // of AsOf
+	More    bool            // list: there are further pages
 	Last    string
 	Changes int // watch: how many came
 }
@@ -96,6 +97,7 @@
 	Complete bool // a list is complete with it
 	Away     bool // the list follows an outage in which registrations may have lapsed
 	Proof    bool // whatever was in force when the call was sent is known now
+	Behind   bool // it is older than what is known, and was put aside
 	Lost     bool // the platform does not answer any more; said once
 	Back     bool // it answers again; said once
 }
@@ -257,7 +259,7 @@
 	}
 	if r.AsOf < f.rev {
 		// A replica that is behind this entry: nothing in it is news.
-		f.exact = true
+		f.exact, v.Behind = true, true
 		return v
 	}
 	f.rev = r.AsOf
@@ -295,6 +297,7 @@
 	if f.listFrom < f.rev {
 		// A replica that is behind: what its list lacks may be younger than the list.
 		f.relist()
+		v.Behind = true
 		return v
 	}
 	// Pages are read one after the other: what changed meanwhile is in the watch from the
