--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -57,13 +57,18 @@
 	EventBehind = stoatevent.Register(stoatevent.Entry{
 		Number: 1435, Severity: stoatevent.Warning, Since: "0.7",
 		Title: "platform's answer is older than what is known",
-		Text:  "The answer was put aside and the platform is asked again. Known and answered are revisions, era is the platform's count of its restores (0: not said). Said once until an answer is taken in again. One that came from a replica needs nothing; if exact is true and it lasts, the platform's history went back: look at its era.",
+		Text:  "The answer was put aside and the platform is asked again. Known and answered are era/revision, the era being the platform's count of its restores. Said once until an answer is taken in again. One that came from a replica needs nothing; if exact is true and it lasts, the platform's history went back without a new era.",
 	})
 	EventNotTaken = stoatevent.Register(stoatevent.Entry{
 		Number: 1436, Severity: stoatevent.Fatal, Since: "0.7",
 		Title: "later configuration is not taken in",
 		Text:  "A configuration with a higher version than the one in force was read, and its revision says that it was written before that one. Inforce and known are the version and the revision in force.",
 	})
+	EventRestored = stoatevent.Register(stoatevent.Entry{
+		Number: 1437, Severity: stoatevent.Warning, Since: "0.7",
+		Title: "platform was restored",
+		Text:  "The platform came back from a copy of itself that is some seconds old: its era rose, and revisions are given out again. All is listed anew; what is in force stays in force (version) until something later is read. Known is the position up to which everything was known; source says who brought it. What was confirmed in the seconds before has to be written again, which the platform's operators and the upstreams do.",
+	})
 	EventEjected = stoatevent.Register(stoatevent.Entry{
 		Number: 1410, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "upstream gets no flows for a while",
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -52,13 +52,15 @@
 		cause   error
 	}
 	// told carries what the parent says; age is how long ago that was known to be up to
-	// date (negative: never), known the revision up to which it knows everything. With
-	// whole, upstreams has all there are, otherwise what changed.
+	// date (negative: never), known the position up to which it knows everything. With
+	// whole, upstreams has all there are, otherwise what changed. Revisions of what it has
+	// are of the era; 0: it does not say.
 	told struct {
 		serial      int
 		from        string
 		path        []netip.AddrPort // from a reader to the parent
-		known       stoatpaddle.Version
+		known       stoatpaddle.Position
+		era         stoatpaddle.Era
 		age         time.Duration
 		whole       bool
 		delta       *stoatrelay.Delta // of the declaration, if it changed
@@ -94,7 +96,7 @@
 	// the parent's word may be; 0: it does not matter.
 	seek struct {
 		serial int
-		known  stoatpaddle.Version
+		known  stoatpaddle.Position
 		within time.Duration
 	}
 	// leave ends the listening of a search.
@@ -104,7 +106,7 @@
 	}
 	// stands says what others may rely on.
 	stands struct {
-		known stoatpaddle.Version
+		known stoatpaddle.Position
 		path  []netip.AddrPort
 		reads bool
 		asOf  time.Time
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -127,6 +127,9 @@
 			stoatevent.F("revision", x.known.String()), stoatevent.F("age", ageText(x.age)))
 	}
 	f.path = x.path
+	if !k.sameHistory(now, &x) {
+		return
+	}
 	if current := k.book.Declaration().Version; !x.delta.Fits(current) {
 		// This entry read a version of its own in between. None of the message counts: had it
 		// been taken for known, the configuration would stay as it is until the next change.
@@ -134,7 +137,7 @@
 		k.leave("its change does not fit version " + current.String())
 		return
 	}
-	later := x.known >= k.known
+	later := !x.known.Before(k.known)
 	if later && x.age >= 0 {
 		f.fresh = now.Add(-x.age)
 	}
@@ -154,6 +157,22 @@
 	}
 }
 
+// sameHistory makes sure that the parent's revisions can be compared with this entry's. A parent that has
+// not heard of a restore is left: what it says next would be put aside, and never be said again.
+func (k *keeper) sameHistory(now time.Time, x *told) bool {
+	switch own := k.book.Era(); {
+	case x.era == 0:
+		// It is of a release that knows no eras.
+		x.known.Era = own
+	case x.era < own:
+		k.leave("it has not heard of the platform's restore")
+		return false
+	case x.era > own:
+		k.restored(now, x.era, x.from)
+	}
+	return true
+}
+
 // mirror makes what the parent believes this entry's own.
 func (k *keeper) mirror(now time.Time, x told, later bool) {
 	if x.whole {
@@ -199,10 +218,7 @@
 func (k *keeper) rely() {
 	k.reading, k.parked, k.unwatched = false, [topicCount]bool{}, false
 	for _, t := range k.topics {
-		if k.pending[t] {
-			k.stale[t] = true
-			k.do(interrupt{topic: t})
-		}
+		k.drop(t)
 	}
 }
 
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -48,9 +48,9 @@
 	bound           time.Duration // how soon a change has to be in force
 	open            *proof        // not matched yet
 	rnd             *rand.Rand
-	known           stoatpaddle.Version // everything up to it, of both topics, once ready
-	begun           time.Time           // when the entry started
-	heard           time.Time           // when the platform last answered; at first the start
+	known           stoatpaddle.Position // everything up to it, of all topics, once ready
+	begun           time.Time            // when the entry started
+	heard           time.Time            // when the platform last answered; at first the start
 	ready           bool
 	table           *stoatroute.Table
 	said            stands // as last said to others
@@ -189,6 +189,9 @@
 	f := k.feeds[x.topic]
 	failing := f.Failing()
 	v := f.Done(now, x.sent, x.call, x.result)
+	if era := f.Era(); era > k.book.Era() {
+		k.restored(now, era, "platform")
+	}
 	k.noteBehind(x, v)
 	if v.Lost {
 		cause := "refused by rate"
@@ -224,8 +227,8 @@
 	}
 	k.behind[x.topic] = v.Behind
 	if v.Behind {
-		k.log(EventBehind, stoatevent.F("topic", x.topic.String()), stoatevent.F("known", k.feeds[x.topic].Revision().String()),
-			stoatevent.F("answered", x.result.AsOf.String()), stoatevent.F("era", x.result.Era.String()),
+		k.log(EventBehind, stoatevent.F("topic", x.topic.String()), stoatevent.F("known", k.feeds[x.topic].Position().String()),
+			stoatevent.F("answered", x.result.AsOf.String()),
 			stoatevent.F("list", strconv.FormatBool(x.call.List)), stoatevent.F("exact", strconv.FormatBool(!x.call.Stale)))
 	}
 }
@@ -265,10 +268,10 @@
 	case x.topic == upstreams && v.Proof:
 		k.book.Prove(asOf)
 	case x.topic == declarations && v.Proof:
-		k.challenge(proof{asOf: asOf, rev: x.result.AsOf, at: now})
+		k.challenge(proof{asOf: asOf, pos: x.result.AsOf, at: now})
 	}
 	k.match()
-	if k.open != nil && k.open.hurried && k.feeds[x.topic].Revision() < k.open.rev {
+	if k.open != nil && k.open.hurried && k.feeds[x.topic].Position().Before(k.open.pos) {
 		// The replica is behind what the platform has said already.
 		k.feeds[x.topic].Doubt()
 	}
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -23,13 +23,17 @@
 	sent   [topicCount]time.Time
 	table  *stoatroute.Table
 	events map[stoatevent.Number]int
-	sought []seek              // searches for a parent
-	left   int                 // how often a parent was left
-	knows  stoatpaddle.Version // as said to others
-	reads  bool                // as said to others
-	woken  int                 // how often others were woken
+	sought []seek               // searches for a parent
+	left   int                  // how often a parent was left
+	knows  stoatpaddle.Position // as said to others
+	era    stoatpaddle.Era      // of the answers to come
+	reads  bool                 // as said to others
+	woken  int                  // how often others were woken
 }
 
+// at is a position of a platform that says no era.
+func at(rev stoatpaddle.Version) stoatpaddle.Position { return stoatpaddle.Position{Revision: rev} }
+
 func newSession(t *testing.T) *session {
 	return startSession(t, false, false)
 }
@@ -89,7 +93,7 @@
 
 func (s *session) answer(t topic, asOf stoatpaddle.Version, changes ...change) {
 	s.t.Helper()
-	s.end(t, stoatfeed.Result{AsOf: asOf, Changes: len(changes)}, changes...)
+	s.end(t, stoatfeed.Result{AsOf: stoatpaddle.Position{Era: s.era, Revision: asOf}, Changes: len(changes)}, changes...)
 }
 
 func (s *session) fail(t topic) {
@@ -267,12 +271,12 @@
 func TestOthersAtTheStart(t *testing.T) {
 	s := startSession(t, true, false)
 	s.pass(300 * ms)
-	if len(s.sought) == 0 || s.sought[0].known != 0 {
+	if len(s.sought) == 0 || s.sought[0].known != at(0) {
 		t.Fatal("nobody is asked:", s.sought)
 	}
 	s.step(parted{serial: 1, cause: &stoatpaddle.UnavailableError{Op: "x"}})
 	s.pass(400 * ms)
-	s.tell(told{from: "10.0.0.2:1", age: -1, whole: true, known: 6}, declared(3, 5), registered("i-1", 1, 6))
+	s.tell(told{from: "10.0.0.2:1", age: -1, whole: true, known: at(6)}, declared(3, 5), registered("i-1", 1, 6))
 	if !s.table.Ready() || s.table.Declaration.Version != 3 || !s.table.Proven.IsZero() {
 		t.Error(s.table.Ready(), s.table.Declaration.Version, s.table.Proven)
 	}
@@ -291,7 +295,7 @@
 	s := startSession(t, true, false)
 	for range 6 {
 		s.pass(100 * ms)
-		s.end(upstreams, stoatfeed.Result{AsOf: 10, More: true, Last: "m"})
+		s.end(upstreams, stoatfeed.Result{AsOf: at(10), More: true, Last: "m"})
 	}
 	if len(s.sought) != 0 {
 		t.Error("asked", len(s.sought), "times")
@@ -304,19 +308,19 @@
 func TestSearchSaysWhatIsKnown(t *testing.T) {
 	s := startSession(t, true, false)
 	s.pass(300 * ms)
-	s.tell(told{from: "10.0.0.2:1", age: -1, whole: true, known: 42}, declared(3, 5), registered("i-1", 1, 6))
-	if s.knows != 42 {
+	s.tell(told{from: "10.0.0.2:1", age: -1, whole: true, known: at(42)}, declared(3, 5), registered("i-1", 1, 6))
+	if s.knows != at(42) {
 		t.Error(s.knows)
 	}
 	s.answer(declarations, 50)
-	if s.knows != 42 {
+	if s.knows != at(42) {
 		t.Error("one topic alone is not everything:", s.knows)
 	}
 	s.step(parted{serial: s.k.follow.serial, cause: &silentError{}})
 	s.fail(declarations)
 	s.fail(upstreams)
 	s.pass(2 * time.Second)
-	if last := s.sought[len(s.sought)-1]; last.known != 42 || last.within != 0 {
+	if last := s.sought[len(s.sought)-1]; last.known != at(42) || last.within != 0 {
 		t.Errorf("%+v", last)
 	}
 }
@@ -327,8 +331,8 @@
 	s.answer(declarations, 10, declared(1, 5))
 	s.answer(upstreams, 10, registered("i-1", 1, 6), registered("i-2", 2, 7))
 	gone := registered("i-2", 2, 7)
-	s.tell(told{from: "10.0.0.2:1", whole: true, known: 9}, declared(0, 1), registered("i-1", 1, 1), gone)
-	s.step(told{serial: s.k.follow.serial, known: 9, upstreams: []stoatroute.Told{{Registration: *gone.registration, Revision: 7, Standing: stoatroute.Gone}}})
+	s.tell(told{from: "10.0.0.2:1", whole: true, known: at(9)}, declared(0, 1), registered("i-1", 1, 1), gone)
+	s.step(told{serial: s.k.follow.serial, known: at(9), upstreams: []stoatroute.Told{{Registration: *gone.registration, Revision: 7, Standing: stoatroute.Gone}}})
 	if s.table.Declaration.Version != 1 || len(s.table.Service("app")) != 2 {
 		t.Error(s.table.Declaration.Version, len(s.table.Service("app")))
 	}
@@ -399,7 +403,7 @@
 	} {
 		s := running(t)
 		s.end(upstreams, stoatfeed.Result{Outcome: stoatfeed.Forgotten})
-		s.end(upstreams, stoatfeed.Result{AsOf: 12, More: true, Last: "i-1", Changes: 1}, c.object)
+		s.end(upstreams, stoatfeed.Result{AsOf: at(12), More: true, Last: "i-1", Changes: 1}, c.object)
 		s.answer(upstreams, 12, registered("i-2", 2, 7))
 		if got := s.table.Upstream(stoatroute.KeyOf(1)); got == nil || got.Standing != c.want {
 			t.Errorf("%s: %+v", name, got)
@@ -447,7 +451,7 @@
 func TestOldAnswersAreSaid(t *testing.T) {
 	s := running(t)
 	s.k.book.Declare(stoatpaddle.Declaration{Version: 6}, 40)
-	s.k.feeds[declarations].Heard(40)
+	s.k.feeds[declarations].Heard(at(40))
 	for range 3 {
 		s.answer(declarations, 30, declared(7, 25))
 	}
--- a/stoatedge/lists.go
+++ b/stoatedge/lists.go
@@ -62,7 +62,7 @@
 		}
 	}
 	// The list is as of the revision of its first page, which the feed knows now.
-	asOf := k.feeds[evacuations].Revision()
+	asOf := k.feeds[evacuations].Position().Revision
 	for _, d := range k.book.EvacuationsListed(p.names, asOf) {
 		k.logEvacuation(stoatpaddle.Evacuation{DataCentre: d, Revision: asOf, Withdrawn: true}, "not in the list")
 	}
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -40,8 +40,8 @@
 	if r.Outcome != stoatfeed.Answered {
 		return
 	}
-	c.set.GetOrCreateGauge(fmt.Sprintf("stoatpaddle_platform_revision{topic=%q}", x.topic), nil).Set(float64(r.AsOf))
-	c.set.GetOrCreateGauge("stoatpaddle_platform_era", nil).Set(float64(r.Era))
+	c.set.GetOrCreateGauge(fmt.Sprintf("stoatpaddle_platform_revision{topic=%q}", x.topic), nil).Set(float64(r.AsOf.Revision))
+	c.set.GetOrCreateGauge("stoatpaddle_platform_era", nil).Set(float64(r.AsOf.Era))
 }
 
 // begin makes what is counted from the first packet on.
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -128,7 +128,7 @@
 // What an entry says when it asks arrives as it was meant; what nobody says is refused.
 func TestAskCodec(t *testing.T) {
 	want := stoattree.Ask{
-		From: listen, Centre: "here & there", Known: 42, Near: true, Within: 1500 * ms,
+		From: listen, Centre: "here & there", Known: at(42), Near: true, Within: 1500 * ms,
 		Skip: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:2")},
 	}
 	q, err := url.ParseQuery(writeAsk(want))
--- a/stoatedge/proof.go
+++ b/stoatedge/proof.go
@@ -6,14 +6,14 @@
 	"github.com/stoatpaddle/stoatpaddle"
 )
 
-// proof says which revision the platform had at a time.
+// proof says which position the platform was at at a time.
 //
 // Replicas cost a tenth and count toward no rate, but may be seconds behind. Of the topics one is
-// asked exactly, the configuration: its answer says which revision the platform had, and the
+// asked exactly, the configuration: its answer says which position the platform was at, and the
 // replicas that tell of the others have to reach it.
 type proof struct {
 	asOf time.Time
-	rev  stoatpaddle.Version
+	pos  stoatpaddle.Position
 	at   time.Time // when it came
 	// hurried is set once the replicas that are behind were asked for it.
 	hurried bool
@@ -28,13 +28,13 @@
 	k.match()
 }
 
-// match tells whether everything up to the open proof's revision is known here.
+// match tells whether everything up to the open proof's position is known here.
 func (k *keeper) match() {
 	if k.open == nil {
 		return
 	}
 	for _, t := range k.topics {
-		if k.feeds[t].Revision() < k.open.rev {
+		if k.feeds[t].Position().Before(k.open.pos) {
 			return
 		}
 	}
@@ -49,7 +49,7 @@
 	}
 	k.open.hurried = true
 	for _, t := range k.topics {
-		if f := k.feeds[t]; f.Revision() < k.open.rev {
+		if f := k.feeds[t]; f.Position().Before(k.open.pos) {
 			f.Hurry()
 			k.nudge(t)
 		}
--- a/stoatedge/proof_test.go
+++ b/stoatedge/proof_test.go
@@ -16,7 +16,7 @@
 // following returns a session that serves by what a parent tells, as of revision 10.
 func following(t *testing.T) *session {
 	s := startSession(t, true, true)
-	s.tell(told{from: "parent", age: 500 * ms, whole: true, known: 10},
+	s.tell(told{from: "parent", age: 500 * ms, whole: true, known: at(10)},
 		declared(1, 5), registered("i-1", 1, 6), registered("i-2", 2, 7))
 	for topic := range topicCount {
 		if s.calls[topic] != nil {
@@ -42,7 +42,7 @@
 	s := following(t)
 	for range 10 {
 		s.pass(1300 * ms)
-		s.tell(told{from: "parent", age: 100 * ms, known: 10})
+		s.tell(told{from: "parent", age: 100 * ms, known: at(10)})
 	}
 	s.quiet("a quiet time")
 	if got := s.k.asOf(); !got.Equal(s.now.Add(-100 * ms)) {
@@ -61,7 +61,7 @@
 // itself, exactly and at once, both topics in turn, with a quarter of the bound left.
 func TestOldWordIsFoundOut(t *testing.T) {
 	s := following(t)
-	s.tell(told{from: "parent", age: 0, known: 10})
+	s.tell(told{from: "parent", age: 0, known: at(10)})
 	began := s.now
 	for s.calls[declarations] == nil && s.now.Sub(began) < 3*time.Second {
 		s.pass(100 * ms)
@@ -95,10 +95,10 @@
 	s.step(parted{serial: 1, cause: &stoatpaddle.UnavailableError{Op: "news"}})
 	s.pass(500 * ms)
 	s.quiet("just after the parent's end")
-	if len(s.sought) != 2 || s.sought[1].known != 10 {
+	if len(s.sought) != 2 || s.sought[1].known != at(10) {
 		t.Fatal("no search, or not for what is new:", s.sought)
 	}
-	s.tell(told{from: "other", age: 50 * ms, whole: true, known: 11}, registered("i-1", 1, 6), registered("i-2", 2, 7))
+	s.tell(told{from: "other", age: 50 * ms, whole: true, known: at(11)}, registered("i-1", 1, 6), registered("i-2", 2, 7))
 	s.pass(time.Second)
 	s.quiet("told by another one")
 	if s.events[EventFollowsNobody.Number] != 1 || s.events[EventFollows.Number] != 2 {
@@ -136,7 +136,7 @@
 	s := following(t)
 	s.step(parted{serial: 1, cause: &silentError{}})
 	s.pass(500 * ms)
-	s.step(told{serial: 1, from: "parent", known: 20, delta: &stoatrelay.Delta{Revision: 15, Declaration: *declared(2, 15).declaration}})
+	s.step(told{serial: 1, from: "parent", known: at(20), delta: &stoatrelay.Delta{Revision: 15, Declaration: *declared(2, 15).declaration}})
 	if s.table.Declaration.Version != 1 {
 		t.Error("taken in")
 	}
@@ -149,7 +149,7 @@
 	s := startSession(t, true, true)
 	s.answer(declarations, 20, declared(1, 5))
 	s.answer(upstreams, 20, registered("i-1", 1, 6))
-	s.tell(told{from: "parent", known: 19, whole: true}, registered("i-1", 1, 6), registered("i-2", 2, 25))
+	s.tell(told{from: "parent", known: at(19), whole: true}, registered("i-1", 1, 6), registered("i-2", 2, 25))
 	if len(s.table.Service("app")) != 2 {
 		t.Error("lost")
 	}
@@ -164,13 +164,13 @@
 func TestDifferenceThatDoesNotFit(t *testing.T) {
 	s := following(t)
 	d := declared(4, 30)
-	s.step(told{serial: 1, from: "parent", known: 30, delta: &stoatrelay.Delta{Revision: 30, Base: 2, Declaration: *d.declaration}})
+	s.step(told{serial: 1, from: "parent", known: at(30), delta: &stoatrelay.Delta{Revision: 30, Base: 2, Declaration: *d.declaration}})
 	if s.table.Declaration.Version != 1 || s.left != 1 {
 		t.Error(s.table.Declaration.Version, s.left)
 	}
 	// Nothing of the message counts as known: the configuration would not be asked for again
 	// until the next change, and upstreams that the message does not name would seem told.
-	if got := s.k.feeds[declarations].Revision(); got != 10 || s.k.known != 10 {
+	if got := s.k.feeds[declarations].Position(); got != at(10) || s.k.known != at(10) {
 		t.Error("the configuration counts as known up to", got, s.k.known)
 	}
 	began := s.now
@@ -181,7 +181,7 @@
 		t.Errorf("not read: %+v", c)
 	}
 	s = following(t)
-	s.step(told{serial: 1, from: "parent", known: 30, delta: &stoatrelay.Delta{Revision: 30, Base: 1, Declaration: *d.declaration}})
+	s.step(told{serial: 1, from: "parent", known: at(30), delta: &stoatrelay.Delta{Revision: 30, Base: 1, Declaration: *d.declaration}})
 	if s.table.Declaration.Version != 4 || s.left != 0 {
 		t.Error(s.table.Declaration.Version, s.left)
 	}
@@ -206,7 +206,7 @@
 	if c := s.calls[upstreams]; c == nil || !c.List {
 		t.Fatalf("no list after the outage: %+v", c)
 	}
-	s.tell(told{from: "seed", age: 6 * time.Second, known: 30}, registered("i-2", 2, 7))
+	s.tell(told{from: "seed", age: 6 * time.Second, known: at(30)}, registered("i-2", 2, 7))
 	s.answer(upstreams, 30, registered("i-2", 2, 7))
 	if u, _ := s.k.book.Registered("i-1"); u.Standing != stoatroute.Missing {
 		t.Error(u.Standing)
@@ -242,7 +242,7 @@
 	s.pass(2500 * ms)
 	s.answer(declarations, 30)
 	s.end(upstreams, stoatfeed.Result{Outcome: stoatfeed.Forgotten})
-	s.end(upstreams, stoatfeed.Result{AsOf: 30, More: true, Last: "i-1"})
+	s.end(upstreams, stoatfeed.Result{AsOf: at(30), More: true, Last: "i-1"})
 	s.answer(upstreams, 30, registered("i-2", 2, 7))
 	if u, _ := s.k.book.Registered("i-1"); u.Standing != stoatroute.Missing {
 		t.Error(u.Standing)
@@ -255,9 +255,9 @@
 func TestOutageIsLeftToSeeds(t *testing.T) {
 	s := following(t)
 	asked := 0
-	for at := 500 * ms; at < 30*time.Second; at += 500 * ms {
+	for age := 500 * ms; age < 30*time.Second; age += 500 * ms {
 		s.pass(500 * ms)
-		s.tell(told{from: "parent", age: at, known: 10})
+		s.tell(told{from: "parent", age: age, known: at(10)})
 		for topic := range topicCount {
 			if c := s.calls[topic]; c != nil && c.Pause < 2*time.Second {
 				s.fail(topic)
@@ -272,7 +272,7 @@
 	if asked < 6 || asked > 18 {
 		t.Error("asked", asked, "times in 30 s")
 	}
-	s.tell(told{from: "parent", age: 50 * ms, known: 12})
+	s.tell(told{from: "parent", age: 50 * ms, known: at(12)})
 	s.quiet("the parent's word is young again")
 }
 
@@ -295,7 +295,7 @@
 	if len(s.sought) == 0 || s.sought[0].within != 0 {
 		t.Fatal(s.sought)
 	}
-	s.tell(told{from: "seed", age: 50 * ms, known: 15, whole: true}, declared(2, 12), registered("i-1", 1, 6))
+	s.tell(told{from: "seed", age: 50 * ms, known: at(15), whole: true}, declared(2, 12), registered("i-1", 1, 6))
 	if s.table.Declaration.Version != 2 || s.calls[declarations] == nil {
 		t.Error(s.table.Declaration.Version, s.calls)
 	}
@@ -336,7 +336,7 @@
 	if c := s.calls[declarations]; c == nil || c.Stale {
 		t.Errorf("%+v", c)
 	}
-	s.tell(told{from: "parent", known: 10})
+	s.tell(told{from: "parent", known: at(10)})
 	if s.calls[declarations] == nil || s.left == 0 {
 		t.Error("a late word is relied on")
 	}
@@ -375,8 +375,8 @@
 	s := startSession(t, true, true)
 	list := *s.calls[upstreams]
 	sent := s.now
-	s.tell(told{from: "parent", whole: true, known: 10}, declared(1, 5), registered("i-1", 1, 6))
-	s.step(ended{topic: upstreams, call: list, sent: sent, result: stoatfeed.Result{AsOf: 8}})
+	s.tell(told{from: "parent", whole: true, known: at(10)}, declared(1, 5), registered("i-1", 1, 6))
+	s.step(ended{topic: upstreams, call: list, sent: sent, result: stoatfeed.Result{AsOf: at(8)}})
 	s.quiet("after a late answer")
 	if len(s.table.Service("app")) != 1 {
 		t.Error("the late list took the upstream out")
--- a/stoatedge/restore_test.go
+++ b/stoatedge/restore_test.go
@@ -7,14 +7,20 @@
 )
 
 // A route had been taken out and the change confirmed, and callers went on being served by it for longer
-// than the bound. The store had been away for three seconds and had come back with lower revisions than
-// before. From then on each entry listed it without a pause, 150 to 220 calls a second of which all were
-// answered, and no configuration came into force:
+// than the bound. The store had been away for three seconds and had come back from a copy some seconds
+// old, which gives its revisions out again. Entries compared them with those of before: each list was
+// taken for that of a replica that is behind and asked for again at once, 150 to 220 calls a second, and
+// the configuration in it was refused since its revision was not above the one in force. When the store
+// had counted up to that one, a watch went on from there, and what had been written below it was never
+// read:
 //
+//	13.03 s SP1405 configuration in force, version 21, revision 26, at all entries
 //	19.29 s SP1409 platform answers again, away 3.27 s
 //	20.03 s platform_call_seconds_count{topic="configuration",kind="list"} 60, two before
+//	22.82 s SP1407 an upstream is leaving, written at 22.80 s: the lists are not old
 //	22.84 s version 24 confirmed; no SP1405 at any entry
-//	25.52 s the calls stop; 30.02 s stoatpaddle_config_version 21
+//	25.52 s version 32 is written, the calls stop at all entries within 10 ms
+//	30.02 s stoatpaddle_config_version 21
 func TestConfigurationAfterARestore(t *testing.T) {
 	r := newRig(t)
 	seed, set, _ := r.start("127.0.0.11")
--- /dev/null
+++ b/stoatedge/restored_test.go
@@ -0,0 +1,110 @@
+package stoatedge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// runningIn returns a session of an entry that reads a platform of era 1, as of revision 30.
+func runningIn(t *testing.T) *session {
+	s := newSession(t)
+	s.era = 1
+	s.answer(declarations, 30, declared(21, 26))
+	s.answer(upstreams, 30, registered("i-1", 1, 6), registered("i-2", 2, 28))
+	if !s.table.Ready() || s.table.Era != 1 || s.events[EventRestored.Number] != 0 {
+		t.Fatal(s.table.Ready(), s.table.Era, s.events)
+	}
+	return s
+}
+
+// The platform comes back from a copy that is older than the last configuration and the last upstream.
+// Any answer says so, here one about the configuration: the watch of upstreams, which waits for
+// revisions above 30, would not be answered until the platform has counted up to them. The lost
+// configuration stays in force, the lost upstream keeps its flows, and what is confirmed next comes
+// into force although its revision is lower than those of before.
+func TestRestoredPlatform(t *testing.T) {
+	s := runningIn(t)
+	s.era = 2
+	s.answer(declarations, 24)
+	if s.events[EventRestored.Number] != 1 || !s.calls[declarations].List || !s.calls[upstreams].List {
+		t.Fatalf("%v %+v %+v", s.events, s.calls[declarations], s.calls[upstreams])
+	}
+	s.answer(declarations, 24, declared(19, 22))
+	s.answer(upstreams, 24, registered("i-1", 1, 6))
+	if s.table.Declaration.Version != 21 || len(s.table.Service("app")) != 2 {
+		t.Fatal("the copy reverted what is in force:", s.table.Declaration.Version, len(s.table.Service("app")))
+	}
+	s.answer(declarations, 25, declared(24, 25))
+	s.answer(upstreams, 26, registered("i-2", 2, 26))
+	if s.table.Declaration.Version != 24 || s.table.Revision != 25 {
+		t.Error("what was confirmed after the restore is not in force:", s.table.Declaration.Version)
+	}
+	s.pass(3 * time.Second)
+	if len(s.table.Service("app")) != 2 || s.events[EventRestored.Number] != 1 {
+		t.Error("an upstream that registered again is gone, or a restore is said twice:", s.events)
+	}
+}
+
+// An upstream was registered in the seconds that the copy lacks, at a time when this entry did not hear
+// of it. It serves and has flows. Until it had time to register again, an exact answer that lacks it
+// does not say that it has ended: its flows would be reset.
+func TestUnknownUpstreamAfterARestore(t *testing.T) {
+	s := runningIn(t)
+	before := s.table.Proven
+	s.era = 2
+	for range 3 {
+		s.step(doubted{})
+		s.answer(upstreams, 24, registered("i-1", 1, 6), registered("i-2", 2, 7))
+		s.pass(300 * ms)
+	}
+	if !s.table.Proven.Equal(before) {
+		t.Error("a restored platform's answer counts as complete after", s.table.Proven.Sub(before))
+	}
+	s.pass(2 * time.Second)
+	s.step(doubted{})
+	s.answer(upstreams, 24)
+	if s.table.Proven.Equal(before) {
+		t.Error("nothing that is missing can ever be told from what has ended")
+	}
+}
+
+// Entries that are told hear of the restore from their parent, before it has listed anything anew. What
+// they believe stays, what the parent says next counts, and a parent that has not heard of the restore
+// is left: its revisions mean something else.
+func TestRestoreIsTold(t *testing.T) {
+	s := startSession(t, true, true)
+	in := func(era stoatpaddle.Era, rev stoatpaddle.Version) stoatpaddle.Position {
+		return stoatpaddle.Position{Era: era, Revision: rev}
+	}
+	s.tell(told{from: "parent", age: 100 * ms, whole: true, known: in(1, 30), era: 1}, declared(21, 26), registered("i-1", 1, 6), registered("i-2", 2, 28))
+	s.tell(told{from: "parent", age: 300 * ms, known: in(1, 30), era: 2})
+	s.quiet("the parent lists for others")
+	if s.events[EventRestored.Number] != 1 || s.left != 0 || s.knows != in(1, 30) || len(s.table.Service("app")) != 2 {
+		t.Fatal(s.events, s.left, s.knows)
+	}
+	d := declared(24, 25)
+	s.tell(told{from: "parent", age: 100 * ms, known: in(2, 25), era: 2, delta: &stoatrelay.Delta{Revision: 25, Base: 21, Declaration: *d.declaration}})
+	if s.table.Declaration.Version != 24 || s.knows != in(2, 25) || s.left != 0 {
+		t.Error(s.table.Declaration.Version, s.knows, s.left)
+	}
+	gone := stoatroute.Told{Registration: *registered("i-2", 2, 28).registration, Revision: 40, Standing: stoatroute.Gone}
+	s.tell(told{from: "parent", age: 100 * ms, known: in(1, 41), era: 1, upstreams: []stoatroute.Told{gone}})
+	if s.left != 1 || len(s.table.Service("app")) != 2 {
+		t.Error("a parent of an earlier era is believed:", s.left, len(s.table.Service("app")))
+	}
+}
+
+// A parent of the release before says no era. Its revisions are those of the present one: entries are
+// replaced in turn, and those that are new must not leave it for that.
+func TestParentThatSaysNoEra(t *testing.T) {
+	s := startSession(t, true, true)
+	s.tell(told{from: "parent", age: 100 * ms, whole: true, known: at(30)}, declared(21, 26), registered("i-1", 1, 6))
+	s.tell(told{from: "parent", age: 100 * ms, known: at(31)}, registered("i-2", 2, 31))
+	if s.left != 0 || s.events[EventRestored.Number] != 0 || len(s.table.Service("app")) != 2 || s.knows != at(31) {
+		t.Error(s.left, s.events, s.knows)
+	}
+}
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -134,7 +134,7 @@
 }
 
 func readAnswer(x ask, a platform.Answer, err error) (stoatfeed.Result, []change) {
-	r := stoatfeed.Result{Outcome: outcomeOf(err), AsOf: stoatpaddle.Version(a.AsOf), Era: eraOf(a, err), More: a.More}
+	r := stoatfeed.Result{Outcome: outcomeOf(err), AsOf: stoatpaddle.Position{Era: eraOf(a, err), Revision: stoatpaddle.Version(a.AsOf)}, More: a.More}
 	var changes []change
 	for i := range a.Items {
 		changes = append(changes, readChange(x.topic, &a.Items[i], false))
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -187,7 +187,7 @@
 		return err
 	}
 	x := told{
-		serial: serial, from: addr.String(), path: m.Path, known: m.Known, age: m.Age, whole: m.Whole, delta: m.Delta,
+		serial: serial, from: addr.String(), path: m.Path, known: m.Known, era: m.Era, age: m.Age, whole: m.Whole, delta: m.Delta,
 		upstreams: m.Upstreams, evacuations: m.Evacuations,
 	}
 	relatives, err := stoatrelay.ParseAddrs(h.Relatives)
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -28,6 +28,7 @@
 	askFrom   = "from"
 	askCentre = "centre"
 	askKnown  = "known"
+	askEra    = "era" // of known
 	askNear   = "near"
 	askWithin = "within" // ms; how old the word may be at most
 	askSkip   = "skip"
@@ -171,7 +172,7 @@
 	if err != nil {
 		return nil, child, err
 	}
-	head, err := e.headFor(now, s, ask, len(body) > 0, seen)
+	head, err := e.headFor(now, s, ask, len(body) > 0, seen, t.Era)
 	if err != nil {
 		return nil, child, err
 	}
@@ -194,9 +195,9 @@
 }
 
 // headFor returns the head of a message to one child, encoded.
-func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool, stream *stoatoutlier.Stream) ([]byte, error) {
+func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool, stream *stoatoutlier.Stream, era stoatpaddle.Era) ([]byte, error) {
 	h := stoatrelay.Head{
-		Known: uint64(s.known), AgeMS: ageAt(now, s.asOf).Milliseconds(), Body: body,
+		Known: uint64(s.known.Revision), KnownEra: uint64(s.known.Era), Era: uint64(era), AgeMS: ageAt(now, s.asOf).Milliseconds(), Body: body,
 		Path: stoatrelay.AddrTexts(append(s.path[:len(s.path):len(s.path)], e.settings().Admin)),
 	}
 	h.Centre = string(e.settings().DataCentre)
@@ -257,13 +258,21 @@
 	if err != nil {
 		return fail(askKnown, err)
 	}
+	var era uint64
+	if text := q.Get(askEra); text != "" {
+		// An entry of the release before says none.
+		if era, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return fail(askEra, err)
+		}
+	}
 	within, err := strconv.ParseUint(q.Get(askWithin), 10, 31)
 	if err != nil {
 		return fail(askWithin, err)
 	}
 	a := stoattree.Ask{
-		From: from, Centre: stoatpaddle.DataCentreID(q.Get(askCentre)), Known: stoatpaddle.Version(known),
-		Near: q.Get(askNear) != "", Within: time.Duration(within) * time.Millisecond,
+		From: from, Centre: stoatpaddle.DataCentreID(q.Get(askCentre)),
+		Known: stoatpaddle.Position{Era: stoatpaddle.Era(era), Revision: stoatpaddle.Version(known)},
+		Near:  q.Get(askNear) != "", Within: time.Duration(within) * time.Millisecond,
 	}
 	if skip := q.Get(askSkip); skip != "" {
 		if a.Skip, err = stoatrelay.ParseAddrs(strings.Split(skip, ",")); err != nil {
@@ -277,7 +286,8 @@
 	q := url.Values{}
 	q.Set(askFrom, a.From.String())
 	q.Set(askCentre, string(a.Centre))
-	q.Set(askKnown, a.Known.String())
+	q.Set(askKnown, a.Known.Revision.String())
+	q.Set(askEra, a.Known.Era.String())
 	q.Set(askWithin, strconv.FormatInt(a.Within.Milliseconds(), 10))
 	if a.Near {
 		q.Set(askNear, "1")
--- a/stoatedge/wake.go
+++ b/stoatedge/wake.go
@@ -38,9 +38,11 @@
 		k.do(touched{answers: answers})
 	}
 	if k.ready {
-		k.known = k.feeds[declarations].Revision()
+		k.known = k.feeds[declarations].Position()
 		for _, t := range k.topics {
-			k.known = min(k.known, k.feeds[t].Revision())
+			if pos := k.feeds[t].Position(); pos.Before(k.known) {
+				k.known = pos
+			}
 		}
 	}
 	now := stands{known: k.known, path: k.follow.path, reads: reads, asOf: k.asOf()}
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -84,9 +84,8 @@
 // Result is the end of a call.
 type Result struct {
 	Outcome Outcome
-	AsOf    stoatpaddle.Version
-	Era     stoatpaddle.Era // of AsOf
-	More    bool            // list: there are further pages
+	AsOf    stoatpaddle.Position // its era alone where history is forgotten
+	More    bool                 // list: there are further pages
 	Last    string
 	Changes int // watch: how many came
 }
@@ -105,16 +104,17 @@
 // Feed follows one kind of object.
 type Feed struct {
 	cfg      Config
-	rev      stoatpaddle.Version // everything up to it is known
+	pos      stoatpaddle.Position // everything up to it is known
+	era      stoatpaddle.Era      // the latest that is known to have begun; 0: none was said
 	listed   bool
-	begun    bool                // there was a complete list, or another entry told as much
-	after    string              // of the list that is under way
-	listFrom stoatpaddle.Version // of its first page
+	begun    bool                 // there was a complete list, or another entry told as much
+	after    string               // of the list that is under way
+	listFrom stoatpaddle.Position // of its first page
 	failures int
 	failing  time.Time // since when; zero: not
 	down     time.Time // since when calls got no answer at all; zero: they did
 	relief   bool      // the next call goes to a replica, since the last was refused by rate
-	away     bool      // the next complete list follows an outage
+	away     bool      // the next complete list follows an outage or a restore
 	lost     bool
 	exact    bool          // the next call must not be answered by a replica
 	hurry    bool          // the next call must not wait for a change
@@ -129,17 +129,48 @@
 // SetBound changes the bound for the calls to come.
 func (f *Feed) SetBound(d time.Duration) { f.cfg.Bound = d }
 
-// Revision returns the revision up to which everything is known.
-func (f *Feed) Revision() stoatpaddle.Version { return f.rev }
+// Position returns the position up to which everything is known.
+func (f *Feed) Position() stoatpaddle.Position { return f.pos }
 
-// Heard takes in that everything up to the revision is known from elsewhere, by somebody
+// Era returns the latest era that is known to have begun.
+func (f *Feed) Era() stoatpaddle.Era { return f.era }
+
+// Restored takes in that the platform came back from an older copy of itself, and tells whether that
+// is news. A watch from a revision of before would leave out what is written under revisions that are
+// given out again: only a list tells what there is. What it lacks may have been lost with the copy, and
+// is given the same time to come back as after an outage.
+func (f *Feed) Restored(era stoatpaddle.Era) bool {
+	if era <= f.era {
+		return false
+	}
+	first := f.era == 0
+	f.era = era
+	if first {
+		// Nothing that is known is of an earlier history: no era was said before.
+		f.pos.Era, f.listFrom.Era = era, era
+		return false
+	}
+	f.relist()
+	f.away = true
+	return true
+}
+
+// Heard takes in that everything up to the position is known from elsewhere, by somebody
 // who may be out of touch: the platform is asked as before.
-func (f *Feed) Heard(rev stoatpaddle.Version) { f.rev = max(f.rev, rev) }
+func (f *Feed) Heard(pos stoatpaddle.Position) {
+	f.Restored(pos.Era)
+	f.pos = f.pos.Later(pos)
+}
 
-// Adopt takes in that everything up to the revision is known from elsewhere, and that
+// Adopt takes in that everything up to the position is known from elsewhere, and that
 // whoever told it answers for what happened before.
-func (f *Feed) Adopt(rev stoatpaddle.Version) {
-	f.rev = max(f.rev, rev)
+func (f *Feed) Adopt(pos stoatpaddle.Position) {
+	f.Restored(pos.Era)
+	f.pos = f.pos.Later(pos)
+	if pos.Era < f.era {
+		// Whoever told it is about to list what the present era has: a watch from here would skip that.
+		return
+	}
 	f.listed, f.begun, f.after, f.away, f.lost, f.relief = true, true, "", false, false, false
 	f.failures, f.failing, f.down = 0, time.Time{}, time.Time{}
 }
@@ -157,7 +188,7 @@
 		c.List, c.After, c.Stale = true, f.after, f.relief || f.cfg.StaleStart && !f.begun
 		return c
 	}
-	c.From = f.rev
+	c.From = f.pos.Revision
 	c.Wait = f.wait()
 	c.Timeout = c.Wait + Share(f.cfg.Bound, hangShare)
 	c.Stale = f.cfg.Stale && !f.exact
@@ -225,9 +256,14 @@
 // Done takes the end of a call in that was sent at that time.
 func (f *Feed) Done(now, sent time.Time, c Call, r Result) Verdict {
 	f.relief, f.gather = false, r.Outcome == Answered && !c.List && r.Changes > 0
+	if r.AsOf.Era == 0 {
+		r.AsOf.Era = f.era
+	}
 	switch r.Outcome {
 	case Forgotten:
-		f.relist()
+		if !f.Restored(r.AsOf.Era) {
+			f.relist()
+		}
 		return Verdict{}
 	case Refused:
 		f.relief = !c.Stale
@@ -248,6 +284,9 @@
 	if outage {
 		f.away = true
 	}
+	if f.Restored(r.AsOf.Era) {
+		return v
+	}
 	if outage && !c.List {
 		// What ended meanwhile may have lapsed only, and a watch cannot tell: a list can,
 		// since what lapsed is given time to come back.
@@ -257,12 +296,12 @@
 	if c.List {
 		return f.page(v, c, r)
 	}
-	if r.AsOf < f.rev {
+	if f.behind(r.AsOf) {
 		// A replica that is behind this entry: nothing in it is news.
 		f.exact, v.Behind = true, true
 		return v
 	}
-	f.rev = r.AsOf
+	f.pos = r.AsOf
 	v.Apply, v.Proof = true, !c.Stale
 	if !c.Stale {
 		f.exact, f.age = false, now.Sub(c.AsOf(sent, now, r))
@@ -270,7 +309,10 @@
 	return v
 }
 
-func (f *Feed) relist() { f.listed, f.after, f.listFrom = false, "", 0 }
+func (f *Feed) relist() { f.listed, f.after, f.listFrom = false, "", stoatpaddle.Position{} }
+
+// behind tells whether an answer as of that position is older than what is known.
+func (f *Feed) behind(asOf stoatpaddle.Position) bool { return asOf.Era < f.era || asOf.Before(f.pos) }
 
 func (f *Feed) failed(now time.Time) Verdict {
 	f.failures++
@@ -286,6 +328,12 @@
 }
 
 func (f *Feed) page(v Verdict, c Call, r Result) Verdict {
+	if r.AsOf.Era < f.era {
+		// Of a replica that has not heard of the restore.
+		f.relist()
+		v.Behind = true
+		return v
+	}
 	v.Apply = true
 	if c.After == "" {
 		f.listFrom = r.AsOf
@@ -294,7 +342,7 @@
 		f.after = r.Last
 		return v
 	}
-	if f.listFrom < f.rev {
+	if f.listFrom.Before(f.pos) {
 		// A replica that is behind: what its list lacks may be younger than the list.
 		f.relist()
 		v.Behind = true
@@ -303,7 +351,7 @@
 	// Pages are read one after the other: what changed meanwhile is in the watch from the
 	// first page's revision on.
 	v.Complete, v.Proof, v.Away = true, !c.Stale, f.away
-	f.rev = max(f.rev, f.listFrom)
+	f.pos = f.listFrom
 	f.listed, f.begun, f.after, f.away, f.exact = true, true, "", false, false
 	return v
 }
--- a/stoatfeed/feed_test.go
+++ b/stoatfeed/feed_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 )
 
@@ -12,6 +13,8 @@
 
 const bound = 3 * time.Second
 
+func at(rev stoatpaddle.Version) stoatpaddle.Position { return stoatpaddle.Position{Revision: rev} }
+
 func newFeed(stale bool) *stoatfeed.Feed {
 	return stoatfeed.New(stoatfeed.Config{Bound: bound, Stale: stale, Rand: rand.New(rand.NewPCG(1, 1))})
 }
@@ -24,7 +27,7 @@
 	if !c.List || c.Stale {
 		t.Fatalf("%+v", c)
 	}
-	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: 10}); !v.Complete || !v.Proof || v.Away {
+	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: at(10)}); !v.Complete || !v.Proof || v.Away {
 		t.Fatalf("%+v", v)
 	}
 	return f
@@ -35,15 +38,15 @@
 func TestPages(t *testing.T) {
 	f := newFeed(false)
 	c := f.Next()
-	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: 10, More: true, Last: "m"}); v.Complete || !v.Apply || v.Proof {
+	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: at(10), More: true, Last: "m"}); v.Complete || !v.Apply || v.Proof {
 		t.Errorf("%+v", v)
 	}
 	c = f.Next()
 	if !c.List || c.After != "m" {
 		t.Errorf("%+v", c)
 	}
-	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: 14}); !v.Complete || f.Revision() != 10 {
-		t.Errorf("%+v %d", v, f.Revision())
+	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: at(14)}); !v.Complete || f.Position() != at(10) {
+		t.Errorf("%+v %d", v, f.Position())
 	}
 }
 
@@ -87,12 +90,12 @@
 	if c := f.Next(); c.Pause <= 0 || c.Pause > 1100*time.Millisecond || c.Wait > time.Millisecond {
 		t.Errorf("%+v", c)
 	}
-	v := f.Done(now, now, f.Next(), stoatfeed.Result{AsOf: 20, Changes: 3})
+	v := f.Done(now, now, f.Next(), stoatfeed.Result{AsOf: at(20), Changes: 3})
 	if v.Apply || !v.Back || f.Lost() {
 		t.Errorf("%+v", v)
 	}
 	c := f.Next()
-	if v = f.Done(now, now, c, stoatfeed.Result{AsOf: 20}); !c.List || !v.Complete || !v.Away || v.Back {
+	if v = f.Done(now, now, c, stoatfeed.Result{AsOf: at(20)}); !c.List || !v.Complete || !v.Away || v.Back {
 		t.Errorf("%+v %+v", c, v)
 	}
 }
@@ -104,7 +107,7 @@
 	if v := f.Done(start, start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Failed}); v.Lost {
 		t.Errorf("%+v", v)
 	}
-	v := f.Done(start.Add(200*time.Millisecond), start.Add(200*time.Millisecond), f.Next(), stoatfeed.Result{AsOf: 11})
+	v := f.Done(start.Add(200*time.Millisecond), start.Add(200*time.Millisecond), f.Next(), stoatfeed.Result{AsOf: at(11)})
 	if !v.Apply || v.Back || f.Next().List {
 		t.Errorf("%+v", v)
 	}
@@ -115,13 +118,13 @@
 func TestLaggingReplica(t *testing.T) {
 	f := listed(t, true)
 	c := f.Next()
-	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: 7}); !c.Stale || v.Apply || v.Proof || f.Revision() != 10 {
+	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: at(7)}); !c.Stale || v.Apply || v.Proof || f.Position() != at(10) {
 		t.Errorf("%+v", v)
 	}
 	if c = f.Next(); c.Stale || c.Wait > time.Millisecond {
 		t.Errorf("%+v", c)
 	}
-	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: 12}); !v.Apply || !v.Proof {
+	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: at(12)}); !v.Apply || !v.Proof {
 		t.Errorf("%+v", v)
 	}
 	if c = f.Next(); !c.Stale {
@@ -167,7 +170,7 @@
 	if c = f.Next(); !c.List || !c.Stale {
 		t.Fatalf("%+v", c)
 	}
-	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: 10}); !v.Complete || v.Proof {
+	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: at(10)}); !v.Complete || v.Proof {
 		t.Errorf("%+v", v)
 	}
 	if c = f.Next(); c.List || c.Stale {
@@ -183,7 +186,7 @@
 			t.Errorf("the exact question is not asked again: %+v", c)
 		}
 	}
-	if v := f.Done(start.Add(4*time.Second), start.Add(4*time.Second), c, stoatfeed.Result{AsOf: 11}); !v.Apply || f.Next().List {
+	if v := f.Done(start.Add(4*time.Second), start.Add(4*time.Second), c, stoatfeed.Result{AsOf: at(11)}); !v.Apply || f.Next().List {
 		t.Errorf("%+v", v)
 	}
 }
@@ -195,7 +198,7 @@
 	f.Done(start, start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Forgotten})
 	f.Done(start, start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Refused})
 	c := f.Next()
-	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: 8}); !c.Stale || v.Complete {
+	if v := f.Done(start, start, c, stoatfeed.Result{AsOf: at(8)}); !c.Stale || v.Complete {
 		t.Errorf("%+v %+v", c, v)
 	}
 	if c = f.Next(); !c.List || c.Stale {
@@ -208,7 +211,7 @@
 // once is not.
 func TestNewsIsGathered(t *testing.T) {
 	f := listed(t, true)
-	f.Done(start, start, f.Next(), stoatfeed.Result{AsOf: 11, Changes: 1})
+	f.Done(start, start, f.Next(), stoatfeed.Result{AsOf: at(11), Changes: 1})
 	if c := f.Next(); c.Pause != 150*time.Millisecond || c.Pause+c.Timeout > bound*9/10 {
 		t.Errorf("%+v", c)
 	}
@@ -216,7 +219,7 @@
 	if c := f.Next(); c.Pause != 0 {
 		t.Errorf("%+v", c)
 	}
-	f.Done(start, start, f.Next(), stoatfeed.Result{AsOf: 12})
+	f.Done(start, start, f.Next(), stoatfeed.Result{AsOf: at(12)})
 	if c := f.Next(); c.Pause != 0 {
 		t.Errorf("%+v", c)
 	}
@@ -228,13 +231,13 @@
 func TestPromptProofs(t *testing.T) {
 	f := newFeed(false)
 	f.SetStart(false, true)
-	f.Done(start, start, f.Next(), stoatfeed.Result{AsOf: 10})
+	f.Done(start, start, f.Next(), stoatfeed.Result{AsOf: at(10)})
 	c := f.Next()
 	if c.Wait != 1350*time.Millisecond {
 		t.Fatal(c.Wait)
 	}
 	came := start.Add(time.Second)
-	r := stoatfeed.Result{AsOf: 11, Changes: 1}
+	r := stoatfeed.Result{AsOf: at(11), Changes: 1}
 	if at := c.AsOf(start, came, r); !at.Equal(start) {
 		t.Error("news proves later than it was asked:", at.Sub(start))
 	}
@@ -243,7 +246,7 @@
 		t.Error(c.Wait)
 	}
 	end := came.Add(400 * time.Millisecond)
-	r = stoatfeed.Result{AsOf: 11}
+	r = stoatfeed.Result{AsOf: at(11)}
 	if at := c.AsOf(came, end, r); !at.Equal(came.Add(350 * time.Millisecond)) {
 		t.Error("a watch that waited to its end proves as of then:", at.Sub(came))
 	}
@@ -265,7 +268,7 @@
 	if !c.List || !c.Stale {
 		t.Fatalf("%+v", c)
 	}
-	f.Done(start, start, c, stoatfeed.Result{AsOf: 10})
+	f.Done(start, start, c, stoatfeed.Result{AsOf: at(10)})
 	f.Done(start, start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Forgotten})
 	if c = f.Next(); !c.List || c.Stale {
 		t.Errorf("%+v", c)
@@ -276,13 +279,13 @@
 func TestAdopt(t *testing.T) {
 	f := newFeed(true)
 	f.Done(start, start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Failed})
-	f.Adopt(20)
+	f.Adopt(at(20))
 	if c := f.Next(); c.List || c.From != 20 || c.Pause != 0 || !f.Failing().IsZero() {
 		t.Errorf("%+v", c)
 	}
-	f.Adopt(15)
-	if f.Revision() != 20 {
-		t.Error(f.Revision())
+	f.Adopt(at(15))
+	if f.Position() != at(20) {
+		t.Error(f.Position())
 	}
 }
 
--- a/stoatrelay/codec_test.go
+++ b/stoatrelay/codec_test.go
@@ -58,7 +58,7 @@
 	b.Register(now, *r.registration, r.revision)
 	first := b.Table()
 	got, err := Decode(&Head{Known: 12}, overTheWire(t, EncodeBody(now.Add(time.Second), first, Holds{})))
-	if err != nil || got.Delta == nil || len(got.Upstreams) != 1 || !got.Whole || got.Known != 12 {
+	if err != nil || got.Delta == nil || len(got.Upstreams) != 1 || !got.Whole || got.Known.Revision != 12 {
 		t.Fatalf("%+v %v", got, err)
 	}
 	a := got.Delta
--- a/stoatrelay/decode.go
+++ b/stoatrelay/decode.go
@@ -47,10 +47,11 @@
 // Message is what a parent says at once.
 type Message struct {
 	Path  []netip.AddrPort // from a reader to the parent
-	Known stoatpaddle.Version
-	Age   time.Duration // of what it believes; negative: it was never known to be up to date
-	Whole bool          // all upstreams there are; otherwise those that changed
-	Delta *Delta        // of the declaration; nil: it did not change
+	Known stoatpaddle.Position
+	Era   stoatpaddle.Era // of all revisions in it; 0: not said
+	Age   time.Duration   // of what it believes; negative: it was never known to be up to date
+	Whole bool            // all upstreams there are; otherwise those that changed
+	Delta *Delta          // of the declaration; nil: it did not change
 
 	Upstreams   []stoatroute.Told
 	Evacuations []stoatpaddle.Evacuation
@@ -68,7 +69,10 @@
 
 // Decode maps a parent's message, or returns *stoatpaddle.DecodeError.
 func Decode(h *Head, w *Body) (Message, error) {
-	x := Message{Known: stoatpaddle.Version(h.Known), Age: time.Duration(h.AgeMS) * time.Millisecond}
+	x := Message{
+		Known: stoatpaddle.Position{Era: stoatpaddle.Era(h.KnownEra), Revision: stoatpaddle.Version(h.Known)},
+		Era:   stoatpaddle.Era(h.Era), Age: time.Duration(h.AgeMS) * time.Millisecond,
+	}
 	var err error
 	if x.Path, err = ParseAddrs(h.Path); err != nil || w == nil {
 		return x, err
--- a/stoatrelay/shape.go
+++ b/stoatrelay/shape.go
@@ -28,7 +28,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (h *Head) DecodeMsgpack(dec *msgpack.Decoder) error {
-	return decodeFields(dec, &h.Known, &h.AgeMS, &h.Path, &h.Relatives, &h.Centre, &h.Seen, &h.Whole, &h.Body, &h.Rank, &h.Entries)
+	return decodeFields(dec, &h.Known, &h.AgeMS, &h.Path, &h.Relatives, &h.Centre, &h.Seen, &h.Whole, &h.Body, &h.Rank, &h.Entries, &h.KnownEra, &h.Era)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/stoatrelay/wire.go
+++ b/stoatrelay/wire.go
@@ -16,6 +16,8 @@
 	Body      bool                      // a Body follows
 	Rank      int                       // of the child among the entries of its data centre
 	Entries   int                       // how many these are; 0: it is in another one, or that is not known
+	KnownEra  uint64                    // of Known
+	Era       uint64                    // of the revisions in the Body; 0: the parent knows of none
 }
 
 // Body follows a Head where something changed.
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -50,12 +50,15 @@
 type Book struct {
 	cfg      Config
 	decl     stoatpaddle.Declaration
-	revision stoatpaddle.Version // of the declaration
+	era      stoatpaddle.Era     // of all revisions here; 0: not said
+	revision stoatpaddle.Version // of the declaration; 0: of an earlier era
+	settled  time.Time           // what the platform lacks before that may have been lost in a restore
 	routes   map[netip.AddrPort]*Route
 	dropped  map[netip.AddrPort]uint64 // see Table
 	forgot   uint64
 	ups      map[stoatpaddle.UpstreamID]*entry
 	proven   time.Time
+	absent   time.Time // whatever is not known here did not exist then
 	declared bool
 	listed   bool
 	follows  bool   // another entry says what becomes of missing registrations
@@ -97,9 +100,10 @@
 }
 
 // Declare adopts a declaration and tells whether it is news. One that was written earlier
-// than the one in force is ignored, whoever brings it: what is in force never reverts.
+// than the one in force is ignored, whoever brings it: what is in force never reverts. Revision 0 is
+// of an earlier era, of which the version alone tells.
 func (b *Book) Declare(d stoatpaddle.Declaration, revision stoatpaddle.Version) bool {
-	if b.declared && (revision <= b.revision || d.Version <= b.decl.Version) {
+	if b.declared && (revision != 0 && revision <= b.revision || d.Version <= b.decl.Version) {
 		return false
 	}
 	routes := make(map[netip.AddrPort]*Route, len(d.Routes))
@@ -242,11 +246,16 @@
 	b.changed(e)
 }
 
-// Prove notes that the upstreams were up to date when a question was sent at that time.
+// Prove notes that the upstreams were up to date when a question was sent at that time. Soon after a
+// restore that does not say that an upstream which is not known has ended: its registration may be
+// lost, and an open flow there would be reset.
 func (b *Book) Prove(sent time.Time) {
 	if sent.After(b.proven) {
 		b.proven = sent
 	}
+	if sent.After(b.absent) && !sent.Before(b.settled) {
+		b.absent = sent
+	}
 }
 
 // Hold gives every missing registration its full time to come back from now on: the
@@ -307,9 +316,9 @@
 	switch {
 	case b.dirty:
 		b.table, b.dirty = b.build(), false
-	case b.table.Proven != b.proven:
+	case b.table.Proven != b.absent:
 		t := *b.table
-		t.Proven = b.proven
+		t.Proven = b.absent
 		b.table = &t
 	}
 	return b.table
@@ -317,7 +326,7 @@
 
 func (b *Book) build() *Table {
 	t := &Table{
-		Declaration: b.decl, Revision: b.revision, Proven: b.proven, Declared: b.declared, Listed: b.listed,
+		Declaration: b.decl, Revision: b.revision, Era: b.era, Proven: b.absent, Declared: b.declared, Listed: b.listed,
 		Change: b.changes, Altered: b.altered, evacuations: b.evacuations.clone(b.cfg.Evacuations),
 		routes: b.routes, dropped: b.dropped, forgot: b.forgot, byKey: make(map[stoatpaddle.UpstreamKey]*Upstream, len(b.ups)),
 		services: map[stoatpaddle.ServiceID][]*Upstream{},
--- /dev/null
+++ b/stoatroute/restore.go
@@ -0,0 +1,30 @@
+package stoatroute
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// Era returns the era of all revisions here; 0: none was said.
+func (b *Book) Era() stoatpaddle.Era { return b.era }
+
+// Restore takes in that the platform came back from an older copy of itself. Revisions are given out
+// again: compared with those of before, whatever is written from now on would look old for as long as
+// the platform has not counted up to them. So all that is believed counts as earlier than anything of
+// the new era. It stays believed: the copy lacks what was written last.
+func (b *Book) Restore(now time.Time, era stoatpaddle.Era) {
+	before := b.era
+	b.era, b.dirty = era, true
+	if before == 0 {
+		return
+	}
+	b.revision, b.settled = 0, now.Add(b.cfg.Return)
+	for _, e := range b.ups {
+		e.up.Revision = 0
+	}
+	for d, s := range b.evacuationStates {
+		s.Revision = 0
+		b.evacuationStates[d] = s
+	}
+}
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -68,7 +68,8 @@
 // Table is a snapshot that traffic reads; it never changes.
 type Table struct {
 	Declaration stoatpaddle.Declaration
-	Revision    stoatpaddle.Version // of the declaration
+	Revision    stoatpaddle.Version // of the declaration; 0: of an earlier era
+	Era         stoatpaddle.Era     // of all revisions here; 0: not said
 	// Proven is when the question was sent whose answer last proved the upstreams up to
 	// date: whatever is not in the table did not exist then.
 	Proven time.Time
--- a/stoattree/tree.go
+++ b/stoattree/tree.go
@@ -29,9 +29,9 @@
 type Ask struct {
 	From   netip.AddrPort
 	Centre stoatpaddle.DataCentreID
-	// Known is the revision up to which it knows everything; 0: it has nothing to serve by,
-	// and so no children that could be above the one it asks.
-	Known stoatpaddle.Version
+	// Known is the position up to which it knows everything; revision 0: it has nothing to serve
+	// by, and so no children that could be above the one it asks.
+	Known stoatpaddle.Position
 	// Near refuses another data centre's entry, since bytes between data centres are dear.
 	Near bool
 	// Within is how old what is told may be; 0: it does not matter, since the platform does
@@ -75,7 +75,7 @@
 // State is what an entry is as others see it.
 type State struct {
 	Ready bool
-	Known stoatpaddle.Version
+	Known stoatpaddle.Position
 	// Path leads from a reader to this entry's parent; empty: nobody tells it.
 	Path []netip.AddrPort
 	// Reads tells that it asks the platform itself and is answered.
@@ -179,13 +179,13 @@
 	switch {
 	case !s.Ready:
 		return NotReady
-	case a.Known > s.Known:
+	case s.Known.Before(a.Known):
 		return Behind
 	case a.Within > 0 && (s.Age < 0 || s.Age > a.Within):
 		return Stale
 	case a.From == t.cfg.Self || slices.Contains(s.Path, a.From):
 		return Loop
-	case a.Known == 0 || len(s.Path) > 0 || s.Reads && t.IsSeed():
+	case a.Known.Revision == 0 || len(s.Path) > 0 || s.Reads && t.IsSeed():
 		return Accepted
 	case order(t.cfg.Self) < order(a.From):
 		// Two that nobody tells would take each other as parents. One order over all
--- a/stoattree/tree_test.go
+++ b/stoattree/tree_test.go
@@ -21,10 +21,12 @@
 	})
 }
 
-var inTouch = stoattree.State{Ready: true, Known: 10, Reads: true}
+func at(rev stoatpaddle.Version) stoatpaddle.Position { return stoatpaddle.Position{Revision: rev} }
+
+var inTouch = stoattree.State{Ready: true, Known: at(10), Reads: true}
 
 func ask(i int, centre stoatpaddle.DataCentreID) stoattree.Ask {
-	return stoattree.Ask{From: addr(i), Centre: centre, Known: 9}
+	return stoattree.Ask{From: addr(i), Centre: centre, Known: at(9)}
 }
 
 // Whom an entry does not tell, and why. Each refusal keeps the one that asks from a parent
@@ -32,7 +34,7 @@
 func TestRefusals(t *testing.T) {
 	path := []netip.AddrPort{addr(0), addr(7)}
 	low, high := 5, 6
-	if newTree(low, "a", 0).Admit(stoattree.State{Ready: true, Known: 10}, ask(high, "a")).Refusal != stoattree.Accepted {
+	if newTree(low, "a", 0).Admit(stoattree.State{Ready: true, Known: at(10)}, ask(high, "a")).Refusal != stoattree.Accepted {
 		low, high = high, low
 	}
 	for name, try := range map[string]struct {
@@ -42,17 +44,19 @@
 		want  stoattree.Refusal
 	}{
 		"a seed in touch":                         {0, inTouch, ask(5, "a"), stoattree.Accepted},
-		"told itself":                             {9, stoattree.State{Ready: true, Known: 10, Path: path}, ask(5, "a"), stoattree.Accepted},
+		"told itself":                             {9, stoattree.State{Ready: true, Known: at(10), Path: path}, ask(5, "a"), stoattree.Accepted},
 		"starting":                                {0, stoattree.State{}, ask(5, "a"), stoattree.NotReady},
-		"knows less":                              {0, stoattree.State{Ready: true, Known: 8, Reads: true}, ask(5, "a"), stoattree.Behind},
-		"below the one that asks":                 {9, stoattree.State{Ready: true, Known: 10, Path: path}, ask(7, "a"), stoattree.Loop},
-		"itself":                                  {9, stoattree.State{Ready: true, Known: 10, Path: path}, ask(9, "a"), stoattree.Loop},
-		"nobody tells it, and it is not first":    {high, stoattree.State{Ready: true, Known: 10}, ask(low, "a"), stoattree.NoRoot},
-		"nobody tells it, but it is first":        {low, stoattree.State{Ready: true, Known: 10}, ask(high, "a"), stoattree.Accepted},
-		"nobody tells it, for one without a view": {high, stoattree.State{Ready: true, Known: 10}, stoattree.Ask{From: addr(low), Centre: "a"}, stoattree.Accepted},
-		"its word is too old":                     {0, stoattree.State{Ready: true, Known: 10, Reads: true, Age: 3e9}, stoattree.Ask{From: addr(5), Centre: "a", Known: 9, Within: 2e9}, stoattree.Stale},
-		"its word has no age":                     {0, stoattree.State{Ready: true, Known: 10, Reads: true, Age: -1}, stoattree.Ask{From: addr(5), Centre: "a", Known: 9, Within: 2e9}, stoattree.Stale},
-		"another data centre, when near is asked": {0, inTouch, stoattree.Ask{From: addr(5), Centre: "b", Known: 9, Near: true}, stoattree.OtherSide},
+		"knows less":                              {0, stoattree.State{Ready: true, Known: at(8), Reads: true}, ask(5, "a"), stoattree.Behind},
+		"below the one that asks":                 {9, stoattree.State{Ready: true, Known: at(10), Path: path}, ask(7, "a"), stoattree.Loop},
+		"knows an earlier era":                    {0, stoattree.State{Ready: true, Known: stoatpaddle.Position{Era: 1, Revision: 90}, Reads: true}, stoattree.Ask{From: addr(5), Centre: "a", Known: stoatpaddle.Position{Era: 2, Revision: 9}}, stoattree.Behind},
+		"knows a later era":                       {0, stoattree.State{Ready: true, Known: stoatpaddle.Position{Era: 2, Revision: 9}, Reads: true}, stoattree.Ask{From: addr(5), Centre: "a", Known: stoatpaddle.Position{Era: 1, Revision: 90}}, stoattree.Accepted},
+		"itself":                                  {9, stoattree.State{Ready: true, Known: at(10), Path: path}, ask(9, "a"), stoattree.Loop},
+		"nobody tells it, and it is not first":    {high, stoattree.State{Ready: true, Known: at(10)}, ask(low, "a"), stoattree.NoRoot},
+		"nobody tells it, but it is first":        {low, stoattree.State{Ready: true, Known: at(10)}, ask(high, "a"), stoattree.Accepted},
+		"nobody tells it, for one without a view": {high, stoattree.State{Ready: true, Known: at(10)}, stoattree.Ask{From: addr(low), Centre: "a"}, stoattree.Accepted},
+		"its word is too old":                     {0, stoattree.State{Ready: true, Known: at(10), Reads: true, Age: 3e9}, stoattree.Ask{From: addr(5), Centre: "a", Known: at(9), Within: 2e9}, stoattree.Stale},
+		"its word has no age":                     {0, stoattree.State{Ready: true, Known: at(10), Reads: true, Age: -1}, stoattree.Ask{From: addr(5), Centre: "a", Known: at(9), Within: 2e9}, stoattree.Stale},
+		"another data centre, when near is asked": {0, inTouch, stoattree.Ask{From: addr(5), Centre: "b", Known: at(9), Near: true}, stoattree.OtherSide},
 		"another data centre":                     {0, inTouch, ask(5, "b"), stoattree.Accepted},
 	} {
 		if got := newTree(try.self, "a", 0).Admit(try.state, try.ask).Refusal; got != try.want {
@@ -179,8 +183,8 @@
 		if p == nil {
 			continue
 		}
-		a.Known = 10
-		s := stoattree.State{Ready: true, Known: 10, Path: p.path(), Reads: p.isSeed() || p.parent == nil}
+		a.Known = at(10)
+		s := stoattree.State{Ready: true, Known: at(10), Path: p.path(), Reads: p.isSeed() || p.parent == nil}
 		answer := p.tree.Admit(s, a)
 		if answer.Refusal != stoattree.Accepted {
 			m.tree.Refused(answer.Try)
