stoatroute, stoatedge: an upstream that leaves goes on leaving over a restore of the store

Callers would get new flows at an upstream that had said that it leaves, cut when it ends: the copy from which the store comes back can be of before that, and the upstream writes it again only with its next heartbeat. And leases of the copy, which count from before the outage, can end registrations right after the store's return, whose upstreams serve: their flows were reset.

What an upstream said of leaving holds for the time that registrations have to come back, for its life, also against the word of an entry that started after the restore. What ends in that time is missing, not gone.

--- a/stoatedge/apply.go
+++ b/stoatedge/apply.go
@@ -34,9 +34,10 @@
 		case c.evacuation != nil:
 			k.evacuate(*c.evacuation, source)
 		case c.gone && t == upstreams && k.unwatched:
-			if k.book.Lapse(now, stoatpaddle.UpstreamID(c.name), c.revision) {
-				k.standing(stoatpaddle.UpstreamID(c.name), "registration ended while nobody watched")
-			}
+			k.lapse(now, c, "registration ended while nobody watched")
+		case c.gone && t == upstreams && now.Before(k.settled):
+			// Its lease, of before the outage, may have ended before the upstream could renew it.
+			k.lapse(now, c, "registration ended after a restore")
 		case c.gone && t == upstreams:
 			if k.book.Remove(now, stoatpaddle.UpstreamID(c.name), c.revision) {
 				k.standing(stoatpaddle.UpstreamID(c.name), "registration ended")
@@ -47,6 +48,13 @@
 	}
 }
 
+// lapse takes in that a registration ended which may come back.
+func (k *keeper) lapse(now time.Time, c *change, why string) {
+	if k.book.Lapse(now, stoatpaddle.UpstreamID(c.name), c.revision) {
+		k.standing(stoatpaddle.UpstreamID(c.name), why)
+	}
+}
+
 // notTaken says once that a later version was read and put aside.
 func (k *keeper) notTaken(c *change, source string) {
 	t := k.book.Table()
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -41,11 +41,13 @@
 	answers         bool                // the platform does, as last said to touched
 	parked          [topicCount]bool    // it is not asked about until the configuration is answered
 	behind          [topicCount]bool    // its last answer was older than what is known
+	settled         time.Time           // what ends until then may have lapsed with a restore only
 	refused         stoatpaddle.Version // the last configuration that was read and not taken in
 	upstreamPages   pages[stoatpaddle.UpstreamID]
 	evacuationPages pages[stoatpaddle.DataCentreID]
 	follow          follower
 	bound           time.Duration // how soon a change has to be in force
+	back            time.Duration // how long a registration that lapsed may take to come back
 	open            *proof        // not matched yet
 	rnd             *rand.Rand
 	known           stoatpaddle.Position // everything up to it, of all topics, once ready
@@ -73,6 +75,7 @@
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
 	k := &keeper{
 		bound: cfg.Apply, rnd: rnd, reading: true, topics: []topic{declarations, upstreams},
+		back:        cfg.Return,
 		book:        stoatroute.NewBook(stoatroute.Config{Return: cfg.Return, Keep: cfg.Life, Evacuations: cfg.Evacuations}),
 		evacuations: cfg.Evacuations,
 	}
@@ -111,7 +114,7 @@
 	case doubted:
 		k.doubt(now, upstreams)
 	case rebound:
-		k.bound = x.apply
+		k.bound, k.back = x.apply, x.back
 		k.rebind(now, x.seeds)
 		k.book.SetBounds(stoatroute.Config{Return: x.back, Keep: x.life, Evacuations: k.evacuations})
 		for _, t := range k.topics {
--- a/stoatedge/restored_test.go
+++ b/stoatedge/restored_test.go
@@ -72,6 +72,31 @@
 	}
 }
 
+// The leases of the copy count from before the outage, so that the store ends registrations right after
+// its return, before the upstreams could renew them. They serve, and are back two seconds later: their
+// flows must not be reset meanwhile. One that does not come back is gone.
+func TestLapseAfterARestore(t *testing.T) {
+	s := runningIn(t)
+	s.era = 2
+	s.answer(declarations, 24)
+	s.answer(upstreams, 24, registered("i-1", 1, 6), registered("i-2", 2, 7))
+	s.answer(upstreams, 26, ended1("i-1", 25), ended1("i-2", 26))
+	for _, target := range []stoatpaddle.Target{1, 2} {
+		if u := s.table.Upstream(stoatroute.KeyOf(target)); u.Standing != stoatroute.Missing {
+			t.Error(target, u.Standing)
+		}
+	}
+	s.answer(upstreams, 27, registered("i-1", 1, 27))
+	s.pass(2 * time.Second)
+	if list := s.table.Service("app"); len(list) != 1 || list[0].ID != "i-1" {
+		t.Error(len(list))
+	}
+	s.answer(upstreams, 28, ended1("i-1", 28))
+	if u := s.table.Upstream(stoatroute.KeyOf(1)); u.Standing != stoatroute.Gone {
+		t.Error("an end long after the restore is none:", u.Standing)
+	}
+}
+
 // Entries that are told hear of the restore from their parent, before it has listed anything anew. What
 // they believe stays, what the parent says next counts, and a parent that has not heard of the restore
 // is left: its revisions mean something else.
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -44,6 +44,10 @@
 	up    Upstream
 	until time.Time // Missing: when it counts as gone; Gone: when it is forgotten
 	held  bool      // Missing: another entry said so, and will say what became of it
+	// left is set if it said before a restore that it leaves, which no life takes back.
+	left bool
+	// spoiled is set if it counts as leaving only since another writer wrote over its entry.
+	spoiled bool
 }
 
 // Book gathers what the platform says. One goroutine uses it.
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -80,9 +80,13 @@
 	case x.Revision > e.up.Revision:
 		e.cooled(now, x.Cold)
 	}
-	was := e.up.Standing
-	e.up.Registration, e.up.Revision, e.up.Standing = x.Registration, x.Revision, x.Standing
-	switch x.Standing {
+	was, standing := e.up.Standing, x.Standing
+	e.up.Registration, e.up.Revision = b.leaving(now, e, x.Registration), x.Revision
+	if standing == Serving {
+		standing = standingOf(&e.up.Registration)
+	}
+	e.up.Standing = standing
+	switch standing {
 	case Gone:
 		b.end(now, e)
 	case Missing:
@@ -91,5 +95,5 @@
 	default:
 		b.changed(e)
 	}
-	return fresh || was != x.Standing
+	return fresh || was != standing
 }
--- a/stoatroute/register.go
+++ b/stoatroute/register.go
@@ -59,6 +59,7 @@
 		return Contradicted
 	case sameLife:
 	}
+	r = b.leaving(now, e, r)
 	e.cooled(now, r.Cold)
 	b.adopt(e, r, revision, standingOf(&r))
 	if was != e.up.Standing {
@@ -76,7 +77,7 @@
 
 // adopt makes a registration and a standing what is known of an upstream.
 func (b *Book) adopt(e *entry, r stoatpaddle.Registration, revision stoatpaddle.Version, s Standing) {
-	e.up.Registration, e.up.Revision, e.up.Standing = r, revision, s
+	e.up.Registration, e.up.Revision, e.up.Standing, e.spoiled = r, revision, s, false
 	b.changed(e)
 }
 
@@ -88,8 +89,9 @@
 	if e == nil || revision <= e.up.Revision || e.up.Standing == Gone {
 		return false
 	}
-	was := e.up.Standing
+	was, spoiled := e.up.Standing, e.spoiled || !e.up.Leaving
 	e.up.Leaving = true
 	b.adopt(e, e.up.Registration, revision, Leaving)
+	e.spoiled = spoiled
 	return was != Leaving
 }
--- a/stoatroute/restore.go
+++ b/stoatroute/restore.go
@@ -9,6 +9,13 @@
 // Era returns the era of all revisions here; 0: none was said.
 func (b *Book) Era() stoatpaddle.Era { return b.era }
 
+// leaving corrects a registration of the copy, from before the upstream said that it leaves: it writes so
+// again only with its next heartbeat, and new flows would be cut when it ends.
+func (b *Book) leaving(now time.Time, e *entry, r stoatpaddle.Registration) stoatpaddle.Registration {
+	r.Leaving = r.Leaving || e.left && now.Before(b.settled)
+	return r
+}
+
 // Restore takes in that the platform came back from an older copy of itself. Revisions are given out
 // again: compared with those of before, whatever is written from now on would look old for as long as
 // the platform has not counted up to them. So all that is believed counts as earlier than anything of
@@ -22,6 +29,7 @@
 	b.revision, b.settled = 0, now.Add(b.cfg.Return)
 	for _, e := range b.ups {
 		e.up.Revision = 0
+		e.left = e.left || e.up.Leaving && !e.spoiled
 	}
 	for d, s := range b.evacuationStates {
 		s.Revision = 0
