stoatroute, stoatedge: an evacuation outlives a restore of the store

A data centre whose evacuation had been confirmed would get new flows again while its power is about to go: the copy from which the store comes back can lack the request, and entries list at once, before the operators have written it again. Found by reading; the test fails without the change.

A request that was known before a restore and is in no list since holds for 10 s, counted while the store answers; then it counts as withdrawn. A withdrawal that the copy lacks is not guessed: flows go elsewhere until it is written again.

--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -165,6 +165,7 @@
 	for _, id := range k.book.Expire(now) {
 		k.standing(id, "did not come back")
 	}
+	k.expireEvacuations(now)
 	k.press(now)
 	k.watchParent(now)
 }
--- a/stoatedge/lists.go
+++ b/stoatedge/lists.go
@@ -38,7 +38,7 @@
 	case evacuations:
 		k.evacuationPages.add(x)
 		if v.Complete {
-			k.listedEvacuations()
+			k.listedEvacuations(now)
 		}
 	}
 }
@@ -52,7 +52,7 @@
 	}
 }
 
-func (k *keeper) listedEvacuations() {
+func (k *keeper) listedEvacuations(now time.Time) {
 	p := k.evacuationPages
 	k.evacuationPages = pages[stoatpaddle.DataCentreID]{}
 	if p.nameless {
@@ -63,7 +63,21 @@
 	}
 	// The list is as of the revision of its first page, which the feed knows now.
 	asOf := k.feeds[evacuations].Position().Revision
-	for _, d := range k.book.EvacuationsListed(p.names, asOf) {
-		k.logEvacuation(stoatpaddle.Evacuation{DataCentre: d, Revision: asOf, Withdrawn: true}, "not in the list")
+	k.lifted(k.book.EvacuationsListed(now, p.names, asOf), asOf, "not in the list")
+}
+
+// expireEvacuations ends those that were not written again after a restore.
+func (k *keeper) expireEvacuations(now time.Time) {
+	if !k.failing().IsZero() {
+		k.book.HoldEvacuations(now)
+		return
+	}
+	asOf := k.feeds[evacuations].Position().Revision
+	k.lifted(k.book.ExpireEvacuations(now, asOf), asOf, "not written again after a restore")
+}
+
+func (k *keeper) lifted(list []stoatpaddle.DataCentreID, asOf stoatpaddle.Version, why string) {
+	for _, d := range list {
+		k.logEvacuation(stoatpaddle.Evacuation{DataCentre: d, Revision: asOf, Withdrawn: true}, why)
 	}
 }
--- a/stoatedge/restored_test.go
+++ b/stoatedge/restored_test.go
@@ -133,3 +133,70 @@
 		t.Error(s.left, s.events, s.knows)
 	}
 }
+
+// Operators evacuated a data centre, the store confirmed it, and came back from a copy made just before,
+// which does not have it. They write it again, but the list that entries make at once lacks it: taken at
+// its word, the data centre would get flows back while its power is about to go. It stays evacuated for
+// as long as operators may take to write again; what is still missing then was withdrawn.
+func TestEvacuationOverARestore(t *testing.T) {
+	for name, again := range map[string]bool{"written again": true, "not written again": false} {
+		s := evacuating(t, false, false)
+		s.era = 1
+		s.serving()
+		s.answer(evacuations, 30, evacuated("here", 30))
+		s.era = 2
+		s.answer(declarations, 24)
+		s.answer(evacuations, 24)
+		s.want(name+", the copy lacks it", true)
+		s.pass(5 * time.Second)
+		s.want(name+", five seconds later", true)
+		if again {
+			s.answer(evacuations, 26, evacuated("here", 26))
+		}
+		s.pass(6 * time.Second)
+		s.want(name+", at last", again)
+		if again {
+			s.answer(evacuations, 27, takenBack("here", 26))
+			s.want("withdrawn", false)
+		}
+		if in, out := s.events[EventEvacuated.Number], s.events[EventTakenBack.Number]; in != 1 || out != 1 {
+			t.Errorf("%s: %d and %d lines", name, in, out)
+		}
+	}
+}
+
+// The store goes away again right after the restore, before operators could write again. Their time
+// counts from its return.
+func TestEvacuationOverARestoreAndAnOutage(t *testing.T) {
+	s := evacuating(t, false, false)
+	s.era = 1
+	s.serving(evacuated("here", 30))
+	s.era = 2
+	s.answer(declarations, 24)
+	s.answer(evacuations, 24)
+	for range 4 {
+		s.fail(declarations)
+		s.pass(3 * time.Second)
+	}
+	s.want("an outage of 12 s", true)
+	s.answer(declarations, 24)
+	s.pass(9 * time.Second)
+	s.want("nine seconds after its return", true)
+	s.pass(2 * time.Second)
+	s.want("eleven", false)
+}
+
+// A withdrawal is among what the copy lacks. The list names the data centre again, and flows go elsewhere
+// until operators withdraw it again: that is safe, and what they may have asked anew is not told from it.
+func TestWithdrawalOverARestore(t *testing.T) {
+	s := evacuating(t, false, false)
+	s.era = 1
+	s.serving(evacuated("here", 8))
+	s.answer(evacuations, 30, takenBack("here", 30))
+	s.era = 2
+	s.answer(declarations, 24)
+	s.answer(evacuations, 24, evacuated("here", 8))
+	s.want("the copy has it", true)
+	s.answer(evacuations, 25, takenBack("here", 8))
+	s.want("withdrawn again", false)
+}
--- a/stoatrelay/codec_test.go
+++ b/stoatrelay/codec_test.go
@@ -172,7 +172,7 @@
 	b := stoatroute.NewBook(stoatroute.Config{Evacuations: true})
 	b.Declare(*declared(1, 5).declaration, 5)
 	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "here", Revision: 7})
-	b.EvacuationsListed(map[stoatpaddle.DataCentreID]bool{"here": true}, 8)
+	b.EvacuationsListed(time.Unix(1000, 0), map[stoatpaddle.DataCentreID]bool{"here": true}, 8)
 	first := b.Table()
 	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "there", Revision: 9})
 	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "here", Revision: 10, Withdrawn: true})
--- a/stoatroute/evacuation.go
+++ b/stoatroute/evacuation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
 )
@@ -31,8 +32,15 @@
 type evacuationState struct {
 	stoatpaddle.Evacuation
 	change uint64 // the book's count of changes at its last one
+	// lost is since when lists of the present era lack it, which was known before a restore; zero: none does.
+	lost time.Time
 }
 
+// rewriteTime is how long after a restore operators may take to write an evacuation again that the copy
+// lacks. Flows that go elsewhere for some seconds more harm less than flows to a data centre that is about
+// to lose its power.
+const rewriteTime = 10 * time.Second
+
 func (e evacuations) clone(needed bool) evacuations {
 	return evacuations{evacuationStates: maps.Clone(e.evacuationStates), evacuationsKnown: e.evacuationsKnown || !needed}
 }
@@ -73,12 +81,50 @@
 }
 
 // EvacuationsListed takes in which data centres a complete list names that is as of a revision. The
-// others are not evacuated any more; it returns those that were.
-func (b *Book) EvacuationsListed(names map[stoatpaddle.DataCentreID]bool, asOf stoatpaddle.Version) []stoatpaddle.DataCentreID {
+// others are not evacuated any more; it returns those that were. One that was known before a restore may
+// have been lost with it, and ends with ExpireEvacuations.
+func (b *Book) EvacuationsListed(now time.Time, names map[stoatpaddle.DataCentreID]bool, asOf stoatpaddle.Version) []stoatpaddle.DataCentreID {
 	b.evacuationsKnown, b.dirty = true, true
+	return b.lift(asOf, func(d stoatpaddle.DataCentreID, s *evacuationState) bool {
+		if names[d] || s.Revision != 0 {
+			return !names[d]
+		}
+		if s.lost.IsZero() {
+			s.lost = now
+		}
+		return false
+	})
+}
+
+// ExpireEvacuations ends the evacuations that operators did not write again in time after a restore, as of
+// a revision, and returns their data centres.
+func (b *Book) ExpireEvacuations(now time.Time, asOf stoatpaddle.Version) []stoatpaddle.DataCentreID {
+	return b.lift(asOf, func(_ stoatpaddle.DataCentreID, s *evacuationState) bool {
+		return !s.lost.IsZero() && now.Sub(s.lost) >= rewriteTime
+	})
+}
+
+// HoldEvacuations gives operators their full time to write again from now on: they cannot while the
+// platform is away.
+func (b *Book) HoldEvacuations(now time.Time) {
+	for d, s := range b.evacuationStates {
+		if !s.lost.IsZero() {
+			s.lost = now
+			b.evacuationStates[d] = s
+		}
+	}
+}
+
+// lift withdraws the evacuations that have ended, as of a revision.
+func (b *Book) lift(asOf stoatpaddle.Version, ended func(d stoatpaddle.DataCentreID, s *evacuationState) bool) []stoatpaddle.DataCentreID {
 	var lifted []stoatpaddle.DataCentreID
 	for d, s := range b.evacuationStates {
-		if !names[d] && !s.Withdrawn && b.Evacuate(stoatpaddle.Evacuation{DataCentre: d, Revision: asOf, Withdrawn: true}) {
+		if s.Withdrawn {
+			continue
+		}
+		end := ended(d, &s)
+		b.evacuationStates[d] = s
+		if end && b.Evacuate(stoatpaddle.Evacuation{DataCentre: d, Revision: asOf, Withdrawn: true}) {
 			lifted = append(lifted, d)
 		}
 	}
--- a/stoatroute/evacuation_test.go
+++ b/stoatroute/evacuation_test.go
@@ -45,7 +45,7 @@
 	for d, revision := range map[stoatpaddle.DataCentreID]stoatpaddle.Version{"old": 5, "new": 20, "kept": 6} {
 		b.Evacuate(stoatpaddle.Evacuation{DataCentre: d, Revision: revision})
 	}
-	lifted := b.EvacuationsListed(map[stoatpaddle.DataCentreID]bool{"kept": true}, 10)
+	lifted := b.EvacuationsListed(start, map[stoatpaddle.DataCentreID]bool{"kept": true}, 10)
 	if !slices.Equal(lifted, []stoatpaddle.DataCentreID{"old"}) {
 		t.Error(lifted)
 	}
--- a/stoatroute/restore.go
+++ b/stoatroute/restore.go
@@ -32,7 +32,7 @@
 		e.left = e.left || e.up.Leaving && !e.spoiled
 	}
 	for d, s := range b.evacuationStates {
-		s.Revision = 0
+		s.Revision, s.lost = 0, time.Time{}
 		b.evacuationStates[d] = s
 	}
 }
