stoatfeed: answers that are put aside are not asked for again without a pause

The first old answer is still made good at once, exactly; from the second in a row on, pauses grow as after failures, to a second. The same where a watch finds its history gone again and again: a replica that does not have the revision yet may say so, and the platform itself is watched the second time.

--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -111,6 +111,8 @@
 	after    string               // of the list that is under way
 	listFrom stoatpaddle.Position // of its first page
 	failures int
+	oldRow   int       // so many answers in a row were put aside
+	goneRow  int       // so many watches in a row met a history that is gone
 	failing  time.Time // since when; zero: not
 	down     time.Time // since when calls got no answer at all; zero: they did
 	relief   bool      // the next call goes to a replica, since the last was refused by rate
@@ -185,13 +187,14 @@
 func (f *Feed) Next() Call {
 	c := Call{Timeout: listTimeout, Pause: f.pause()}
 	if !f.listed {
-		c.List, c.After, c.Stale = true, f.after, f.relief || f.cfg.StaleStart && !f.begun
+		c.List, c.After, c.Stale = true, f.after, f.relief || f.cfg.StaleStart && !f.begun && !f.exact
 		return c
 	}
 	c.From = f.pos.Revision
 	c.Wait = f.wait()
 	c.Timeout = c.Wait + Share(f.cfg.Bound, hangShare)
-	c.Stale = f.cfg.Stale && !f.exact
+	// A replica that is behind may not have the revision yet that it is asked to go on from.
+	c.Stale = f.cfg.Stale && !f.exact && f.goneRow < 2
 	switch {
 	case f.relief:
 		// News goes on while the exact question waits its turn.
@@ -238,6 +241,10 @@
 // pause is random: nine entries that ask again in one moment would be refused by rate.
 func (f *Feed) pause() time.Duration {
 	switch {
+	case f.failures == 0 && max(f.oldRow, f.goneRow) > 1:
+		// The first one is made good at once. If that does not help, each question would be followed by
+		// the next within milliseconds, and a few entries use up what the platform answers a second.
+		return f.backoff(max(f.oldRow, f.goneRow))
 	case f.failures == 0 && f.gather && !f.exact && !f.hurry:
 		return Share(f.cfg.Bound, gatherShare)
 	case f.failures == 0:
@@ -246,9 +253,14 @@
 	if f.told && f.failures >= 2 {
 		return pauseTold + time.Duration(f.cfg.Rand.Int64N(int64(pauseTold)))
 	}
+	return f.backoff(f.failures)
+}
+
+// backoff is the pause before a try that follows so many in vain.
+func (f *Feed) backoff(n int) time.Duration {
 	most := pauseMost
-	if f.failures < 5 {
-		most = min(pauseMost, pauseLeast<<f.failures)
+	if n < 5 {
+		most = min(pauseMost, pauseLeast<<n)
 	}
 	return pauseLeast/2 + time.Duration(f.cfg.Rand.Int64N(int64(most)))
 }
@@ -261,6 +273,7 @@
 	}
 	switch r.Outcome {
 	case Forgotten:
+		f.goneRow++
 		if !f.Restored(r.AsOf.Era) {
 			f.relist()
 		}
@@ -277,6 +290,19 @@
 		return Verdict{}
 	case Answered:
 	}
+	if !c.List {
+		f.goneRow = 0
+	}
+	v := f.answered(now, sent, c, r)
+	f.oldRow++
+	if !v.Behind {
+		f.oldRow = 0
+	}
+	return v
+}
+
+// answered takes in an answer.
+func (f *Feed) answered(now, sent time.Time, c Call, r Result) Verdict {
 	v := Verdict{Back: f.lost}
 	// A platform that refuses by rate is there: nothing lapses meanwhile.
 	outage := !f.down.IsZero() && now.Sub(f.down) >= awayAfter
@@ -331,7 +357,7 @@
 	if r.AsOf.Era < f.era {
 		// Of a replica that has not heard of the restore.
 		f.relist()
-		v.Behind = true
+		f.exact, v.Behind = true, true
 		return v
 	}
 	v.Apply = true
@@ -345,7 +371,7 @@
 	if f.listFrom.Before(f.pos) {
 		// A replica that is behind: what its list lacks may be younger than the list.
 		f.relist()
-		v.Behind = true
+		f.exact, v.Behind = true, true
 		return v
 	}
 	// Pages are read one after the other: what changed meanwhile is in the watch from the
--- a/stoatfeed/restore_test.go
+++ b/stoatfeed/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
@@ -97,3 +98,62 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// The platform's answers stay older than what is known, lists and watches alike, though none came from a
+// replica. Entries asked again as soon as each was put aside: 150 to 220 calls a second each, which is
+// the store's whole rate with ten entries. They ask a few times a second, and never a replica.
+func TestOldAnswersAreNotAskedForInARow(t *testing.T) {
+	for name, list := range map[string]bool{"lists": true, "watches": false} {
+		f := inEra(t, true)
+		if list {
+			f.Done(start, start, f.Next(), stoatfeed.Result{Outcome: stoatfeed.Forgotten})
+		}
+		var passed time.Duration
+		for n := range 30 {
+			c := f.Next()
+			if c.List != list || n > 0 && c.Stale {
+				t.Fatalf("%s: %+v", name, c)
+			}
+			if n == 1 && c.Pause > 0 {
+				t.Errorf("%s: an answer of a replica that is behind is not made good at once", name)
+			}
+			passed += c.Pause
+			f.Done(start, start, c, stoatfeed.Result{AsOf: in(1, 7)})
+		}
+		if passed < 5*time.Second {
+			t.Errorf("%s: 30 calls within %s", name, passed)
+		}
+		f.Done(start, start, f.Next(), stoatfeed.Result{AsOf: in(1, 12)})
+		if c := f.Next(); c.Pause > 0 {
+			t.Errorf("%s: %+v", name, c)
+		}
+	}
+}
+
+// A replica does not have the revision yet that it is asked to go on from, and says that its history there
+// is gone. The list that follows is the platform's own, and as new; the replica says so again. The second
+// time the platform itself is watched, and lists do not follow each other without a pause.
+func TestReplicaWithoutTheRevision(t *testing.T) {
+	f := inEra(t, true)
+	var lists int
+	var passed time.Duration
+	for n := range 20 {
+		c := f.Next()
+		passed += c.Pause
+		switch {
+		case c.List:
+			lists++
+			f.Done(start, start, c, stoatfeed.Result{AsOf: in(1, 10)})
+		case c.Stale:
+			f.Done(start, start, c, stoatfeed.Result{Outcome: stoatfeed.Forgotten, AsOf: in(1, 0)})
+		case lists != 2:
+			t.Fatalf("the platform itself is watched after %d lists, call %d", lists, n)
+		default:
+			if passed == 0 {
+				t.Error("no pause before it")
+			}
+			return
+		}
+	}
+	t.Error("the platform itself is never watched")
+}
