--- a/stoatcommand/soak.go
+++ b/stoatcommand/soak.go
@@ -11,12 +11,13 @@
 )
 
 type soakArgs struct {
-	Seed    uint64        `default:"1" help:"of the first run; the faults follow from it"`
-	Runs    int           `default:"1" help:"runs, with one seed after the other"`
-	Length  time.Duration `default:"1m" help:"of a run"`
-	Entries int           `default:"6" help:"entry processes"`
-	Dir     string        `placeholder:"DIR" help:"where settings and logs are kept; a new one under the system's temporary files by default"`
-	JSON    bool          `arg:"--json" help:"print JSON, a line a run"`
+	Seed     uint64        `default:"1" help:"of the first run; the faults follow from it"`
+	Runs     int           `default:"1" help:"runs, with one seed after the other"`
+	Length   time.Duration `default:"1m" help:"of a run"`
+	Entries  int           `default:"6" help:"entry processes"`
+	Restores bool          `help:"the store comes back from an older copy now and then, and nothing else fails"`
+	Dir      string        `placeholder:"DIR" help:"where settings and logs are kept; a new one under the system's temporary files by default"`
+	JSON     bool          `arg:"--json" help:"print JSON, a line a run"`
 }
 
 // BreachError reports promises that were broken.
@@ -64,7 +65,7 @@
 			return err
 		}
 		result, err := stoatsoak.Run(c.ctx, stoatsoak.Config{
-			Program: program, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Out: progress,
+			Program: program, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Restores: a.Restores, Out: progress,
 			Bounds: stoatsoak.Bounds{Apply: soakApply, Stable: soakStable, Slack: soakSlack, Back: soakBack},
 		})
 		if err != nil {
--- a/stoatfake/platform.go
+++ b/stoatfake/platform.go
@@ -142,6 +142,19 @@
 	p.note(k, platform.Event{Object: o, Deleted: true})
 }
 
+// Names returns the names of a kind's objects, in any order.
+func (p *Platform) Names(kind string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for k := range p.objects {
+		if k.kind == kind {
+			out = append(out, k.name)
+		}
+	}
+	return out
+}
+
 // Objects returns the system's own objects, in the order of their last change.
 func (p *Platform) Objects() []stoatpaddle.Object {
 	p.mu.Lock()
--- a/stoatsoak/plan.go
+++ b/stoatsoak/plan.go
@@ -39,6 +39,8 @@
 	Silence   Kind = "silence" // one entry's connections to store and seeds go silent; new ones work
 	OneWay    Kind = "oneway"  // nothing comes back to one entry from store and seeds
 	Lossy     Kind = "lossy"   // datagrams are lost, doubled and late
+
+	Restore Kind = "restore" // the store answers nothing, and comes back from a copy some seconds old
 )
 
 var (
@@ -92,6 +94,27 @@
 	return mix(steps, seed, length)
 }
 
+// restoreGap is the mean pause between two restores: operators and upstreams write again, and what that
+// breaks has to be seen before the next.
+const restoreGap = 16 * time.Second
+
+// NewRestorePlan returns the steps of a run in which the store comes back from a copy now and then. There
+// are no other disturbances: beside them, what a restore breaks would not be seen.
+func NewRestorePlan(seed uint64, length time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 17))
+	duration := func() time.Duration {
+		return 100*time.Millisecond + time.Duration(rnd.Int64N(int64(longest))).Truncate(time.Millisecond)
+	}
+	var steps []Step
+	for at := warmUp; at < length-coolDown; at += stepGap/2 + time.Duration(rnd.Int64N(int64(stepGap))) {
+		steps = append(steps, Step{At: at, Kind: planned[rnd.IntN(len(planned))], Target: rnd.IntN(1000), For: duration()})
+	}
+	for at := 2 * warmUp; at < length-coolDown; at += restoreGap/2 + time.Duration(rnd.Int64N(int64(restoreGap))) {
+		steps = append(steps, Step{At: at, Kind: Restore, Target: rnd.IntN(1000), For: duration()})
+	}
+	return mix(steps, seed, length)
+}
+
 // besideGap is the mean pause between two steps that come beside the others.
 const besideGap = 7 * time.Second
 
--- a/stoatsoak/run_entry.go
+++ b/stoatsoak/run_entry.go
@@ -89,7 +89,10 @@
 
 func (e *entry) centre() string { return centreOf(e.n) }
 
-func centreOf(n int) string { return []string{"east", "west"}[n%2] }
+// dataCentres is how many there are.
+const dataCentres = 2
+
+func centreOf(n int) string { return [dataCentres]string{"east", "west"}[n%dataCentres] }
 
 // configure writes the settings.
 func (e *entry) configure() (string, error) {
--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -178,6 +178,13 @@
 		w.crash(s.Target)
 	case Restart:
 		w.restart(s.Target)
+	case Restore:
+		// What the copy lacks: more than is written soon afterwards, so that revisions stay lower for long.
+		for i := range lostChanges {
+			w.changeRoutes(s.Target + i)
+		}
+		w.replace(s.Target)
+		w.after(beforeDown, func() { w.store.Set(stoatfake.Trouble{Down: true}) })
 	case StoreDown:
 		w.store.Set(stoatfake.Trouble{Down: true})
 		w.lapse()
@@ -209,6 +216,8 @@
 	switch s.Kind {
 	case Freeze:
 		e.signal(syscall.SIGCONT, false)
+	case Restore:
+		w.after(beforeDown, func() { w.restoreStore(s) })
 	case StoreDown:
 		w.store.Set(stoatfake.Trouble{})
 		w.after(time.Second, w.comeBack)
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -32,6 +32,8 @@
 	Entries int
 	Bounds  Bounds
 	Plan    []Step // nil: by the seed
+	// Restores makes restores of the store the disturbances of the plan by the seed.
+	Restores bool
 	// Sabotage breaks one promise on purpose, to see that it is noticed; the run ends when it is.
 	Sabotage Promise
 	Out      io.Writer // progress
@@ -75,6 +77,7 @@
 	evacuated string // a data centre
 	// evacuatedAt is when the store took that.
 	evacuatedAt time.Duration
+	copies      []stoatfake.Copy // of the store, the latest ones
 }
 
 // routed is a route that was added or removed at a time.
@@ -125,6 +128,9 @@
 	plan := cfg.Plan
 	if plan == nil {
 		plan = NewPlan(cfg.Seed, cfg.Length)
+		if cfg.Restores {
+			plan = NewRestorePlan(cfg.Seed, cfg.Length)
+		}
 	}
 	err := w.play(plan)
 	cancel()
@@ -189,6 +195,7 @@
 		w.group.Go(w.watchStalls)
 	}
 	w.group.Go(w.summarize)
+	w.group.Go(w.copyStore)
 	for _, s := range plan {
 		w.pause(s.At - w.now())
 		w.apply(s)
@@ -309,6 +316,11 @@
 	defer w.mu.Unlock()
 	w.version += 1 + w.rnd.IntN(3)
 	change(w.routes)
+	w.writeConfiguration()
+}
+
+// writeConfiguration writes what the operators want; mu is held.
+func (w *world) writeConfiguration() {
 	d := stoatpaddle.Declaration{
 		Version: stoatpaddle.Version(w.version), Idle: 15 * time.Second, Caps: map[stoatpaddle.ServiceID]int{"app": 2000, "intake": 2000},
 		ColdRates: map[stoatpaddle.ServiceID]float64{"app": coldRate, "intake": coldRate},
--- a/stoatsoak/soak_test.go
+++ b/stoatsoak/soak_test.go
@@ -44,6 +44,7 @@
 		at(3, stoatsoak.Routes, 1), at(3, stoatsoak.Drain, 0), at(4, stoatsoak.Terminate, 0), at(5, stoatsoak.Storm, 2), at(6, stoatsoak.Crash, 1),
 		at(4, stoatsoak.Foreign, 3), at(6, stoatsoak.Foreign, 0), at(7, stoatsoak.Restart, 3), at(5, stoatsoak.Evacuate, 1), at(11, stoatsoak.Queue, 0), at(9, stoatsoak.Restart, 2),
 		at(7, stoatsoak.StoreDown, 0), at(8, stoatsoak.Kill, 1), at(10, stoatsoak.Freeze, 2), at(11, stoatsoak.Lossy, 0), at(12, stoatsoak.KillAll, 0),
+		at(9, stoatsoak.Restore, 0), at(13, stoatsoak.Restore, 0),
 	}})
 	for _, b := range r.Breaches {
 		t.Error(b)
