platform: a count of restores that begins at 0 is a count

At a store that was never restored and says so with 0, the first restore would have gone unnoticed: 0 stood for an answer that says no era, and the first one that does is no restore. Eras are numbered from 1 here. TestConfigurationAfterARestore, whose stand-in begins at 0 now, fails without it.

--- a/ids.go
+++ b/ids.go
@@ -26,7 +26,8 @@
 // Version is the platform's revision at which an object was last written; 0 means absent.
 type Version uint64
 
-// Era counts how often the platform's history was replaced by an older copy of it; 0: it is not said.
+// Era numbers the platform's histories from 1: each time it comes back from an older copy of itself the next
+// one begins. 0: not said.
 type Era uint64
 
 // Token identifies one write attempt, so that its writer recognises it after a lost answer.
--- a/stoatfake/platform.go
+++ b/stoatfake/platform.go
@@ -49,7 +49,7 @@
 	revision uint64
 	from     uint64 // the history after this revision is kept
 	lag      uint64 // the revision that replicas show, while they lag
-	era      uint64 // how often a copy was restored, and one
+	era      uint64 // how often a copy was restored
 	changed  chan struct{}
 	second   int64
 	writes   int
@@ -59,7 +59,7 @@
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{objects: map[key]platform.Object{}, changed: make(chan struct{}), era: 1}
+	return &Platform{objects: map[key]platform.Object{}, changed: make(chan struct{})}
 }
 
 // Copy is what a platform held at one moment.
