stoatnode: a history that is gone is listed, on a tunnel fabric too

When the platform drops its history while a watch is under way, an entry on a tunnel fabric asked for the same revision again and again, with growing pauses, and no contract came into force there until it was restarted or a peer had it. Found while looking for other readers of revisions; the comment of Watch said that the caller lists, and no caller did.

--- a/stoatentry/run_effects.go
+++ b/stoatentry/run_effects.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatcontract"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatmessage"
@@ -101,6 +102,8 @@
 	if errors.As(err, &rate) {
 		ev.After = rate.After
 	}
+	var history *platform.HistoryError
+	ev.Forgotten = errors.As(err, &history)
 	e.post(ev)
 }
 
--- a/stoatnode/event.go
+++ b/stoatnode/event.go
@@ -23,9 +23,11 @@
 type Watched struct{ Listing stoatpaddle.Listing }
 
 // PlatformFailed reports a list or watch without an answer; After is the pause the platform asked for.
+// Forgotten says that it cannot go on from the revision that was named.
 type PlatformFailed struct {
-	Cause string
-	After time.Duration
+	Cause     string
+	After     time.Duration
+	Forgotten bool
 }
 
 // Wrote carries an object that this entry's own write made.
--- a/stoatnode/platform.go
+++ b/stoatnode/platform.go
@@ -58,6 +58,12 @@
 
 func (n *Node) platformFailed(ev PlatformFailed) {
 	n.platform.busy = false
+	if ev.Forgotten && !n.platform.relist {
+		// It answers; a watch from there would be refused for ever.
+		n.platform.relist = true
+		n.call(ev.After)
+		return
+	}
 	if n.platform.failures == 0 {
 		n.log(EventPlatformLost, stoatevent.F("cause", ev.Cause))
 	}
--- a/stoatnode/session_test.go
+++ b/stoatnode/session_test.go
@@ -63,6 +63,8 @@
 		return Watched{Listing: l}
 	case "failed":
 		return PlatformFailed{Cause: "test"}
+	case "forgotten":
+		return PlatformFailed{Cause: "test", Forgotten: true}
 	case "connected":
 		return Connected{Hello: stoatmessage.Hello{Cluster: "test", Instance: testInstance(f[1], stoatpaddle.State(f[2]), 1)}}
 	case "disconnected":
