stoatecho: a test of a flow that had its answer at another entry; it fails

Soak, traced: with nothing in progress it is the mean that is wrong, not the bound nor the choice. Two long flows were away for 1.5 s while entries were replaced in turn, and what they acknowledged on their return counted as answers of 1.5 s.

--- a/stoatecho/admit_test.go
+++ b/stoatecho/admit_test.go
@@ -124,3 +124,47 @@
 		t.Fatalf("not refused though most were: %+v", a)
 	}
 }
+
+// Entries are replaced in turn, and a caller's flow goes to another entry while its request waits here. It
+// has its answer there, goes on asking there, and is back 1.5 s later. What it acknowledges then is not the
+// request that was noted here: taken for an answer of 1.5 s, two such flows had an entry refuse openings
+// for a quarter of a second, 3.5 s after the last queue, at upstreams with nothing in progress:
+//
+//	59.666 s SP1422 answer was late, took 1.532s, busy 0, upstream i-50000009
+//	59.737 s SP1422 answer was late, took 1.613s, busy 0, upstream i-50000008
+//	59.951 s SP1411 overload, busy 0, mean 204ms, bound 200ms, upstream i-5000000a
+func TestAnswerElsewhereIsNoOverload(t *testing.T) {
+	w := newLoneWorld(t, 0)
+	for range 20 {
+		w.request(feed, 30*ms)
+		w.after(100 * ms)
+	}
+	var away []*caller
+	for range 2 {
+		f := w.caller(feed)
+		f.open()
+		f.ask()
+		w.after(30 * ms)
+		f.done()
+		away = append(away, f)
+	}
+	w.after(800 * ms)
+	for _, f := range away {
+		f.ask()
+	}
+	for range 4 {
+		w.after(200 * ms)
+		w.request(feed, 30*ms)
+	}
+	for _, f := range away {
+		f.seq += 600 // of requests that other entries saw
+		f.ack += 6000
+		if a := f.ask(); a.Late || a.Took > 500*ms {
+			t.Errorf("an answer is said to have taken %s", a.Took)
+		}
+	}
+	w.after(20 * ms)
+	if a := w.caller(feed).syn(0); a.Verdict != stoatecho.Forward {
+		t.Fatalf("refused: mean %s, bound %s, busy %d", a.Mean, a.Bound, a.Busy)
+	}
+}
