stoatecho: what another entry saw of a flow is no answer's time here

Cause, by the log: two long flows had moved to other entries while entries were replaced in turn, and came back 1.5 s later; what they acknowledged then counted as answers of 1.53 s and 1.61 s to the requests noted here, so that the mean was 204 ms where answers take 30.

A flow whose next packet skips data was elsewhere, by TCP's own numbers: the request noted here has ended at a time that is not known.

Ruled out: the bound (200 ms, half of the objective), the choice (one upstream left).

--- a/stoatecho/admit_test.go
+++ b/stoatecho/admit_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 )
 
 // objectives declares feed and pledge with an objective, to one service.
@@ -168,3 +169,19 @@
 		t.Fatalf("refused: mean %s, bound %s, busy %d", a.Mean, a.Bound, a.Busy)
 	}
 }
+
+// A caller ends its flow with the packet that acknowledges the answer, and that packet is lost on the way to
+// the entry. The next one has a number that is one higher, for the end: no data was sent elsewhere, and
+// the answer counts as one.
+func TestLostEndIsNoData(t *testing.T) {
+	w := newLoneWorld(t, 0)
+	f := w.caller(pledge)
+	f.open()
+	f.ask()
+	w.after(60 * ms)
+	f.ack += 500
+	a := f.send(stoatpacket.Packet{Seq: f.seq + 101, Ack: f.ack})
+	if s := w.e.Stats(); a.Took != 60*ms || s.Answered != 1 || s.Elsewhere != 0 {
+		t.Errorf("took %s, answered %d, elsewhere %d", a.Took, s.Answered, s.Elsewhere)
+	}
+}
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -75,6 +75,7 @@
 	asked    time.Time // when its request began; zero: none is in progress
 	ack      uint32    // what the caller acknowledged when it began
 	seq      uint32    // last sequence number with data
+	end      uint32    // the one that follows that data
 	repeats  int
 	beside   int // requests in progress at its upstream when its own began, itself included
 	opening  bool
@@ -88,6 +89,7 @@
 	Together                        int64 // ejections by what the data centre saw together
 	Answered, Late                  int64 // requests; late: over their route's objective
 	TurnedAway                      int64 // of those answered: upstreams refused them, as far as can be told
+	Elsewhere                       int64 // requests noted here whose answer another entry saw
 	Resets, Drops                   [stoatpacket.DropCount]int64
 	Forwarded                       int64
 	Flows                           int
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -32,7 +32,11 @@
 		f.ack = p.Ack
 	}
 	if !f.asked.IsZero() && p.Ack != f.ack {
-		e.answered(now, r, u, h, f, p.Ack-f.ack, &a)
+		if f.wasAway(p) {
+			e.answeredElsewhere(now, h, f)
+		} else {
+			e.answered(now, r, u, h, f, p.Ack-f.ack, &a)
+		}
 	}
 	if p.Ends {
 		e.forget(p.Tuple)
@@ -85,6 +89,23 @@
 	}
 }
 
+// wasAway tells whether the caller sent data on the flow that this entry did not see: its packets went to
+// another entry for a while, as happens to most when one joins or leaves. An end of the flow that was lost on
+// the way here takes one number, and is no data.
+func (f *flow) wasAway(p *stoatpacket.Packet) bool { return int32(p.Seq-f.end) > 1 }
+
+// answeredElsewhere takes in that another entry saw the answer to the request that was noted here, at a
+// time that is not known.
+//
+// The failure: entries are replaced in turn, flows come back after 1.5 s, and that time counted as an
+// answer's. Two of them were a queue, and openings were refused at upstreams with nothing in progress.
+func (e *Engine) answeredElsewhere(now time.Time, h *health, f *flow) {
+	h.requestEnded()
+	e.heard(now, h)
+	f.asked = time.Time{}
+	e.stats.Elsewhere++
+}
+
 // adopt remembers a flow that another entry placed.
 func (e *Engine) adopt(now time.Time, u *stoatroute.Upstream, p *stoatpacket.Packet) *flow {
 	if len(e.flows) >= e.cfg.MaxFlows || p.Ends {
@@ -100,6 +121,9 @@
 // data takes in a packet that carries a request, or a part of one; before is when the
 // flow's last packet came.
 func (e *Engine) data(now, before time.Time, h *health, f *flow, p *stoatpacket.Packet, a *Action) {
+	if int32(p.Seq-f.seq) > 0 || f.asked.IsZero() {
+		f.end = p.Seq + uint32(p.Size)
+	}
 	if f.asked.IsZero() {
 		f.asked, f.ack, f.seq, f.repeats = now, p.Ack, p.Seq, 0
 		f.progress = now
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -63,6 +63,7 @@
 	stat("stoatpaddle_request_answered_total", func(s *stoatecho.Stats) int64 { return s.Answered })
 	stat("stoatpaddle_request_late_total", func(s *stoatecho.Stats) int64 { return s.Late })
 	stat("stoatpaddle_request_turned_away_total", func(s *stoatecho.Stats) int64 { return s.TurnedAway })
+	stat("stoatpaddle_request_elsewhere_total", func(s *stoatecho.Stats) int64 { return s.Elsewhere })
 	stat("stoatpaddle_flow_open", func(s *stoatecho.Stats) int64 { return int64(s.Flows) })
 	stat("stoatpaddle_upstream_ejected_total", func(s *stoatecho.Stats) int64 { return s.Ejected })
 	stat("stoatpaddle_upstream_silent_total", func(s *stoatecho.Stats) int64 { return s.Together })
