--- a/stoatsoak/checker.go
+++ b/stoatsoak/checker.go
@@ -19,6 +19,7 @@
 	Spared       Promise = "cold"     // a cold upstream gets no more new flows than it bears
 	Drained      Promise = "drain"    // a leaving upstream gets no new flows after the bound
 	InForce      Promise = "config"   // a configuration is in force after the bound
+	Admits       Promise = "admit"    // a route that is in force refuses nobody while upstreams have room
 	NeverBack    Promise = "back"     // what is in force never goes back
 	Recovers     Promise = "recover"  // requests are served some time after a disturbance
 	Runs         Promise = "runs"     // an entry does not end by itself
@@ -26,7 +27,7 @@
 
 // timed tells whether a promise speaks of time: a machine that is slow enough breaks it.
 func (p Promise) timed() bool {
-	return p == FlowLives || p == Evacuated || p == Spared || p == Drained || p == InForce || p == Recovers
+	return p == FlowLives || p == Evacuated || p == Spared || p == Drained || p == InForce || p == Admits || p == Recovers
 }
 
 // Breach is a promise that was broken.
@@ -56,6 +57,7 @@
 	runs     map[string]int             // of requests that may not be repeated, by id
 	versions map[string]int             // the highest configuration an entry's life said to be in force
 	colds    map[string][]time.Duration // when a cold upstream got new flows
+	full     time.Duration              // when no upstream last had room; 0: always one did
 	breaches []Breach
 	counts   Counts
 	noticed  func(p Promise) // called at each breach, or nil
@@ -201,14 +203,51 @@
 	}
 }
 
-// looked notes what a new flow to a route met at one entry: allowed says whether the
-// configuration, acknowledged at that time, has the route.
-func (c *checker) looked(now, acked time.Duration, entry, route string, allowed, opened bool) {
+// look is what a new flow to a route met at one entry.
+type look struct {
+	entry, life string
+	route       string
+	allowed     bool // by the configuration
+	version     int  // of it
+	acked       time.Duration
+	opened      bool
+	room        bool // an upstream of the route's service serves, is warm and may get flows
+}
+
+// loadTail is how long after a load an entry may go on refusing: its answers of late were slow.
+const loadTail = time.Second
+
+// looked checks what a new flow met. One that is refused although its route is in force there was refused for
+// want of room, which only a load excuses.
+func (c *checker) looked(now time.Duration, l look) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now-acked > c.bounds.Apply+c.bounds.Slack && c.calm(acked, now) && allowed != opened {
-		c.breach(now, InForce, "%s: route %s: allowed %t, opened %t, %s after the change", entry, route, allowed, opened, now-acked)
+	if !l.room {
+		c.full = max(1, now)
+	}
+	if now-l.acked <= c.bounds.Apply+c.bounds.Slack || !c.calm(l.acked, now) || l.allowed == l.opened {
+		return
+	}
+	if l.allowed && c.versions[l.life] >= l.version {
+		if !c.loaded(now) {
+			c.breach(now, Admits, "%s: route %s is in force and refuses a flow, with room at upstreams", l.entry, l.route)
+		}
+		return
+	}
+	c.breach(now, InForce, "%s: route %s: allowed %t, opened %t, %s after the change", l.entry, l.route, l.allowed, l.opened, now-l.acked)
+}
+
+// loaded tells whether upstreams are loaded, or were a moment ago.
+func (c *checker) loaded(now time.Duration) bool {
+	if c.full > 0 && c.full+loadTail+c.bounds.Slack >= now {
+		return true
+	}
+	for _, s := range c.troubles {
+		if s.load && s.from <= now && (s.to == 0 || s.to+loadTail+c.bounds.Slack >= now) {
+			return true
+		}
 	}
+	return false
 }
 
 // inForce notes the version that a life of an entry says to be in force.
--- a/stoatsoak/checker_test.go
+++ b/stoatsoak/checker_test.go
@@ -88,9 +88,34 @@
 			c.load(19 * second)
 			c.wasReset(20*second, "f", "u")
 		}, []Promise{FlowLives}},
-		"a new route is refused":          {func(c *checker) { c.looked(15*second, 10*second, "e", "x", true, false) }, []Promise{InForce}},
-		"an old route opens":              {func(c *checker) { c.looked(15*second, 10*second, "e", "x", false, true) }, []Promise{InForce}},
-		"a new route is refused at first": {func(c *checker) { c.looked(12*second, 10*second, "e", "x", true, false) }, nil},
+		"a new route is refused":          {func(c *checker) { c.looked(15*second, seen(true, false)) }, []Promise{InForce}},
+		"an old route opens":              {func(c *checker) { c.looked(15*second, seen(false, true)) }, []Promise{InForce}},
+		"a new route is refused at first": {func(c *checker) { c.looked(12*second, seen(true, false)) }, nil},
+		"a route in force refuses a flow": {func(c *checker) {
+			c.inForce(11*second, "e#1", 4)
+			c.looked(15*second, seen(true, false))
+		}, []Promise{Admits}},
+		"a route in force refuses a flow soon after a load": {func(c *checker) {
+			c.inForce(11*second, "e#1", 4)
+			c.load(12 * second)(14 * second)
+			c.looked(15*second, seen(true, false))
+		}, nil},
+		"a route in force refuses a flow long after a load": {func(c *checker) {
+			c.inForce(11*second, "e#1", 4)
+			c.load(12 * second)(14 * second)
+			c.looked(17*second, seen(true, false))
+		}, []Promise{Admits}},
+		"a route in force refuses a flow, and all upstreams are cold": {func(c *checker) {
+			c.inForce(11*second, "e#1", 4)
+			l := seen(true, false)
+			l.room = false
+			c.looked(15*second, l)
+		}, nil},
+		"a route is not in force under a load": {func(c *checker) {
+			c.load(12 * second)
+			c.inForce(11*second, "e#1", 3)
+			c.looked(15*second, seen(true, false))
+		}, []Promise{InForce}},
 		"a configuration goes back": {func(c *checker) {
 			c.inForce(0, "e#1", 5)
 			c.inForce(0, "e#1", 3)
@@ -119,6 +144,11 @@
 	}
 }
 
+// seen is what a look meets at a route that version 4 added or removed at 10 s.
+func seen(allowed, opened bool) look {
+	return look{entry: "e", life: "e#1", route: "x", allowed: allowed, version: 4, acked: 10 * second, opened: opened, room: true}
+}
+
 // On a machine of unknown speed promises with a time are left out, the others are not.
 func TestUntimed(t *testing.T) {
 	bounds := testBounds()
--- a/stoatsoak/run_entry.go
+++ b/stoatsoak/run_entry.go
@@ -164,9 +164,8 @@
 	e.mu.Lock()
 	e.cmd, e.expected = cmd, false
 	e.life++
-	life := e.name + "#" + strconv.Itoa(e.life)
 	e.mu.Unlock()
-	e.read(life, bufio.NewScanner(out), log)
+	e.read(e.lifeName(), bufio.NewScanner(out), log)
 	err = cmd.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -222,6 +221,13 @@
 	return nil
 }
 
+// lifeName names the present life.
+func (e *entry) lifeName() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.name + "#" + strconv.Itoa(e.life)
+}
+
 func (e *entry) inRotation() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/stoatsoak/run_fabric.go
+++ b/stoatsoak/run_fabric.go
@@ -46,6 +46,19 @@
 	return in[int(h.Sum32()%uint32(len(in)))]
 }
 
+// room tells whether an upstream of the service that routes are added to serves, is warm and may get flows.
+func (w *world) room() bool {
+	for _, u := range w.living() {
+		u.mu.Lock()
+		serves := u.service == "app" && u.left == 0 && u.warm == 0 && !u.dead.Load()
+		u.mu.Unlock()
+		if serves && w.evacuatedSince(u.centre) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // look opens flows to routes that were added, removed or never existed, at each entry.
 func (w *world) look() error {
 	c, err := w.newCaller(len(kinds()) * callersPerKind)
@@ -74,7 +87,7 @@
 func (w *world) lookAt(c *caller, e *entry, name string, r routed) {
 	f := c.newFlow(r.listen, e)
 	defer f.forget()
-	sent := w.now()
+	sent, room := w.now(), w.room()
 	f.send(platform.Segment{Opens: true, Seq: f.seq})
 	s, came := f.wait(openAgain[0])
 	w.mu.Lock()
@@ -83,9 +96,11 @@
 	if !came || !same {
 		return
 	}
-	opened := s.Opens && s.Acks
-	w.check.looked(sent, r.acked, e.name, name, r.allowed, opened)
-	if opened {
+	w.check.looked(sent, look{
+		entry: e.name, life: e.lifeName(), route: name, allowed: r.allowed, version: r.version, acked: r.acked,
+		opened: s.Opens && s.Acks, room: room && w.room(),
+	})
+	if opened := s.Opens && s.Acks; opened {
 		f.cookie, f.ack = s.Cookie, s.Seq+1
 		f.send(platform.Segment{Resets: true, Seq: f.seq + 1, Ack: f.ack})
 	}
--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -159,7 +159,7 @@
 	name := fmt.Sprint("extra-", n%7)
 	w.configure(func(routes map[string]routed) {
 		listen := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(n % 7)}), 443)
-		routes[name] = routed{listen: listen, allowed: !routes[name].allowed, acked: w.now()}
+		routes[name] = routed{listen: listen, allowed: !routes[name].allowed, acked: w.now(), version: w.version}
 	})
 }
 
--- a/stoatsoak/run_sabotage.go
+++ b/stoatsoak/run_sabotage.go
@@ -39,6 +39,8 @@
 		if s.Opens && f.tuple[1] == pledgeAddr {
 			w.overrun(s)
 		}
+	case Admits:
+		return s.Opens && f.entry != nil && w.resetFlow(&s)
 	case InForce:
 		return s.Opens && f.entry != nil && w.misdeliver(packet, func(u *upstream) bool { return u.service == "app" })
 	case Recovers:
--- a/stoatsoak/run_world.go
+++ b/stoatsoak/run_world.go
@@ -85,6 +85,7 @@
 	listen  netip.AddrPort
 	allowed bool
 	acked   time.Duration
+	version int // of the configuration that changed it
 }
 
 var (
--- a/stoatsoak/soak_test.go
+++ b/stoatsoak/soak_test.go
@@ -58,7 +58,7 @@
 // which the run's processes are real ones; so each run goes on until then, and the upstreams that
 // leave do so one after the other, after the start has ceased to count as a disturbance.
 func TestBrokenEntryIsNoticed(t *testing.T) {
-	for i, p := range []stoatsoak.Promise{stoatsoak.RightService, stoatsoak.WholeAnswer, stoatsoak.Once, stoatsoak.FlowLives, stoatsoak.Drained, stoatsoak.InForce, stoatsoak.Recovers, stoatsoak.Runs, stoatsoak.Evacuated, stoatsoak.Spared} {
+	for i, p := range []stoatsoak.Promise{stoatsoak.RightService, stoatsoak.WholeAnswer, stoatsoak.Once, stoatsoak.FlowLives, stoatsoak.Drained, stoatsoak.InForce, stoatsoak.Recovers, stoatsoak.Runs, stoatsoak.Evacuated, stoatsoak.Spared, stoatsoak.Admits} {
 		t.Run(string(p), func(t *testing.T) {
 			plan := []stoatsoak.Step{}
 			if p == stoatsoak.Drained {
@@ -66,6 +66,9 @@
 					plan = append(plan, stoatsoak.Step{At: at, Kind: stoatsoak.Drain, Target: 0})
 				}
 			}
+			if p == stoatsoak.Admits {
+				plan = append(plan, stoatsoak.Step{At: 12 * time.Second, Kind: stoatsoak.Routes, Target: 1})
+			}
 			if p == stoatsoak.Evacuated || p == stoatsoak.Spared {
 				kind := map[stoatsoak.Promise]stoatsoak.Kind{stoatsoak.Evacuated: stoatsoak.Evacuate, stoatsoak.Spared: stoatsoak.Drain}[p]
 				for at := 12 * time.Second; at < brokenFor; at += 10 * time.Second {
