stoatnode, stoatadmin, stoatcommand: data centres are evacuated on a tunnel fabric too

An operator evacuates a data centre with one change instead of amending every contract: its upstreams take no new flows or calls, also as the last ones left, until it is taken back; open flows go on. A name that no entry or upstream has is refused, asked twice it is one evacuation, and what a restore of the platform loses is written again like every object of the system's own.

--- a/platform.go
+++ b/platform.go
@@ -13,6 +13,8 @@
 	ObjectContract ObjectKind = "contract"
 	ObjectInstance ObjectKind = "instance"
 	ObjectCluster  ObjectKind = "cluster"
+	// ObjectEvacuation is named after a data centre whose upstreams are to get no new work while it stands.
+	ObjectEvacuation ObjectKind = "evacuation"
 )
 
 // Ref names one object.
--- a/stoatadmin/admin_test.go
+++ b/stoatadmin/admin_test.go
@@ -190,3 +190,36 @@
 }
 
 func second[T any](_ T, err error) error { return err }
+
+// Operators evacuate a data centre through one entry and take it back through another one. A name that no
+// entry or upstream has would evacuate nothing, and is refused; asked twice it is one evacuation.
+func TestEvacuation(t *testing.T) {
+	ctx := context.Background()
+	p, c := twoEntries(t)
+	if _, err := c[0].Apply(ctx, "sawt", text(sawt(t)), stoatadmin.Change{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := second(c[0].Evacuate(ctx, "ruvi")); refusal(t, err).Answer.Number != "SP2005" {
+		t.Error(err)
+	}
+	if err := second(c[0].TakeBack(ctx, "ruwi")); refusal(t, err).Answer.Number != "SP2005" {
+		t.Error(err)
+	}
+	first, err := c[0].Evacuate(ctx, "ruwi")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := c[1].Evacuate(ctx, "ruwi"); err != nil || again.Version != first.Version {
+		t.Error(again, err)
+	}
+	if _, err := c[1].TakeBack(ctx, "ruwi"); err != nil {
+		t.Error(err)
+	}
+	if again, err := c[0].Evacuate(ctx, "ruwi"); err != nil || again.Version <= first.Version {
+		t.Error("evacuated a second time:", again, err)
+	}
+	p.Set(stoatfake.Trouble{Down: true})
+	if err := second(c[0].TakeBack(ctx, "ruwi")); refusal(t, err).Answer.Number != "SP2004" {
+		t.Error(err)
+	}
+}
--- a/stoatadmin/catalogue.go
+++ b/stoatadmin/catalogue.go
@@ -27,7 +27,7 @@
 	FaultMissing = stoatevent.Register(stoatevent.Entry{
 		Number: 2005, Severity: stoatevent.Info, Since: "0.1",
 		Title: "no such object",
-		Text:  "No contract or instance has that name.",
+		Text:  "No contract, instance or data centre has that name, or the data centre is not evacuated.",
 	})
 	FaultCondition = stoatevent.Register(stoatevent.Entry{
 		Number: 2006, Severity: stoatevent.Info, Since: "0.1",
--- a/stoatadmin/client.go
+++ b/stoatadmin/client.go
@@ -181,3 +181,13 @@
 	}
 	return c.change(ctx, http.MethodPut, "/v1/instances/"+string(id), body, nil)
 }
+
+// Evacuate has the upstreams of a data centre get no new work.
+func (c *Client) Evacuate(ctx context.Context, dc stoatpaddle.DataCentreID) (Answer, error) {
+	return c.change(ctx, http.MethodPut, "/v1/evacuations/"+string(dc), nil, nil)
+}
+
+// TakeBack ends the evacuation of a data centre.
+func (c *Client) TakeBack(ctx context.Context, dc stoatpaddle.DataCentreID) (Answer, error) {
+	return c.change(ctx, http.MethodDelete, "/v1/evacuations/"+string(dc), nil, nil)
+}
--- a/stoatadmin/server.go
+++ b/stoatadmin/server.go
@@ -51,6 +51,8 @@
 	s.mux.HandleFunc("DELETE /v1/contracts/{name}", s.deleteContract)
 	s.mux.HandleFunc("GET /v1/instances", s.listInstances)
 	s.mux.HandleFunc("PUT /v1/instances/{name}", s.markInstance)
+	s.mux.HandleFunc("PUT /v1/evacuations/{name}", s.evacuate)
+	s.mux.HandleFunc("DELETE /v1/evacuations/{name}", s.takeBack)
 	s.mux.HandleFunc("GET /v1/status", s.getStatus)
 	s.mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, cfg.Report()) })
 	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { cfg.Metrics(w) })
--- a/stoatadmin/wire.go
+++ b/stoatadmin/wire.go
@@ -59,6 +59,9 @@
 	for _, c := range s.Contracts {
 		out.Contracts = append(out.Contracts, stoatstatus.Summary{Customer: string(c.Customer), Version: uint64(c.Version)})
 	}
+	for _, dc := range s.Evacuated {
+		out.Evacuated = append(out.Evacuated, string(dc))
+	}
 	for _, i := range s.Instances {
 		out.Instances = append(out.Instances, stoatstatus.Instance{
 			Name: string(i.ID), Role: string(i.Role), Centre: string(i.DataCentre), State: string(i.State),
--- a/stoatcommand/command.go
+++ b/stoatcommand/command.go
@@ -29,6 +29,7 @@
 	Soak     *soakArgs     `arg:"subcommand:soak" help:"run entries as processes under faults, and check what callers see"`
 	Contract *contractArgs `arg:"subcommand:contract" help:"write, read and remove contracts"`
 	Instance *instanceArgs `arg:"subcommand:instance" help:"mark instances as joining or leaving"`
+	Centre   *centreArgs   `arg:"subcommand:centre" help:"evacuate data centres and take them back"`
 	Status   *statusArgs   `arg:"subcommand:status" help:"show what is in force where"`
 	Report   *reportArgs   `arg:"subcommand:report" help:"show how much of the error budget was used"`
 	Check    *checkArgs    `arg:"subcommand:check" help:"check settings and contracts, and print every fault"`
--- a/stoatdemo/run.go
+++ b/stoatdemo/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -53,6 +54,7 @@
 	{name: "two operators amend at once", act: (*world).amend},
 	{name: "an upstream is drained", act: (*world).drain},
 	{name: "an upstream is added", act: (*world).grow},
+	{name: "a data centre is evacuated", act: (*world).evacuate},
 	{name: "an entry is replaced", act: (*world).replace},
 	{name: "an entry dies", allowed: 0.0005, act: (*world).kill},
 	{name: "platform down", act: (*world).platformDown},
@@ -84,6 +86,7 @@
 		t.row(p.name, before, after, note)
 		broken = append(broken, judge(p, before, after)...)
 	}
+	broken = append(broken, w.broken...)
 	if w.drained != nil && !w.drained() {
 		broken = append(broken, "a new flow reached the leaving upstream later than "+leavingWithin.String())
 	}
@@ -257,6 +260,47 @@
 	return fmt.Sprintf("in force everywhere after %d ms", took.Milliseconds()), err
 }
 
+// evacuate has a data centre evacuated, checks that its upstreams get no new flow after 3 s, and takes it back.
+func (w *world) evacuate() (string, error) {
+	dc := centres[len(centres)-1]
+	if _, err := w.admin(3).Evacuate(w.ctx, dc); err != nil {
+		return "", err
+	}
+	began := time.Now()
+	took, err := w.until("evacuation in force", inForceWithin, func() bool { return w.evacuated(dc) })
+	if err != nil {
+		return "", err
+	}
+	w.wait(time.Second)
+	var last time.Duration
+	for _, c := range w.contracts {
+		for _, u := range c.Services[0].Upstreams {
+			if u.DataCentre == dc {
+				last = max(last, w.upstreams[u.ID].LastOpened().Sub(began))
+			}
+		}
+	}
+	if last >= leavingWithin {
+		w.broken = append(w.broken, "a new flow reached an evacuated data centre after "+last.String())
+	}
+	_, err = w.admin(0).TakeBack(w.ctx, dc)
+	return fmt.Sprintf("in force everywhere after %d ms, last new flow there after %d ms", took.Milliseconds(), last.Milliseconds()), err
+}
+
+// evacuated tells whether all entries know of the evacuation.
+func (w *world) evacuated(dc stoatpaddle.DataCentreID) bool {
+	w.mu.Lock()
+	entries := append(w.entries[:0:0], w.entries...)
+	w.mu.Unlock()
+	for _, e := range entries {
+		st, err := e.Status()
+		if err != nil || !slices.Contains(st.Evacuated, dc) {
+			return false
+		}
+	}
+	return true
+}
+
 // replace starts a new entry and stops an old one gracefully.
 func (w *world) replace() (string, error) {
 	if err := w.addEntry(); err != nil {
--- a/stoatdemo/run_world.go
+++ b/stoatdemo/run_world.go
@@ -46,6 +46,7 @@
 	contracts map[stoatpaddle.CustomerID]stoatpaddle.Contract
 	clients   []*client
 	drained   func() bool // whether the leaving upstream kept its promise
+	broken    []string    // promises that a phase found broken
 
 	mu      sync.Mutex
 	entries []*stoatentry.Entry
--- a/stoatnode/catalogue.go
+++ b/stoatnode/catalogue.go
@@ -54,6 +54,16 @@
 		Title: "object is written again",
 		Text:  "The platform came back from an older copy and shows, or lacks, what was amended since. What was accepted stays in force and is written again on top of what is shown. Held and shown are era/revision.",
 	})
+	EventEvacuated = stoatevent.Register(stoatevent.Entry{
+		Number: 1017, Severity: stoatevent.Warning, Since: "0.7",
+		Title: "data centre is evacuated",
+		Text:  "Operators want that its upstreams get nothing new: flows and calls go elsewhere, and are refused where nothing else is left. Open flows go on.",
+	})
+	EventTakenBack = stoatevent.Register(stoatevent.Entry{
+		Number: 1018, Severity: stoatevent.Info, Since: "0.7",
+		Title: "data centre is taken back",
+		Text:  "Its evacuation was withdrawn; its upstreams get new work again.",
+	})
 	EventStopBegins = stoatevent.Register(stoatevent.Entry{
 		Number: 1010, Severity: stoatevent.Info, Since: "0.1",
 		Title: "planned stop begins",
--- a/stoatnode/node.go
+++ b/stoatnode/node.go
@@ -43,6 +43,7 @@
 	instances map[stoatpaddle.InstanceID]stoatpaddle.Instance
 	peers     map[stoatpaddle.InstanceID]*peer
 	cut       map[stoatpaddle.DataCentreID]bool
+	evacuated map[stoatpaddle.DataCentreID]bool
 	wanted    map[stoatpaddle.Ref]time.Time
 	seed      *stoatpacket.Seed
 	view      *stoatview.View
@@ -87,6 +88,7 @@
 		instances: map[stoatpaddle.InstanceID]stoatpaddle.Instance{cfg.Self.ID: cfg.Self},
 		peers:     map[stoatpaddle.InstanceID]*peer{},
 		cut:       map[stoatpaddle.DataCentreID]bool{},
+		evacuated: map[stoatpaddle.DataCentreID]bool{},
 		wanted:    map[stoatpaddle.Ref]time.Time{},
 	}
 	return n
@@ -198,6 +200,7 @@
 			in.Dead[id] = true
 		}
 	}
+	n.leaveEvacuated(&in)
 	return in
 }
 
--- a/stoatnode/objects.go
+++ b/stoatnode/objects.go
@@ -16,6 +16,7 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatmessage"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatplatform"
+	"github.com/stoatpaddle/stoatpaddle/stoatview"
 )
 
 // SeedRef names the object that holds the cluster's hash key.
@@ -80,6 +81,36 @@
 		n.applyInstance(now, o)
 	case stoatpaddle.ObjectCluster:
 		n.applySeed(o)
+	case stoatpaddle.ObjectEvacuation:
+		n.applyEvacuation(o)
+	}
+}
+
+// applyEvacuation follows what operators want of a data centre; its object's name says all.
+func (n *Node) applyEvacuation(o stoatpaddle.Object) {
+	dc := stoatpaddle.DataCentreID(o.Ref.Name)
+	entry := EventEvacuated
+	if o.Gone {
+		entry = EventTakenBack
+		delete(n.evacuated, dc)
+	} else {
+		n.evacuated[dc] = true
+	}
+	n.dirty = true
+	n.log(entry, stoatevent.F("centre", string(dc)), stoatevent.F("version", o.Version.String()))
+}
+
+// leaveEvacuated has the upstreams of evacuated data centres take no new work, also where nothing else is
+// left; what is open there goes on.
+func (n *Node) leaveEvacuated(in *stoatview.Input) {
+	for i := range in.Contracts {
+		for _, svc := range in.Contracts[i].Services {
+			for _, u := range svc.Upstreams {
+				if n.evacuated[u.DataCentre] {
+					in.Leaving[stoatpaddle.InstanceID(u.ID)] = true
+				}
+			}
+		}
 	}
 }
 
--- a/stoatnode/status.go
+++ b/stoatnode/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -35,6 +36,7 @@
 	Contracts []InForce
 	Instances []Standing
 	Upstreams []stoatpaddle.Upstream // that the contracts declare
+	Evacuated []stoatpaddle.DataCentreID
 }
 
 // Status returns what is in force.
@@ -46,6 +48,7 @@
 		Platform: n.platform.failures == 0 && n.platform.revision > 0,
 		Watching: n.watches(),
 	}
+	s.Evacuated = slices.Sorted(maps.Keys(n.evacuated))
 	for id, c := range n.contracts {
 		for i := range c.contract.Services {
 			s.Upstreams = append(s.Upstreams, c.contract.Services[i].Upstreams...)
--- a/stoatstatus/status.go
+++ b/stoatstatus/status.go
@@ -35,7 +35,8 @@
 	Watching  bool       `json:"watching"`
 	Contracts []Summary  `json:"contracts"`
 	Instances []Instance `json:"instances"`
-	View      *View      `json:"view,omitempty"` // on an echo fabric
+	Evacuated []string   `json:"evacuated,omitempty"` // data centres; on a tunnel fabric
+	View      *View      `json:"view,omitempty"`      // on an echo fabric
 }
 
 // View is what an entry on an echo fabric believes about routes and upstreams.
