stoatedge: a test of an entry that starts while an upstream's entry cannot be read; it fails

By the log: another writer had written over the upstream's entry, an entry started in that moment, and took its list, in which the object stands but cannot be read, for one that lacks the upstream.

--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -465,3 +465,29 @@
 		t.Error(s.events[EventBehind.Number], s.events[EventNotTaken.Number])
 	}
 }
+
+// Another writer has written over an upstream's entry, and an entry starts in that moment. The upstream
+// serves, and packets of its open flows come here. Its object stands in the list, but cannot be read: taken
+// for a list that lacks it, the platform's own answer said that the upstream is gone, and the flow was reset:
+//
+//	38.008 s SP1406 object cannot be used, i-50000002 (entry-3, started 0.1 s before)
+//	38.380 s SP1412 packet dropped, unproven, cookie 50000002
+//	38.554 s SP1411 flow reset, gone, cookie 50000002
+func TestUnreadableEntryIsNoAbsence(t *testing.T) {
+	s := newSession(t)
+	s.answer(declarations, 10, declared(1, 5))
+	s.answer(upstreams, 10, registered("i-1", 1, 6), bad("i-2", 7))
+	u := s.table.Upstream(stoatroute.KeyOf(2))
+	if u == nil || u.Standing == stoatroute.Gone || u.Opens() || s.table.Route(listen).Had(u.Service) {
+		t.Fatalf("what stands in the list counts as absent, or as an upstream of a service: %+v", u)
+	}
+	s.answer(upstreams, 12, registered("i-2", 2, 12))
+	if list := s.table.Service("app"); len(list) != 2 {
+		t.Error("it wrote again, and gets no flows:", len(list))
+	}
+	s.answer(upstreams, 14, bad("i-3", 13))
+	s.answer(upstreams, 15, ended1("i-3", 15))
+	if u := s.table.Upstream(stoatroute.KeyOf(3)); u == nil || u.Standing != stoatroute.Gone {
+		t.Errorf("an unreadable entry that was taken out: %+v", u)
+	}
+}
