stoatroute, stoatedge: an entry that cannot be read is no absence

Cause: the object stood in the entry's first list, could not be read, and so its cookie was not known; the platform's own next answer then proved the upstream gone.

An upstream's id names its target, so that its cookie is known whatever its entry holds: it is leaving, of no service and at no address until it writes again. Packets there are dropped and their callers repeat them.

Ruled out: the evacuation and the rolling replacement of the same seconds (neither ends a flow).

--- a/stoatedge/apply.go
+++ b/stoatedge/apply.go
@@ -21,7 +21,7 @@
 				// The request is the name: what else is in it says nothing.
 				k.evacuate(stoatpaddle.Evacuation{DataCentre: stoatpaddle.DataCentreID(c.name), Revision: c.revision}, source)
 			}
-			if t == upstreams && k.book.Spoil(stoatpaddle.UpstreamID(c.name), c.revision) {
+			if t == upstreams && k.book.Spoil(now, stoatpaddle.UpstreamID(c.name), c.target, c.revision) {
 				k.standing(stoatpaddle.UpstreamID(c.name), "its entry cannot be read")
 			}
 		case c.declaration != nil:
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -33,7 +33,8 @@
 	declaration  *stoatpaddle.Declaration
 	registration *stoatpaddle.Registration
 	evacuation   *stoatpaddle.Evacuation
-	fault        error // why it cannot be used
+	fault        error              // why it cannot be used
+	target       stoatpaddle.Target // that its name says, if it cannot be used; 0: none
 }
 
 // The events of the keeper.
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/platform"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
 	"github.com/stoatpaddle/stoatpaddle/stoatfeed"
 	"github.com/stoatpaddle/stoatpaddle/stoatrelay"
@@ -359,7 +360,7 @@
 
 // bad is an object of that name which cannot be read.
 func bad(name string, revision stoatpaddle.Version) change {
-	return change{name: name, revision: revision, fault: &stoatpaddle.DecodeError{What: "upstream " + name}}
+	return change{name: name, revision: revision, target: platform.TargetOf(name), fault: &stoatpaddle.DecodeError{What: "upstream " + name}}
 }
 
 // Another writer writes over the entries of servers that live: in a watch first, in the middle,
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -163,15 +163,11 @@
 	if gone {
 		return c
 	}
-	if c.fault = o.Fault; c.fault != nil {
+	if t == upstreams {
+		c.readRegistration(o)
 		return c
 	}
-	if t == upstreams {
-		r, err := platform.Registration(o.Meta.Name, o.Spec)
-		if c.fault = err; err == nil {
-			r.Created = stoatpaddle.Version(o.Meta.CreateRev)
-			c.registration = &r
-		}
+	if c.fault = o.Fault; c.fault != nil {
 		return c
 	}
 	if t != declarations || o.Meta.Name != platform.NameConfig {
@@ -183,3 +179,18 @@
 	}
 	return c
 }
+
+// readRegistration decodes an upstream's object. What its name says is known also if the rest cannot be read.
+func (c *change) readRegistration(o *platform.Object) {
+	err := o.Fault
+	var r stoatpaddle.Registration
+	if err == nil {
+		r, err = platform.Registration(o.Meta.Name, o.Spec)
+	}
+	if err != nil {
+		c.fault, c.target = err, platform.TargetOf(o.Meta.Name)
+		return
+	}
+	r.Created = stoatpaddle.Version(o.Meta.CreateRev)
+	c.registration = &r
+}
--- a/stoatroute/register.go
+++ b/stoatroute/register.go
@@ -1,6 +1,7 @@
 package stoatroute
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -55,7 +56,7 @@
 		b.adopt(e, r, revision, standingOf(&r))
 		return Restarted
 	case otherWriter:
-		b.Spoil(r.ID, revision)
+		b.Spoil(now, r.ID, r.Target, revision)
 		return Contradicted
 	case sameLife:
 	}
@@ -81,11 +82,26 @@
 	b.changed(e)
 }
 
+// nowhere is the address of an upstream whose entry never could be read. No route has its service, which
+// is not known either, so that nothing is sent there.
+var nowhere = netip.AddrPortFrom(netip.IPv4Unspecified(), 1)
+
 // Spoil takes in that an upstream's entry was written over with something that names no server,
 // and tells whether that is news. The upstream may live: its open flows go on. Until it writes
 // again it gets no new ones, since the platform does not say any more that it serves.
-func (b *Book) Spoil(id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
+//
+// One that is not known is known by its cookie from now on, as the target that its id names says: its entry
+// stands, so that the platform does not say either that it has ended, and flows there must not be reset.
+func (b *Book) Spoil(now time.Time, id stoatpaddle.UpstreamID, target stoatpaddle.Target, revision stoatpaddle.Version) bool {
 	e := b.ups[id]
+	if e == nil && target != 0 {
+		r := stoatpaddle.Registration{ID: id, Target: target, Addr: nowhere, Leaving: true, Created: revision}
+		e = newEntry(now, &r)
+		b.ups[id] = e
+		b.adopt(e, r, revision, Leaving)
+		e.spoiled = true
+		return true
+	}
 	if e == nil || revision <= e.up.Revision || e.up.Standing == Gone {
 		return false
 	}
--- a/stoatroute/register_test.go
+++ b/stoatroute/register_test.go
@@ -108,7 +108,7 @@
 	b := stoatroute.NewBook(stoatroute.Config{})
 	b.Declare(declaration(1, "app"), 1)
 	b.Register(start, life(5, nil), 2)
-	if b.Spoil("i-1", 2) || b.Spoil("i-2", 7) || !b.Spoil("i-1", 3) || b.Spoil("i-1", 4) {
+	if b.Spoil(start, "i-1", 0, 2) || b.Spoil(start, "i-2", 0, 7) || !b.Spoil(start, "i-1", 0, 3) || b.Spoil(start, "i-1", 0, 4) {
 		t.Error("not news, or news twice")
 	}
 	u, _ := b.Registered("i-1")
@@ -123,7 +123,7 @@
 		t.Error(got, "a good entry does not help")
 	}
 	b.Remove(start, "i-1", 6)
-	if b.Spoil("i-1", 7) {
+	if b.Spoil(start, "i-1", 0, 7) {
 		t.Error("one that is gone came back")
 	}
 }
--- a/stoatroute/restore_test.go
+++ b/stoatroute/restore_test.go
@@ -51,7 +51,7 @@
 	b := stoatroute.NewBook(stoatroute.Config{})
 	b.Restore(start, 1)
 	b.Register(start, registration(1, "i-1"), 20)
-	b.Spoil("i-1", 30)
+	b.Spoil(start, "i-1", 0, 30)
 	b.Restore(start, 2)
 	b.Register(start, registration(1, "i-1"), 20)
 	if got := standingOf(t, b, "i-1"); got != stoatroute.Serving {
