stoatedge, stoatroute, stoatfeed: what entries send each other has the field's names

told is update, Telling and Told are RemoteUpdate and RemoteUpstream, stands is announcement, parted is parentLost; a feed is relayed where another entry says when the platform is back. Behaviour, the wire and the log are unchanged.

--- a/stoatedge/evacuation_test.go
+++ b/stoatedge/evacuation_test.go
@@ -151,7 +151,7 @@
 func TestEvacuationIsTold(t *testing.T) {
 	s := evacuating(t, true, true)
 	tell := func(known stoatpaddle.Version, list ...stoatpaddle.Evacuation) {
-		s.tell(told{from: "parent", age: 100 * ms, whole: true, known: at(known), evacuations: list},
+		s.tell(update{from: "parent", age: 100 * ms, whole: true, known: at(known), evacuations: list},
 			declared(1, 5), registered("i-1", 1, 6))
 	}
 	here := func(revision stoatpaddle.Version, withdrawn bool) stoatpaddle.Evacuation {
@@ -181,7 +181,7 @@
 			t.Errorf("topic %d: %+v", topic, c)
 		}
 	}
-	s.tell(told{from: "parent", age: 100 * ms, whole: true, known: at(10)}, declared(1, 5), registered("i-1", 1, 6))
+	s.tell(update{from: "parent", age: 100 * ms, whole: true, known: at(10)}, declared(1, 5), registered("i-1", 1, 6))
 	s.quiet("a parent was found")
 	alone := evacuating(t, true, true).serving()
 	alone.now = alone.now.Add(parentWait)
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -52,11 +52,11 @@
 		changes []change
 		cause   error
 	}
-	// told carries what the parent says; age is how long ago that was known to be up to
+	// update carries what the parent says; age is how long ago that was known to be up to
 	// date (negative: never), known the position up to which it knows everything. With
 	// whole, upstreams has all there are, otherwise what changed. Revisions of what it has
 	// are of the era; 0: it does not say.
-	told struct {
+	update struct {
 		serial      int
 		from        string
 		path        []netip.AddrPort // from a reader to the parent
@@ -65,11 +65,11 @@
 		age         time.Duration
 		whole       bool
 		delta       *stoatrelay.Delta // of the declaration, if it changed
-		upstreams   []stoatroute.Told
+		upstreams   []stoatroute.RemoteUpstream
 		evacuations []stoatpaddle.Evacuation
 	}
-	// parted reports the end of a search that found nobody, or of a parent's telling.
-	parted struct {
+	// parentLost reports the end of a search that found nobody, or of a parent's telling.
+	parentLost struct {
 		serial int
 		cause  error
 	}
@@ -105,8 +105,8 @@
 		serial int
 		why    string
 	}
-	// stands says what others may rely on.
-	stands struct {
+	// announcement says what others may rely on.
+	announcement struct {
 		known stoatpaddle.Position
 		path  []netip.AddrPort
 		reads bool
@@ -125,6 +125,6 @@
 	}
 )
 
-func (s *stands) same(o *stands) bool {
+func (s *announcement) same(o *announcement) bool {
 	return s.known == o.known && s.reads == o.reads && s.asOf.Equal(o.asOf) && slices.Equal(s.path, o.path)
 }
--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -114,8 +114,8 @@
 	k.do(leave{serial: f.serial, why: why})
 }
 
-// told takes in what the parent says.
-func (k *keeper) told(now time.Time, x told) {
+// takeUpdate takes in what the parent says.
+func (k *keeper) takeUpdate(now time.Time, x update) {
 	f := &k.follow
 	if x.serial != f.serial {
 		return
@@ -159,7 +159,7 @@
 
 // sameHistory makes sure that the parent's revisions can be compared with this entry's. A parent that has
 // not heard of a restore is left: what it says next would be put aside, and never be said again.
-func (k *keeper) sameHistory(now time.Time, x *told) bool {
+func (k *keeper) sameHistory(now time.Time, x *update) bool {
 	switch own := k.book.Era(); {
 	case x.era == 0:
 		// It is of a release that knows no eras.
@@ -174,7 +174,7 @@
 }
 
 // mirror makes what the parent believes this entry's own.
-func (k *keeper) mirror(now time.Time, x told, later bool) {
+func (k *keeper) mirror(now time.Time, x update, later bool) {
 	if x.whole {
 		k.log(EventNeighbour, stoatevent.F("neighbour", x.from), stoatevent.F("age", ageText(x.age)),
 			stoatevent.F("upstreams", countOf(len(x.upstreams))))
@@ -185,13 +185,13 @@
 	for _, ev := range x.evacuations {
 		k.evacuate(ev, x.from)
 	}
-	for _, id := range k.book.Mirror(now, stoatroute.Telling{Upstreams: x.upstreams, Whole: x.whole, Later: later}) {
+	for _, id := range k.book.Mirror(now, stoatroute.RemoteUpdate{Upstreams: x.upstreams, Whole: x.whole, Later: later}) {
 		k.newcomer(id, x.from)
 	}
 }
 
 // applyDelta adopts the declaration that the parent tells, if it is later than the one in force.
-func (k *keeper) applyDelta(now time.Time, x told) {
+func (k *keeper) applyDelta(now time.Time, x update) {
 	current := k.book.Declaration()
 	if x.delta.Declaration.Version <= current.Version {
 		return
@@ -263,8 +263,8 @@
 	}
 }
 
-// parted takes in that a search found nobody, or that the parent tells no more.
-func (k *keeper) parted(now time.Time, x parted) {
+// loseParent takes in that a search found nobody, or that the parent tells no more.
+func (k *keeper) loseParent(now time.Time, x parentLost) {
 	f := &k.follow
 	if x.serial != f.serial {
 		return
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -55,7 +55,7 @@
 	heard           time.Time            // when the platform last answered; at first the start
 	ready           bool
 	table           *stoatroute.Table
-	said            stands // as last said to others
+	announced       announcement // as last said to others
 	rung            rung
 	changes         []standingChange // of the present step, to be logged
 	out             []any            // effects of the present step
@@ -105,10 +105,10 @@
 		k.tick(now)
 	case ended:
 		k.ended(now, x)
-	case told:
-		k.told(now, x)
-	case parted:
-		k.parted(now, x)
+	case update:
+		k.takeUpdate(now, x)
+	case parentLost:
+		k.loseParent(now, x)
 	case resumed:
 		k.resumed(now, x.gap)
 	case doubted:
@@ -123,7 +123,7 @@
 	}
 	k.logStandings()
 	k.publish()
-	k.tell()
+	k.announce()
 	k.ring(now)
 	return k.out
 }
@@ -135,7 +135,7 @@
 }
 
 func (k *keeper) ask(now time.Time, t topic) {
-	k.feeds[t].SetTold(k.follow.allowed && k.follow.parent != "")
+	k.feeds[t].SetRelayed(k.follow.allowed && k.follow.parent != "")
 	c := k.feeds[t].Next()
 	if !c.List && c.Wait > time.Millisecond && k.follow.allowed && k.follow.parent == "" {
 		c.Pause = max(c.Pause, k.begun.Add(parentWait).Sub(now))
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -72,8 +72,8 @@
 			s.sought = append(s.sought, x)
 		case leave:
 			s.left++
-			s.step(parted{serial: x.serial, cause: &leftError{why: x.why}})
-		case stands:
+			s.step(parentLost{serial: x.serial, cause: &leftError{why: x.why}})
+		case announcement:
 			s.knows, s.reads = x.known, x.reads
 			s.woken++
 		case changed:
@@ -129,7 +129,7 @@
 }
 
 // tell has the parent of the latest search say that.
-func (s *session) tell(x told, changes ...change) {
+func (s *session) tell(x update, changes ...change) {
 	x.serial = s.k.follow.serial
 	for i := range changes {
 		c := &changes[i]
@@ -137,7 +137,7 @@
 			x.delta = &stoatrelay.Delta{Declaration: *c.declaration, Revision: c.revision}
 			continue
 		}
-		x.upstreams = append(x.upstreams, stoatroute.Told{Registration: *c.registration, Revision: c.revision})
+		x.upstreams = append(x.upstreams, stoatroute.RemoteUpstream{Registration: *c.registration, Revision: c.revision})
 	}
 	s.step(x)
 }
@@ -275,9 +275,9 @@
 	if len(s.sought) == 0 || s.sought[0].known != at(0) {
 		t.Fatal("nobody is asked:", s.sought)
 	}
-	s.step(parted{serial: 1, cause: &stoatpaddle.UnavailableError{Op: "x"}})
+	s.step(parentLost{serial: 1, cause: &stoatpaddle.UnavailableError{Op: "x"}})
 	s.pass(400 * ms)
-	s.tell(told{from: "10.0.0.2:1", age: -1, whole: true, known: at(6)}, declared(3, 5), registered("i-1", 1, 6))
+	s.tell(update{from: "10.0.0.2:1", age: -1, whole: true, known: at(6)}, declared(3, 5), registered("i-1", 1, 6))
 	if !s.table.Ready() || s.table.Declaration.Version != 3 || !s.table.Proven.IsZero() {
 		t.Error(s.table.Ready(), s.table.Declaration.Version, s.table.Proven)
 	}
@@ -309,7 +309,7 @@
 func TestSearchSaysWhatIsKnown(t *testing.T) {
 	s := startSession(t, true, false)
 	s.pass(300 * ms)
-	s.tell(told{from: "10.0.0.2:1", age: -1, whole: true, known: at(42)}, declared(3, 5), registered("i-1", 1, 6))
+	s.tell(update{from: "10.0.0.2:1", age: -1, whole: true, known: at(42)}, declared(3, 5), registered("i-1", 1, 6))
 	if s.knows != at(42) {
 		t.Error(s.knows)
 	}
@@ -317,7 +317,7 @@
 	if s.knows != at(42) {
 		t.Error("one topic alone is not everything:", s.knows)
 	}
-	s.step(parted{serial: s.k.follow.serial, cause: &silentError{}})
+	s.step(parentLost{serial: s.k.follow.serial, cause: &silentError{}})
 	s.fail(declarations)
 	s.fail(upstreams)
 	s.pass(2 * time.Second)
@@ -332,8 +332,8 @@
 	s.answer(declarations, 10, declared(1, 5))
 	s.answer(upstreams, 10, registered("i-1", 1, 6), registered("i-2", 2, 7))
 	gone := registered("i-2", 2, 7)
-	s.tell(told{from: "10.0.0.2:1", whole: true, known: at(9)}, declared(0, 1), registered("i-1", 1, 1), gone)
-	s.step(told{serial: s.k.follow.serial, known: at(9), upstreams: []stoatroute.Told{{Registration: *gone.registration, Revision: 7, Standing: stoatroute.Gone}}})
+	s.tell(update{from: "10.0.0.2:1", whole: true, known: at(9)}, declared(0, 1), registered("i-1", 1, 1), gone)
+	s.step(update{serial: s.k.follow.serial, known: at(9), upstreams: []stoatroute.RemoteUpstream{{Registration: *gone.registration, Revision: 7, Standing: stoatroute.Gone}}})
 	if s.table.Declaration.Version != 1 || len(s.table.Service("app")) != 2 {
 		t.Error(s.table.Declaration.Version, len(s.table.Service("app")))
 	}
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -33,11 +33,11 @@
 }
 
 // ViewAge is how long ago what is believed was known to be up to date; negative: never.
-func (e *Edge) ViewAge(now time.Time) time.Duration { return ageAt(now, e.place.stands.Load().asOf) }
+func (e *Edge) ViewAge(now time.Time) time.Duration { return ageAt(now, e.place.announced.Load().asOf) }
 
 // Depth is the number of entries between a reader of the platform and this one; 0: it is told
 // by nobody.
-func (e *Edge) Depth() int { return len(e.place.stands.Load().path) }
+func (e *Edge) Depth() int { return len(e.place.announced.Load().path) }
 
 // status is what is in force on this entry. The entries that it names are those of the
 // settings: on this fabric entries need not know each other.
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -55,8 +55,8 @@
 		})
 	case leave:
 		e.place.parent.leave(x)
-	case stands:
-		e.place.stands.Store(&x)
+	case announcement:
+		e.place.announced.Store(&x)
 		e.place.bell.ring()
 	case changed:
 		e.place.bell.ring()
--- a/stoatedge/run_follow.go
+++ b/stoatedge/run_follow.go
@@ -114,7 +114,7 @@
 	if left := context.Cause(ctx); left != nil {
 		cause = left
 	}
-	e.post(parted{serial: x.serial, cause: cause})
+	e.post(parentLost{serial: x.serial, cause: cause})
 }
 
 // hear asks one entry, and takes in what it tells until that ends; accepted tells whether
@@ -186,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	x := told{
+	x := update{
 		serial: serial, from: addr.String(), path: m.Path, known: m.Known, era: m.Era, age: m.Age, whole: m.Whole, delta: m.Delta,
 		upstreams: m.Upstreams, evacuations: m.Evacuations,
 	}
--- a/stoatedge/run_place.go
+++ b/stoatedge/run_place.go
@@ -22,7 +22,7 @@
 	if g := e.place.given.Load(); g != nil {
 		return g.place
 	}
-	if len(e.place.stands.Load().path) == 0 && !e.place.tree.IsSeed() {
+	if len(e.place.announced.Load().path) == 0 && !e.place.tree.IsSeed() {
 		return stoatfilter.Place{}
 	}
 	return stoatfilter.Place{Entries: e.place.tree.Size()}
--- a/stoatedge/run_tell.go
+++ b/stoatedge/run_tell.go
@@ -67,28 +67,28 @@
 
 // place is this entry's place among the others.
 type place struct {
-	mu     sync.Mutex // of tree
-	tree   *stoattree.Tree
-	stands atomic.Pointer[stands]
-	bell   *bell
-	bodies bodies
-	seen   atomic.Pointer[[]stoatoutlier.Report] // the sum over this data centre
-	sent   atomic.Int64                          // bytes to children
-	heard  atomic.Int64                          // bytes from parents
-	parent parentCancel
-	given  atomic.Pointer[givenPlace] // nil: no parent in this data centre
-	sized  atomic.Int64               // how many entries below this one the parent was told of; 0: none
+	mu        sync.Mutex // of tree
+	tree      *stoattree.Tree
+	announced atomic.Pointer[announcement]
+	bell      *bell
+	bodies    bodies
+	seen      atomic.Pointer[[]stoatoutlier.Report] // the sum over this data centre
+	sent      atomic.Int64                          // bytes to children
+	heard     atomic.Int64                          // bytes from parents
+	parent    parentCancel
+	given     atomic.Pointer[givenPlace] // nil: no parent in this data centre
+	sized     atomic.Int64               // how many entries below this one the parent was told of; 0: none
 }
 
 func newPlace(cfg stoattree.Config) *place {
 	p := &place{tree: stoattree.New(cfg), bell: newBell()}
-	p.stands.Store(&stands{})
+	p.announced.Store(&announcement{})
 	return p
 }
 
 // state is what this entry is to one that asks.
 func (e *Edge) state() stoattree.State {
-	s := e.place.stands.Load()
+	s := e.place.announced.Load()
 	return stoattree.State{
 		Ready: e.table.Load().Ready() && !e.stop.asked(), Known: s.known, Path: s.path, Reads: s.reads,
 		Age: ageAt(clock(), s.asOf),
@@ -167,7 +167,7 @@
 // message returns the next one for a child, encoded, and what the child holds with it.
 func (e *Edge) message(now time.Time, ask stoattree.Ask, child stoatrelay.Holds, seen *stoatoutlier.Stream) ([]byte, stoatrelay.Holds, error) {
 	// First how far everything is known, then the table: it holds that much at least.
-	s, t := e.place.stands.Load(), e.table.Load()
+	s, t := e.place.announced.Load(), e.table.Load()
 	body, err := e.place.bodies.of(now, t, child)
 	if err != nil {
 		return nil, child, err
@@ -195,7 +195,7 @@
 }
 
 // headFor returns the head of a message to one child, encoded.
-func (e *Edge) headFor(now time.Time, s *stands, ask stoattree.Ask, body bool, stream *stoatoutlier.Stream, era stoatpaddle.Era) ([]byte, error) {
+func (e *Edge) headFor(now time.Time, s *announcement, ask stoattree.Ask, body bool, stream *stoatoutlier.Stream, era stoatpaddle.Era) ([]byte, error) {
 	h := stoatrelay.Head{
 		Known: uint64(s.known.Revision), KnownEra: uint64(s.known.Era), Era: uint64(era), AgeMS: ageAt(now, s.asOf).Milliseconds(), Body: body,
 		Path: stoatrelay.AddrTexts(append(s.path[:len(s.path):len(s.path)], e.settings().Admin)),
--- a/stoatedge/wake.go
+++ b/stoatedge/wake.go
@@ -30,8 +30,8 @@
 	k.do(changed{})
 }
 
-// tell says what others may rely on, if it changed, after what they read is published.
-func (k *keeper) tell() {
+// announce says what others may rely on, if it changed, after what they read is published.
+func (k *keeper) announce() {
 	reads := k.reading && k.ready && k.failing().IsZero()
 	if answers := k.ready && (reads || !k.reading); answers != k.answers {
 		k.answers = answers
@@ -45,9 +45,9 @@
 			}
 		}
 	}
-	now := stands{known: k.known, path: k.follow.path, reads: reads, asOf: k.asOf()}
-	if !now.same(&k.said) {
-		k.said = now
+	now := announcement{known: k.known, path: k.follow.path, reads: reads, asOf: k.asOf()}
+	if !now.same(&k.announced) {
+		k.announced = now
 		k.do(now)
 		if k.table != nil {
 			// This wakes children too, and the table is published by then.
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -43,11 +43,11 @@
 	// for; a second more of an old view after an outage is well within the bounds.
 	pauseLeast = 60 * time.Millisecond
 	pauseMost  = time.Second
-	// pauseTold is the least pause, and the same again at random, while another entry tells
+	// pauseRelayed is the least pause, and the same again at random, while another entry tells
 	// when the platform is back: of 7,500 entries that ask every second each refused call is
 	// paid for. What it costs is time only for an entry that the platform answers again while
 	// it still refuses all that read for others.
-	pauseTold = 2 * time.Second
+	pauseRelayed = 2 * time.Second
 	// awayAfter is the least outage in which a registration can lapse: three heartbeats of
 	// a third of a second.
 	awayAfter = time.Second
@@ -121,7 +121,7 @@
 	exact    bool          // the next call must not be answered by a replica
 	hurry    bool          // the next call must not wait for a change
 	gather   bool          // the last watch brought news
-	told     bool          // another entry tells when the platform is back
+	relayed  bool          // another entry tells when the platform is back
 	age      time.Duration // of the last proof, when it came
 }
 
@@ -250,8 +250,8 @@
 	case f.failures == 0:
 		return 0
 	}
-	if f.told && f.failures >= 2 {
-		return pauseTold + time.Duration(f.cfg.Rand.Int64N(int64(pauseTold)))
+	if f.relayed && f.failures >= 2 {
+		return pauseRelayed + time.Duration(f.cfg.Rand.Int64N(int64(pauseRelayed)))
 	}
 	return f.backoff(f.failures)
 }
@@ -386,8 +386,8 @@
 // for what this feed learns.
 func (f *Feed) SetStart(stale, prompt bool) { f.cfg.StaleStart, f.cfg.Prompt = stale, prompt }
 
-// SetTold tells whether another entry tells when the platform is back.
-func (f *Feed) SetTold(told bool) { f.told = told }
+// SetRelayed tells whether another entry tells when the platform is back.
+func (f *Feed) SetRelayed(relayed bool) { f.relayed = relayed }
 
 // Hurry has the next call answered at once: another feed has proof of a later revision
 // than this one has heard of.
--- a/stoatrelay/bench_test.go
+++ b/stoatrelay/bench_test.go
@@ -81,7 +81,7 @@
 			b.ReportAllocs()
 			for range b.N {
 				x := toldOver(b, EncodeBody(now, t, Holds{}))
-				stoatroute.NewBook(stoatroute.Config{}).Mirror(now, stoatroute.Telling{Upstreams: x.Upstreams, Whole: true, Later: true})
+				stoatroute.NewBook(stoatroute.Config{}).Mirror(now, stoatroute.RemoteUpdate{Upstreams: x.Upstreams, Whole: true, Later: true})
 			}
 		})
 	}
--- a/stoatrelay/decode.go
+++ b/stoatrelay/decode.go
@@ -53,7 +53,7 @@
 	Whole bool            // all upstreams there are; otherwise those that changed
 	Delta *Delta          // of the declaration; nil: it did not change
 
-	Upstreams   []stoatroute.Told
+	Upstreams   []stoatroute.RemoteUpstream
 	Evacuations []stoatpaddle.Evacuation
 }
 
@@ -96,11 +96,11 @@
 	return x, nil
 }
 
-func (r *bodyReader) held(u *wireHeld) stoatroute.Told {
+func (r *bodyReader) held(u *wireHeld) stoatroute.RemoteUpstream {
 	if u.Standing > uint8(stoatroute.Gone) {
 		r.fail("standing of "+u.ID, nil)
 	}
-	return stoatroute.Told{
+	return stoatroute.RemoteUpstream{
 		Revision: stoatpaddle.Version(u.Revision), Standing: stoatroute.Standing(u.Standing),
 		Registration: stoatpaddle.Registration{
 			ID: stoatpaddle.UpstreamID(u.ID), Target: stoatpaddle.Target(u.Target), Service: stoatpaddle.ServiceID(r.name(u.Service)),
--- a/stoatroute/book_test.go
+++ b/stoatroute/book_test.go
@@ -167,12 +167,12 @@
 // it for no proof that anything is gone.
 func TestMirrorIsNoProof(t *testing.T) {
 	b := stoatroute.NewBook(stoatroute.Config{})
-	b.Mirror(start, stoatroute.Telling{Whole: true, Later: true})
+	b.Mirror(start, stoatroute.RemoteUpdate{Whole: true, Later: true})
 	if b.Table().Ready() {
 		t.Error("ready with nothing")
 	}
 	b.Declare(declaration(1, "app"), 1)
-	b.Mirror(start, stoatroute.Telling{Upstreams: []stoatroute.Told{{Registration: registration(1, "i-1"), Revision: 2}}, Whole: true, Later: true})
+	b.Mirror(start, stoatroute.RemoteUpdate{Upstreams: []stoatroute.RemoteUpstream{{Registration: registration(1, "i-1"), Revision: 2}}, Whole: true, Later: true})
 	if table := b.Table(); !table.Ready() || !table.Proven.IsZero() {
 		t.Error(table.Ready(), table.Proven)
 	}
@@ -195,12 +195,12 @@
 	return m
 }
 
-func told(target stoatpaddle.Target, id stoatpaddle.UpstreamID, revision stoatpaddle.Version, s stoatroute.Standing) stoatroute.Told {
-	return stoatroute.Told{Registration: registration(target, id), Revision: revision, Standing: s}
+func told(target stoatpaddle.Target, id stoatpaddle.UpstreamID, revision stoatpaddle.Version, s stoatroute.Standing) stoatroute.RemoteUpstream {
+	return stoatroute.RemoteUpstream{Registration: registration(target, id), Revision: revision, Standing: s}
 }
 
-func (m *mirror) tell(whole, later bool, list ...stoatroute.Told) {
-	m.b.Mirror(start, stoatroute.Telling{Upstreams: list, Whole: whole, Later: later})
+func (m *mirror) tell(whole, later bool, list ...stoatroute.RemoteUpstream) {
+	m.b.Mirror(start, stoatroute.RemoteUpdate{Upstreams: list, Whole: whole, Later: later})
 }
 
 func (m *mirror) want(what string, one, two stoatroute.Standing) {
--- a/stoatroute/evacuation_test.go
+++ b/stoatroute/evacuation_test.go
@@ -66,11 +66,11 @@
 	}
 	b, child := stoatroute.NewBook(stoatroute.Config{}), stoatroute.NewBook(stoatroute.Config{})
 	b.Register(now, r, 1)
-	child.Mirror(now, stoatroute.Telling{Upstreams: []stoatroute.Told{{Registration: r, Revision: 1}}, Later: true})
+	child.Mirror(now, stoatroute.RemoteUpdate{Upstreams: []stoatroute.RemoteUpstream{{Registration: r, Revision: 1}}, Later: true})
 	now = now.Add(time.Minute)
 	r.Cold = 4 * time.Second
 	b.Register(now, r, 2)
-	child.Mirror(now, stoatroute.Telling{Upstreams: []stoatroute.Told{{Registration: r, Revision: 2}}, Later: true})
+	child.Mirror(now, stoatroute.RemoteUpdate{Upstreams: []stoatroute.RemoteUpstream{{Registration: r, Revision: 2}}, Later: true})
 	if warm(b) != 4*time.Second || warm(child) != 4*time.Second {
 		t.Errorf("cold for %s, told: %s", warm(b), warm(child))
 	}
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -6,16 +6,16 @@
 	"github.com/stoatpaddle/stoatpaddle"
 )
 
-// Told is an upstream as another entry believes it to be.
-type Told struct {
+// RemoteUpstream is an upstream as another entry believes it to be.
+type RemoteUpstream struct {
 	stoatpaddle.Registration
 	Revision stoatpaddle.Version // of its registration
 	Standing Standing
 }
 
-// Telling is what another entry says at once.
-type Telling struct {
-	Upstreams []Told
+// RemoteUpdate is what another entry says at once.
+type RemoteUpdate struct {
+	Upstreams []RemoteUpstream
 	// Whole says that these are all there are.
 	Whole bool
 	// Later says that it knows all that this entry knows. What is not later counts only
@@ -30,7 +30,7 @@
 // after the platform returned never heard of a registration that lapsed, and the upstream is
 // about to register again. One that is told to be missing stays so until more is told, since
 // only the entry that asks the platform knows when it returned.
-func (b *Book) Mirror(now time.Time, x Telling) []stoatpaddle.UpstreamID {
+func (b *Book) Mirror(now time.Time, x RemoteUpdate) []stoatpaddle.UpstreamID {
 	var news []stoatpaddle.UpstreamID
 	named := make(map[stoatpaddle.UpstreamID]bool, len(x.Upstreams))
 	for i := range x.Upstreams {
@@ -61,7 +61,7 @@
 	return news
 }
 
-func (b *Book) mirror(now time.Time, x *Told, later bool) bool {
+func (b *Book) mirror(now time.Time, x *RemoteUpstream, later bool) bool {
 	e := b.ups[x.ID]
 	if e != nil && (x.Revision < e.up.Revision || x.Revision == e.up.Revision && (!later || x.Standing == e.up.Standing)) {
 		return false
--- a/stoatroute/register_test.go
+++ b/stoatroute/register_test.go
@@ -134,7 +134,7 @@
 	b := stoatroute.NewBook(stoatroute.Config{})
 	b.Register(start, life(5, nil), 2)
 	say := func(r stoatpaddle.Registration, rev stoatpaddle.Version) []stoatpaddle.UpstreamID {
-		return b.Mirror(start.Add(time.Minute), stoatroute.Telling{Upstreams: []stoatroute.Told{{Registration: r, Revision: rev}}, Later: true})
+		return b.Mirror(start.Add(time.Minute), stoatroute.RemoteUpdate{Upstreams: []stoatroute.RemoteUpstream{{Registration: r, Revision: rev}}, Later: true})
 	}
 	if got := say(life(6, cold), 3); len(got) != 1 {
 		t.Error(got)
--- a/stoatroute/restore_test.go
+++ b/stoatroute/restore_test.go
@@ -30,7 +30,7 @@
 		if got := standingOf(t, b, "i-1"); got != stoatroute.Leaving {
 			t.Error(ended, "the copy made it", got)
 		}
-		b.Mirror(start, stoatroute.Telling{Upstreams: []stoatroute.Told{{Registration: ready, Revision: 24}}, Whole: true, Later: true})
+		b.Mirror(start, stoatroute.RemoteUpdate{Upstreams: []stoatroute.RemoteUpstream{{Registration: ready, Revision: 24}}, Whole: true, Later: true})
 		if got := standingOf(t, b, "i-1"); got != stoatroute.Leaving {
 			t.Error(ended, "another entry made it", got)
 		}
--- a/stoatroute/shards_test.go
+++ b/stoatroute/shards_test.go
@@ -97,7 +97,7 @@
 			case 5:
 				b.Expire(now)
 			case 6:
-				b.Mirror(now, Telling{Upstreams: []Told{{Registration: r, Revision: revision, Standing: Standing(rapid.IntRange(0, 3).Draw(t, "standing"))}}, Later: true})
+				b.Mirror(now, RemoteUpdate{Upstreams: []RemoteUpstream{{Registration: r, Revision: revision, Standing: Standing(rapid.IntRange(0, 3).Draw(t, "standing"))}}, Later: true})
 			case 7:
 				b.Declare(stoatpaddle.Declaration{Version: revision, Caps: map[stoatpaddle.ServiceID]int{"a": int(revision) % 3}}, revision)
 			case 8:
