stoatecho: a new table is taken in by what differs in it

With each table, which a proof or one registration makes, an entry looked at its health of every upstream: at 43,000 upstreams 16.7 ms, with two tables a second 3.3% of a core, more than all control may take. Tables share what did not change (stoatroute), so that only shards that differ are looked at, and those upstreams that are new here or have something in progress though no table has them.

--- a/stoatecho/bench_test.go
+++ b/stoatecho/bench_test.go
@@ -63,3 +63,46 @@
 		})
 	}
 }
+
+// One of 43,000 upstreams of 4,000 services changes, and the engine takes the new table in. 16.7 ms when
+// the health of every upstream was looked at, 0.08 ms where those in shards that changed are.
+func BenchmarkRetain(b *testing.B) {
+	const services, each = 4000, 11
+	book := stoatroute.NewBook(stoatroute.Config{})
+	d := stoatpaddle.Declaration{Version: 1}
+	names := map[stoatpaddle.UpstreamID]bool{}
+	upstream := func(i int) stoatpaddle.Registration {
+		id := stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i+1))
+		names[id] = true
+		return stoatpaddle.Registration{
+			ID: id, Target: stoatpaddle.Target(i + 1), Service: stoatpaddle.ServiceID(fmt.Sprint("s-", i%services)), DataCentre: "here", Slots: 3,
+		}
+	}
+	listen := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+	}
+	for i := range services {
+		d.Routes = append(d.Routes, stoatpaddle.Route{Listen: listen(i), Backends: []stoatpaddle.Backend{{Service: upstream(i).Service, Weight: 1}}})
+	}
+	book.Declare(d, 1)
+	for i := range services * each {
+		book.Register(start, upstream(i), stoatpaddle.Version(i+2))
+	}
+	book.Listed(start, names, false)
+	e := stoatecho.New(stoatecho.Config{DataCentre: "here", Start: start, Seed: 1})
+	now := start.Add(time.Minute)
+	for i := range services {
+		tuple := benchTuple(i)
+		tuple.Dst = listen(i)
+		e.Handle(now, book.Table(), &stoatpacket.Packet{Tuple: tuple, Opens: true})
+	}
+	e.Retain(now, book.Table())
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		u := upstream(7)
+		u.Leaving = i%2 == 0
+		book.Register(now, u, stoatpaddle.Version(50000+i))
+		e.Retain(now, book.Table())
+	}
+}
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -97,15 +97,19 @@
 
 // Engine decides for one entry. One goroutine uses it at a time.
 type Engine struct {
-	cfg      Config
-	filter   stoatfilter.Filter
-	placing  stoatfilter.Placing
-	health   map[stoatpaddle.UpstreamKey]*health // of upstreams that this entry met
-	flows    map[stoatpacket.Tuple]*flow
-	unproven map[stoatpaddle.UpstreamKey]time.Time // since when a cookie waits for proof
-	rnd      *rand.Rand
-	stats    Stats
-	swept    time.Time
+	cfg     Config
+	filter  stoatfilter.Filter
+	placing stoatfilter.Placing
+	health  map[stoatpaddle.UpstreamKey]*health // of upstreams that this entry met
+	// unsettled are those of them to look at with the next table whatever changes in it: they are new, perhaps
+	// by a packet that came with the table before, or have something in progress though they are in none.
+	unsettled map[stoatpaddle.UpstreamKey]bool
+	retained  *stoatroute.Table // the last one that Retain took in
+	flows     map[stoatpacket.Tuple]*flow
+	unproven  map[stoatpaddle.UpstreamKey]time.Time // since when a cookie waits for proof
+	rnd       *rand.Rand
+	stats     Stats
+	swept     time.Time
 	// last is the latest opening of each caller: one that comes back at once was refused.
 	last      map[callerKey]stoatpacket.Tuple
 	handshake handshake
@@ -131,7 +135,7 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, groups: map[groupKey]*group{}, sizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, unsettled: map[stoatpaddle.UpstreamKey]bool{}, groups: map[groupKey]*group{}, sizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
 		unproven: map[stoatpaddle.UpstreamKey]time.Time{}, last: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), swept: cfg.Start,
 	}
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -292,6 +292,7 @@
 	if h == nil {
 		h = e.newHealth(u)
 		e.health[u.Key] = h
+		e.unsettled[u.Key] = true
 	}
 	return h
 }
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -199,18 +199,22 @@
 // started again under the name that they had.
 func (e *Engine) Retain(now time.Time, t *stoatroute.Table) {
 	renewed := map[stoatpaddle.UpstreamKey]bool{}
-	for k, h := range e.health {
-		u := t.Upstream(k)
-		if u == nil {
-			if h.flows+h.opening+h.busy == 0 {
-				delete(e.health, k)
-			}
-			continue
+	before := len(e.health)
+	retain := func(k stoatpaddle.UpstreamKey) {
+		h, u := e.health[k], t.Upstream(k)
+		switch {
+		case h == nil:
+			delete(e.unsettled, k)
+			return
+		case u == nil:
+			e.forgetHealth(k, h)
+			return
 		}
+		delete(e.unsettled, k)
 		life := stoatroute.LifeOf(&u.Registration)
 		if h.life.Same(life) {
 			h.life = life
-			continue
+			return
 		}
 		h.group.inProgress -= h.opening + h.busy
 		e.health[k] = e.newHealth(u)
@@ -218,10 +222,27 @@
 		e.health[k].group.silence.ended(now)
 		renewed[k] = true
 	}
+	t.Differing(e.retained, retain)
+	for k := range e.unsettled {
+		retain(k)
+	}
+	e.retained = t
 	if len(renewed) > 0 {
 		e.renew(now, renewed)
 	}
-	e.forgetGroups()
+	if len(renewed) > 0 || len(e.health) < before {
+		e.forgetGroups()
+	}
+}
+
+// forgetHealth forgets that of an upstream which is in the table no more, once nothing is in progress there.
+func (e *Engine) forgetHealth(k stoatpaddle.UpstreamKey, h *health) {
+	if h.flows+h.opening+h.busy == 0 {
+		delete(e.health, k)
+		delete(e.unsettled, k)
+		return
+	}
+	e.unsettled[k] = true
 }
 
 // forgetGroups forgets the groups of which no upstream is left.
--- a/stoatroute/shards.go
+++ b/stoatroute/shards.go
@@ -59,6 +59,30 @@
 	}
 }
 
+// Differing calls do with each cookie that may name another upstream, or the same one otherwise, than in the
+// table before; nil: with all.
+func (t *Table) Differing(before *Table, do func(k stoatpaddle.UpstreamKey)) {
+	for i, part := range t.upstreams {
+		var old *upstreamShard
+		if before != nil {
+			old = before.upstreams[i]
+		}
+		if part == old {
+			continue
+		}
+		if old != nil {
+			for k := range old.byKey {
+				do(k)
+			}
+		}
+		if part != nil {
+			for k := range part.byKey {
+				do(k)
+			}
+		}
+	}
+}
+
 // members are the book's entries by shard and by service, and which shards changed since the last table.
 type members struct {
 	inShard   [shardCount][]*entry
--- a/stoatroute/shards_test.go
+++ b/stoatroute/shards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +13,13 @@
 	"github.com/stoatpaddle/stoatpaddle"
 )
 
+// The same histories each time: a run that fails must fail again.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // naive is the table's upstreams and services made from all entries, as they were before shards.
 func naive(b *Book) (map[stoatpaddle.UpstreamKey]Upstream, map[stoatpaddle.ServiceID][]stoatpaddle.UpstreamID) {
 	byKey := map[stoatpaddle.UpstreamKey]Upstream{}
