--- a/stoatroute/evacuation.go
+++ b/stoatroute/evacuation.go
@@ -32,7 +32,8 @@
 type evacuationState struct {
 	stoatpaddle.Evacuation
 	change uint64 // the book's count of changes at its last one
-	// lost is since when lists of the present era lack it, which was known before a restore; zero: none does.
+	// lost is when a list of the present era first lacked the evacuation, which was known before a restore;
+	// zero: none did.
 	lost time.Time
 }
 
