--- /dev/null
+++ b/stoatrelay/fuzz_test.go
@@ -0,0 +1,65 @@
+package stoatrelay
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// Whatever comes on a connection to a parent, reading it ends, and what is taken in can be sent on: the
+// next entry reads the same from it.
+func FuzzMessage(f *testing.F) {
+	at := time.Unix(1000, 0)
+	b := stoatroute.NewBook(stoatroute.Config{Evacuations: true})
+	b.Restore(at, 3)
+	b.Declare(*declared(2, 5).declaration, 5)
+	b.Evacuate(stoatpaddle.Evacuation{DataCentre: "here", Revision: 7})
+	b.Spoil(at, "i-9", 9, 8)
+	head, err := Encode(&Head{Known: 7, KnownEra: 2, Era: 3, Path: []string{"10.0.0.1:1"}, Body: true})
+	if err != nil {
+		f.Fatal(err)
+	}
+	body, err := Encode(EncodeBody(at, b.Table(), Holds{}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append(head, body...))
+	f.Add(head)
+	f.Add([]byte{0x9a})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, w, err := Read(msgpack.NewDecoder(bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		m, err := Decode(h, w)
+		if err != nil {
+			return
+		}
+		child := stoatroute.NewBook(stoatroute.Config{Evacuations: true})
+		child.Restore(at, m.Era)
+		if m.Delta != nil {
+			child.Declare(m.Delta.Declaration, m.Delta.Revision)
+		}
+		child.Mirror(at, stoatroute.RemoteUpdate{Upstreams: m.Upstreams, Whole: m.Whole, Later: true})
+		next := EncodeBody(at, child.Table(), Holds{})
+		if next == nil {
+			return
+		}
+		text, err := Encode(next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again Body
+		if err := msgpack.Unmarshal(text, &again); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(&Head{}, &again); err != nil {
+			t.Fatal("what was taken in cannot be sent on:", err)
+		}
+	})
+}
