--- a/stoatcommand/soak.go
+++ b/stoatcommand/soak.go
@@ -15,6 +15,7 @@
 	Runs     int           `default:"1" help:"runs, with one seed after the other"`
 	Length   time.Duration `default:"1m" help:"of a run"`
 	Entries  int           `default:"6" help:"entry processes"`
+	Plan     string        `placeholder:"FILE" help:"steps as a run prints them, in place of those by the seed"`
 	Restores bool          `help:"the store comes back from an older copy now and then, and nothing else fails"`
 	Dir      string        `placeholder:"DIR" help:"where settings and logs are kept; a new one under the system's temporary files by default"`
 	JSON     bool          `arg:"--json" help:"print JSON, a line a run"`
@@ -40,10 +41,31 @@
 	soakLeast  = 15 * time.Second // a shorter run has no room for a step
 )
 
+// plan reads the steps that a file has, or returns nil: those by the seed are played.
+func (a *soakArgs) plan() ([]stoatsoak.Step, error) {
+	if a.Plan == "" {
+		return nil, nil
+	}
+	f, err := os.Open(a.Plan)
+	if err != nil {
+		return nil, &UsageError{Problem: err.Error()}
+	}
+	defer func() { _ = f.Close() }()
+	steps, err := stoatsoak.ReadPlan(f)
+	if err != nil {
+		return nil, &UsageError{Problem: a.Plan + ": " + err.Error()}
+	}
+	return steps, nil
+}
+
 func (a *soakArgs) run(c *env) error {
 	if a.Entries < 2 || a.Entries > 100 || a.Runs < 1 || a.Length < soakLeast {
 		return &UsageError{Problem: "soak needs 2 to 100 entries, a run at least, and a length of 15s at least"}
 	}
+	plan, err := a.plan()
+	if err != nil {
+		return err
+	}
 	program, err := os.Executable()
 	if err != nil {
 		return err
@@ -65,7 +87,7 @@
 			return err
 		}
 		result, err := stoatsoak.Run(c.ctx, stoatsoak.Config{
-			Program: program, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Restores: a.Restores, Out: progress,
+			Program: program, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Plan: plan, Restores: a.Restores, Out: progress,
 			Bounds: stoatsoak.Bounds{Apply: soakApply, Stable: soakStable, Slack: soakSlack, Back: soakBack},
 		})
 		if err != nil {
