stoatcommand: one set of arguments for both ways of an evacuation

Cause: evacuateArgs and takeBackArgs each declared the same positional data centre, where markArgs shows how two commands share theirs.

Change: centreNameArgs, embedded in both; each keeps its own run.

--- a/stoatcommand/centre.go
+++ b/stoatcommand/centre.go
@@ -13,20 +13,19 @@
 	List     *listCentres  `arg:"subcommand:list" help:"list the data centres that are evacuated, as an entry sees them"`
 }
 
-type evacuateArgs struct {
+type centreNameArgs struct {
 	entryArgs
 	Centre string `arg:"positional,required" help:"a data centre"`
 }
 
+type evacuateArgs struct{ centreNameArgs }
+
 func (a *evacuateArgs) run(c *env) error {
 	answer, err := a.client().Evacuate(c.ctx, stoatpaddle.DataCentreID(a.Centre))
 	return a.report(c, answer, err)
 }
 
-type takeBackArgs struct {
-	entryArgs
-	Centre string `arg:"positional,required" help:"a data centre"`
-}
+type takeBackArgs struct{ centreNameArgs }
 
 func (a *takeBackArgs) run(c *env) error {
 	answer, err := a.client().TakeBack(c.ctx, stoatpaddle.DataCentreID(a.Centre))
