stoatroute, stoatedge: an entry that starts learns which services routes had

Cause: a route moves to another service, then entries join or restart. Ruled out: entries that had the version before (no forged drop at any), upstreams that ended, unproven cookies. Now the parent's routes of the same or an earlier version are taken in as history (Book.Recall) and passed on. TestEarlierServicesAreTold fails without it. Left: all entries lose power at once, and nobody knows any more.

--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -194,6 +194,7 @@
 func (k *keeper) applyDelta(now time.Time, x update) {
 	current := k.book.Declaration()
 	if x.delta.Declaration.Version <= current.Version {
+		k.book.Recall(x.delta.Declaration.Routes)
 		return
 	}
 	d := x.delta.Onto(&current)
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -169,6 +169,25 @@
 	}
 }
 
+// Guards against flows cut at an entry that started after their route moved to another service: what the
+// parent says of the version in force has the service before, and children are told it in turn.
+func TestEarlierServicesAreTold(t *testing.T) {
+	s := startSession(t, true, true)
+	s.answer(declarations, 10, declared(2, 8))
+	s.answer(upstreams, 10, registered("i-1", 1, 6))
+	child := stoatrelay.HoldsOf(s.table)
+	c := declared(2, 8)
+	c.declaration.Routes[0].Earlier = []stoatpaddle.ServiceID{"before"}
+	s.tell(update{from: "10.0.0.2:1", whole: true, known: at(10)}, c, registered("i-1", 1, 6))
+	r := s.table.Route(listen)
+	if !r.Had("before") || !r.Had("app") || r.Had("other") {
+		t.Error("the services that the route had are not known")
+	}
+	if body := stoatrelay.EncodeBody(s.now, s.table, child); body == nil || body.Declared == nil || len(body.Declared.Routes) != 1 || len(body.Declared.Routes[0].Earlier) != 1 {
+		t.Errorf("children are not told: %+v", body)
+	}
+}
+
 // The platform is away. Afterwards the watch of upstreams would say that both ended: their
 // registrations lapsed meanwhile. Neither may be taken for gone; one comes back, the other
 // does not and is gone two seconds later.
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -154,6 +154,35 @@
 	return true
 }
 
+// Recall takes in what services routes had before, as another entry knows it that is no later than this one:
+// its routes, and what these had. Flows that opened there go on. It tells whether that is news.
+//
+// The failure: an entry starts after a route moved to another service. It reads the configuration from the
+// platform, which says nothing of the service before, and takes the cookies of all flows there for forged.
+func (b *Book) Recall(routes []stoatpaddle.Route) bool {
+	var recalled []*Route
+	for i := range routes {
+		held := b.routes[routes[i].Listen]
+		if held == nil {
+			continue
+		}
+		if n := held.recall(&routes[i]); n != held {
+			recalled = append(recalled, n)
+		}
+	}
+	if len(recalled) == 0 {
+		return false
+	}
+	b.changes++
+	b.routes = maps.Clone(b.routes) // tables have the one before
+	for _, n := range recalled {
+		n.Change = b.changes
+		b.routes[n.Listen] = n
+	}
+	b.altered, b.dirty = b.changes, true
+	return true
+}
+
 func sameRoute(a, b *stoatpaddle.Route) bool {
 	return a.Listen == b.Listen && a.Idempotent == b.Idempotent && a.Priority == b.Priority &&
 		a.Objective == b.Objective && slices.Equal(a.Backends, b.Backends) && slices.Equal(a.Regions, b.Regions)
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -53,6 +54,29 @@
 // Had tells whether the route has or had the service: flows that opened there go on.
 func (r *Route) Had(s stoatpaddle.ServiceID) bool { return r.had[s] }
 
+// recall returns the route with the services that another version of it has or had: itself if it knew them.
+func (r *Route) recall(other *stoatpaddle.Route) *Route {
+	out := r
+	add := func(s stoatpaddle.ServiceID) {
+		if out.had[s] {
+			return
+		}
+		if out == r {
+			n := *r
+			n.had = maps.Clone(r.had)
+			out = &n
+		}
+		out.had[s] = true
+	}
+	for _, b := range other.Backends {
+		add(b.Service)
+	}
+	for _, s := range other.Earlier {
+		add(s)
+	}
+	return out
+}
+
 // Earlier returns the services that the route had and has not any more, in order.
 func (r *Route) Earlier() []stoatpaddle.ServiceID {
 	var out []stoatpaddle.ServiceID
