stoatedge, stoatroute: services that routes lost are kept at the platform

Ways weighed: (a) follow any cookie of a service that is not the route's (a forged one would reach another customer's upstream: no); (b) the store's history of the configuration (20 s at most, may be dropped: no); (c) the status of the operators' own object (raises its revision under their conditional writes: no); (d) an object of the system's own, written by seeds when a route loses a service, read from a replica once at a start, entries of it end with the flows. TestFormerServicesOutliveAllEntries and TestFormerServicesEnd fail without it.

--- a/platform.go
+++ b/platform.go
@@ -15,6 +15,8 @@
 	ObjectCluster  ObjectKind = "cluster"
 	// ObjectEvacuation is named after a data centre whose upstreams are to get no new work while it stands.
 	ObjectEvacuation ObjectKind = "evacuation"
+	// ObjectRoutes holds which services routes had before, on an echo fabric.
+	ObjectRoutes ObjectKind = "routes"
 )
 
 // Ref names one object.
--- a/stoatedge/apply.go
+++ b/stoatedge/apply.go
@@ -28,6 +28,7 @@
 			if k.book.Declare(*c.declaration, c.revision) {
 				k.log(EventDeclared, stoatevent.F("version", c.declaration.Version.String()), stoatevent.F("revision", c.revision.String()),
 					stoatevent.F("routes", countOf(len(c.declaration.Routes))), stoatevent.F("source", source))
+				k.keepFormer(now)
 			} else {
 				k.notTaken(c, source)
 			}
@@ -48,6 +49,16 @@
 	}
 }
 
+// keepFormer takes in what was kept of the routes of a configuration that is new, and has those that lost a
+// service kept. Seeds keep it, since they read the platform in any case.
+func (k *keeper) keepFormer(now time.Time) {
+	k.book.RecallFormer(now, k.former)
+	former, news := k.book.Former(now)
+	if news && !k.follow.allowed {
+		k.do(remember{version: k.book.Declaration().Version, former: former})
+	}
+}
+
 // lapse takes in that a registration ended which may come back.
 func (k *keeper) lapse(now time.Time, c *change, why string) {
 	if k.book.Lapse(now, stoatpaddle.UpstreamID(c.name), c.revision) {
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -69,6 +69,16 @@
 		Title: "platform was restored",
 		Text:  "The platform came back from a copy of itself that is some seconds old: its era rose, and revisions are given out again. All is listed anew; what is in force stays in force (version) until something later is read. Known is the position up to which everything was known; source says who brought it. What was confirmed in the seconds before has to be written again, which the platform's operators and the upstreams do.",
 	})
+	EventFormerUnread = stoatevent.Register(stoatevent.Entry{
+		Number: 1438, Severity: stoatevent.Warning, Since: "0.8",
+		Title: "which services routes had before could not be read",
+		Text:  "Said once, at the start. If a route moved to another service within the last minute, and no other entry is left that knows, packets of flows at the service before are dropped as forged (SP1412) until these flows end.",
+	})
+	EventFormerUnwritten = stoatevent.Register(stoatevent.Entry{
+		Number: 1439, Severity: stoatevent.Warning, Since: "0.8",
+		Title: "which services routes had before could not be kept",
+		Text:  "A route lost a service with this version of the configuration. Entries that run know it and tell others; if all lose power within a minute, flows at that service are dropped (SP1412).",
+	})
 	EventEjected = stoatevent.Register(stoatevent.Entry{
 		Number: 1410, Severity: stoatevent.Warning, Since: "0.2",
 		Title: "upstream gets no flows for a while",
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -77,6 +77,8 @@
 	resumed struct{ gap time.Duration }
 	// doubted tells that traffic met a cookie which is not known here.
 	doubted struct{}
+	// recalled carries which services routes had, as the platform keeps it.
+	recalled struct{ former []stoatroute.Former }
 	// rebound carries changed bounds.
 	rebound struct {
 		apply, back, life time.Duration
@@ -114,6 +116,13 @@
 	}
 	// changed wakes those who are told: there is something for them.
 	changed struct{}
+	// recall reads which services routes had; it ends in recalled, or in nothing.
+	recall struct{}
+	// remember keeps at the platform which services routes had, as of a version of the configuration.
+	remember struct {
+		version stoatpaddle.Version
+		former  []stoatroute.Former
+	}
 	// touched tells whether the platform answers.
 	touched struct{ answers bool }
 	// publish makes a table the one that traffic reads.
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -57,8 +57,9 @@
 	table           *stoatroute.Table
 	announced       announcement // as last said to others
 	rung            rung
-	changes         []standingChange // of the present step, to be logged
-	out             []any            // effects of the present step
+	former          []stoatroute.Former // as the platform kept it when this entry started
+	changes         []standingChange    // of the present step, to be logged
+	out             []any               // effects of the present step
 }
 
 type keeperConfig struct {
@@ -98,9 +99,13 @@
 		for _, t := range k.topics {
 			k.ask(now, t)
 		}
+		k.do(recall{})
 		if k.wantsParent(now) {
 			k.seek(now)
 		}
+	case recalled:
+		k.former = x.former
+		k.book.RecallFormer(now, k.former)
 	case ticked:
 		k.tick(now)
 	case ended:
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -55,6 +55,16 @@
 		})
 	case leave:
 		e.place.parent.leave(x)
+	case recall:
+		e.group.Go(func() error {
+			e.recallFormer()
+			return nil
+		})
+	case remember:
+		e.group.Go(func() error {
+			e.rememberFormer(x)
+			return nil
+		})
 	case announcement:
 		e.place.announced.Store(&x)
 		e.place.bell.ring()
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -71,6 +71,7 @@
 	routes   map[netip.AddrPort]*Route
 	dropped  map[netip.AddrPort]uint64 // see Table
 	forgot   uint64
+	former   map[formerKey]time.Time // until when flows may be open at services that routes had
 	ups      map[stoatpaddle.UpstreamID]*entry
 	ending   map[stoatpaddle.UpstreamID]*entry // those of them that are missing or gone
 	proven   time.Time
