stoatecho, stoatroute: an opening and a judgement cost what they look at, not what the service holds

Cause: each opening weighed all upstreams of its service in all data centres and made a health record for each (640 B), and each judgement (4 a second) made lists of all. At 8,000 upstreams 345 us an opening and 5 MB an entry. Now: a service of up to 128 upstreams is weighed whole, as before; of a larger one 128 of the own data centre and as many of the others, spread over it at random. What was not met shares a record of its group, what was not met for a minute is forgotten. Judgements look at what entries named. When an upstream started again is in the table.

--- a/stoatecho/bench_test.go
+++ b/stoatecho/bench_test.go
@@ -50,7 +50,7 @@
 
 // An opening, with so many upstreams to choose from.
 func BenchmarkOpen(b *testing.B) {
-	for _, n := range []int{11, 120} {
+	for _, n := range []int{11, 120, 1600, 8000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			t := benchTable(n)
 			e := stoatecho.New(stoatecho.Config{DataCentre: "here", Start: start, Seed: 1})
--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -54,39 +54,100 @@
 	var o offers
 	var excluded Excluded
 	patience := e.handshake.patience()
-	for _, u := range t.Service(e.backend(r)) {
-		h := e.healthOf(u)
-		if u.Cap > 0 && h.flows >= u.Cap {
-			continue
+	c := candidate{now: now, route: r, patience: patience, except: except, again: again}
+	service := e.backend(r)
+	if all := t.Service(service); len(all) <= candidates {
+		for _, u := range all {
+			e.offer(t, &c, u, &o, &excluded)
 		}
-		v := e.filter.Open(now, t, r, u, h.coldLoad(now, u))
-		if v > stoatfilter.Spare {
-			excluded[v]++
-			continue
+	} else {
+		e.sampleGroups(t.Groups(service), len(all), func(u *stoatroute.Upstream) { e.offer(t, &c, u, &o, &excluded) })
+	}
+	up, admitted := o.best(now, patience)
+	return up, admitted, excluded
+}
+
+// candidate is what is the same for all upstreams that a flow may go to.
+type candidate struct {
+	now      time.Time
+	route    *stoatroute.Route
+	patience time.Duration
+	except   stoatpaddle.UpstreamKey
+	again    bool
+}
+
+// offer weighs one upstream.
+func (e *Engine) offer(t *stoatroute.Table, c *candidate, u *stoatroute.Upstream, o *offers, excluded *Excluded) {
+	h := e.health[u.Key]
+	if h == nil {
+		h = &e.groupOf(u).unmet
+	}
+	if u.Cap > 0 && h.flows >= u.Cap {
+		return
+	}
+	v := e.filter.Open(c.now, t, c.route, u, h.coldLoad(c.now, u))
+	if v > stoatfilter.Spare {
+		excluded[v]++
+		return
+	}
+	// The order of equals must differ from entry to entry, or all would start with the same.
+	cost := h.cost(c.now, u, c.patience) * (1 + jitter*e.rnd.Float64())
+	if h.suspected() && (c.again || c.now.Before(h.group.nextTrial)) {
+		cost *= slowPenalty
+	}
+	full := !admits(c.now, h, c.route)
+	switch home := u.DataCentre == e.cfg.DataCentre; {
+	case h.isEjected(c.now) || u.Key == c.except:
+		o.last.offer(u, h, cost)
+	case v == stoatfilter.Spare:
+		o.ownSpare.offer(u, h, cost)
+	case home && full:
+		o.ownFull.offer(u, h, cost)
+	case home:
+		o.own.offer(u, h, cost)
+	case full:
+		o.otherFull.offer(u, h, cost)
+	default:
+		o.other.offer(u, h, cost)
+	}
+}
+
+// candidates bounds how many upstreams a new flow is weighed for, of the own data centre and of all others
+// together. An entry before 1,600 upstreams of a service meets each of them a few times an hour: what it knows
+// of one more is nothing, and an opening would cost as much as the service is large.
+const candidates = 128
+
+// sampleGroups calls do with some upstreams of the own data centre and some of the others, of each of these as
+// many as its part in the others.
+func (e *Engine) sampleGroups(groups []stoatroute.Group, all int, do func(u *stoatroute.Upstream)) {
+	others := all
+	for _, g := range groups {
+		if g.DataCentre == e.cfg.DataCentre {
+			others -= len(g.Upstreams)
 		}
-		// The order of equals must differ from entry to entry, or all would start with the same.
-		cost := h.cost(now, u, patience) * (1 + jitter*e.rnd.Float64())
-		if h.suspected() && (again || now.Before(h.group.nextTrial)) {
-			cost *= slowPenalty
+	}
+	for _, g := range groups {
+		most := candidates
+		if g.DataCentre != e.cfg.DataCentre {
+			most = max(1, candidates*len(g.Upstreams)/others)
 		}
-		full := !admits(now, h, r)
-		switch home := u.DataCentre == e.cfg.DataCentre; {
-		case h.isEjected(now) || u.Key == except:
-			o.last.offer(u, h, cost)
-		case v == stoatfilter.Spare:
-			o.ownSpare.offer(u, h, cost)
-		case home && full:
-			o.ownFull.offer(u, h, cost)
-		case home:
-			o.own.offer(u, h, cost)
-		case full:
-			o.otherFull.offer(u, h, cost)
-		default:
-			o.other.offer(u, h, cost)
+		e.sample(g.Upstreams, most, do)
+	}
+}
+
+// sample calls do with as many of a list, spread over it at random, each with the same chance; with all of a
+// list that is no longer.
+func (e *Engine) sample(list []*stoatroute.Upstream, most int, do func(u *stoatroute.Upstream)) {
+	if len(list) <= most {
+		for _, u := range list {
+			do(u)
 		}
+		return
+	}
+	for i := range most {
+		from, to := i*len(list)/most, (i+1)*len(list)/most
+		do(list[from+e.rnd.IntN(to-from)])
 	}
-	up, admitted := o.best(now, patience)
-	return up, admitted, excluded
 }
 
 // best returns the upstream to use, and whether it may get the flow.
--- a/stoatecho/ended.go
+++ b/stoatecho/ended.go
@@ -27,7 +27,11 @@
 // upstream alone cannot reach the platform: one that has answered since keeps its open flows, and
 // gets no new ones.
 func (e *Engine) hasEnded(u *stoatroute.Upstream) bool {
-	return u.Standing == stoatroute.Gone && !e.healthOf(u).answer.After(u.Ended)
+	if u.Standing != stoatroute.Gone {
+		return false
+	}
+	h := e.health[u.Key]
+	return h == nil || !h.answer.After(u.Ended)
 }
 
 // TakeEnded returns the flows that wait for an answer of upstreams which ended since the last call.
--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -137,37 +138,46 @@
 	Hold time.Duration
 }
 
-// Judge looks for upstreams that fail requests, and returns those that are marked now.
+// Judge looks for upstreams that fail requests, and returns those that are marked now. Upstreams of this data
+// centre are judged: others are seen too rarely.
 func (e *Engine) Judge(now time.Time, t *stoatroute.Table) []Marked {
+	named := map[stoatpaddle.ServiceID][]Marked{}
+	for k, s := range e.together {
+		if u := t.Upstream(k); s.Failed > 0 && u != nil && u.Opens() && u.DataCentre == e.cfg.DataCentre {
+			named[u.Service] = append(named[u.Service], Marked{Upstream: u, Counts: s.Counts})
+		}
+	}
 	var out []Marked
-	for _, service := range t.Services() {
-		out = append(out, e.judge(now, t.Service(service))...)
+	for _, service := range slices.Sorted(maps.Keys(named)) {
+		out = append(out, e.judge(now, named[service], len(t.Group(service, e.cfg.DataCentre)))...)
 	}
 	return out
 }
 
-// judge looks at the upstreams of one service in this data centre: others are seen too rarely.
-func (e *Engine) judge(now time.Time, list []*stoatroute.Upstream) []Marked {
-	var own []Marked
-	marked := 0
-	for _, u := range list {
-		if u.DataCentre != e.cfg.DataCentre {
-			continue
+// markedIn counts the upstreams of a group that are marked.
+func (e *Engine) markedIn(now time.Time, g *group) int {
+	n := 0
+	for _, h := range e.health {
+		if h.group == g && now.Before(h.mark.until) {
+			n++
 		}
-		h := e.health[u.Key]
-		if h != nil && now.Before(h.mark.until) {
-			marked++
-		}
-		own = append(own, Marked{Upstream: u, Counts: e.together[u.Key].Counts})
 	}
-	if len(own) < failCap {
+	return n
+}
+
+// judge looks at those of one service that failed requests; all is how many upstreams it has here.
+func (e *Engine) judge(now time.Time, own []Marked, all int) []Marked {
+	if all < failCap {
 		return nil
 	}
-	slices.SortFunc(own, func(a, b Marked) int { return cmp.Compare(b.Failed, a.Failed) })
-	bound := failLeast + failRatio*usualFailures(own)
+	marked := e.markedIn(now, e.groupOf(own[0].Upstream))
+	slices.SortFunc(own, func(a, b Marked) int {
+		return cmp.Or(cmp.Compare(b.Failed, a.Failed), cmp.Compare(a.Upstream.Key, b.Upstream.Key))
+	})
+	bound := failLeast + failRatio*usualFailures(own, all)
 	var out []Marked
 	for _, m := range own {
-		if marked >= len(own)/failCap || float64(m.Failed) < bound {
+		if marked >= all/failCap || float64(m.Failed) < bound {
 			break
 		}
 		h := e.healthOf(m.Upstream)
@@ -177,7 +187,7 @@
 			continue
 		}
 		// What entries saw of the life before is in the counts for so long.
-		if !h.renewed.IsZero() && now.Sub(h.renewed) < evidenceSpan+shareDelay {
+		if since := m.Upstream.Renewed; !since.IsZero() && now.Sub(since) < evidenceSpan+shareDelay {
 			continue
 		}
 		// Once an upstream is named, those entries that saw no failure need a moment to say so;
@@ -195,15 +205,15 @@
 	return out
 }
 
-// usualFailures is the mean of failures at the upstreams that cannot be marked, since they
-// are not among the worst; list is in descending order.
-func usualFailures(list []Marked) float64 {
-	rest := list[len(list)/failCap:]
+// usualFailures is the mean of failures at the upstreams that cannot be marked, since they are not among the
+// worst of all; list has those that failed any, in descending order.
+func usualFailures(list []Marked, all int) float64 {
+	worst := all / failCap
 	sum := 0
-	for _, m := range rest {
+	for _, m := range list[min(worst, len(list)):] {
 		sum += m.Failed
 	}
-	return float64(sum) / float64(len(rest))
+	return float64(sum) / float64(all-worst)
 }
 
 // set marks for longer if the last mark ended a short while ago.
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -1,6 +1,7 @@
 package stoatecho
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -25,6 +26,10 @@
 	centre  stoatpaddle.DataCentreID
 }
 
+func (k groupKey) compare(o groupKey) int {
+	return cmp.Or(cmp.Compare(k.service, o.service), cmp.Compare(k.centre, o.centre))
+}
+
 // group is what this entry saw of upstreams that share a load.
 type group struct {
 	answers    recent
@@ -34,6 +39,7 @@
 	load       flowLoad
 	silence    groupSilence
 	nextTrial  time.Time // when a suspected upstream may get a flow next
+	unmet      health    // of each upstream that this entry did not meet of late
 }
 
 // trialEvery is the mean pause between two flows of this entry that find out whether suspected upstreams
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -74,8 +74,19 @@
 	preferOthers time.Time // until when new flows prefer others, since another entry waits for it
 	together     bool      // its ejection follows from what the data centre saw together
 	group        *group    // of the upstreams that share a load with it
+	met          time.Time // when it was first looked through; zero: it was not
 	taken        time.Time // when it last got a flow from here
-	renewed      time.Time // when it was heard of that the upstream started again; zero: it did not
+}
+
+// latest is when something of the upstream was last seen, sent or decided.
+func (h *health) latest() time.Time {
+	latest := h.met
+	for _, t := range [...]time.Time{h.sign, h.answer, h.taken, h.ejected, h.shunned, h.mark.until, h.waitSeen, h.preferOthers} {
+		if t.After(latest) {
+			latest = t
+		}
+	}
+	return latest
 }
 
 // heard notes a proof of life.
@@ -181,7 +192,7 @@
 	if now.Before(u.Warm) {
 		silence *= coldSilence
 	}
-	if g := e.healthOf(u).group; g.answers.weightAt(now) >= knownLeast {
+	if g := e.groupOf(u); g.answers.weightAt(now) >= knownLeast {
 		silence = max(silence, queueSilence*g.answers.mean)
 	}
 	return silence
@@ -298,11 +309,17 @@
 }
 
 func (e *Engine) newHealth(u *stoatroute.Upstream) *health {
+	return &health{life: stoatroute.LifeOf(&u.Registration), group: e.groupOf(u)}
+}
+
+// groupOf returns the group of an upstream.
+func (e *Engine) groupOf(u *stoatroute.Upstream) *group {
 	k := groupKey{service: u.Service, centre: u.DataCentre}
 	g := e.groups[k]
 	if g == nil {
 		g = &group{}
+		g.unmet.group = g
 		e.groups[k] = g
 	}
-	return &health{life: stoatroute.LifeOf(&u.Registration), group: g}
+	return g
 }
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
-	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -143,23 +143,34 @@
 	if len(e.together) == 0 {
 		return nil
 	}
-	var out []Silent
-	for _, service := range t.Services() {
-		byCentre := map[stoatpaddle.DataCentreID][]*stoatroute.Upstream{}
-		for _, u := range t.Service(service) {
-			byCentre[u.DataCentre] = append(byCentre[u.DataCentre], u)
-		}
-		for _, list := range byCentre {
-			out = append(out, e.judgeSilence(now, list, delay)...)
+	named := map[groupKey][]*stoatroute.Upstream{}
+	for k, s := range e.together {
+		if u := t.Upstream(k); s.Entries > 0 && u != nil && u.Opens() {
+			key := groupKey{service: u.Service, centre: u.DataCentre}
+			named[key] = append(named[key], u)
 		}
 	}
+	var out []Silent
+	for _, k := range slices.SortedFunc(maps.Keys(named), groupKey.compare) {
+		out = append(out, e.judgeSilence(now, named[k], len(t.Group(k.service, k.centre)), delay)...)
+	}
 	return out
 }
 
-// judgeSilence judges the upstreams of one service in one data centre, those first for which most entries wait.
-func (e *Engine) judgeSilence(now time.Time, list []*stoatroute.Upstream, delay time.Duration) []Silent {
+// judgeSilence judges upstreams of one service in one data centre for which entries wait, those first for which
+// most do; all is how many upstreams the service has there.
+func (e *Engine) judgeSilence(now time.Time, named []*stoatroute.Upstream, all int, delay time.Duration) []Silent {
 	var out []Silent
-	named, quota := e.namedSilent(now, list)
+	slices.SortFunc(named, func(a, b *stoatroute.Upstream) int {
+		return cmp.Or(cmp.Compare(e.together[b.Key].Entries, e.together[a.Key].Entries), cmp.Compare(a.Key, b.Key))
+	})
+	quota := silentQuota{upstreams: all}
+	group := e.groupOf(named[0])
+	for _, h := range e.health {
+		if h.group == group {
+			quota.count(now, h)
+		}
+	}
 	for _, u := range named {
 		h, s := e.healthOf(u), e.together[u.Key].Silence
 		if s.Ended() {
@@ -167,7 +178,7 @@
 			continue
 		}
 		// What others waited for was the life before, or this entry knows better.
-		if h.renewed.After(s.First) || h.sign.After(s.First) {
+		if u.Renewed.After(s.First) || h.sign.After(s.First) {
 			continue
 		}
 		quota.prefer(now, h)
@@ -178,32 +189,12 @@
 	return out
 }
 
-// namedSilent returns the upstreams for which entries wait, and how many may be avoided for it.
-func (e *Engine) namedSilent(now time.Time, list []*stoatroute.Upstream) ([]*stoatroute.Upstream, silentQuota) {
-	var named []*stoatroute.Upstream
-	var quota silentQuota
-	for _, u := range list {
-		quota.count(now, e.health[u.Key])
-		if e.together[u.Key].Entries > 0 {
-			named = append(named, u)
-		}
-	}
-	slices.SortFunc(named, func(a, b *stoatroute.Upstream) int {
-		return cmp.Or(cmp.Compare(e.together[b.Key].Entries, e.together[a.Key].Entries), cmp.Compare(a.Key, b.Key))
-	})
-	return named, quota
-}
-
 // silentQuota bounds how many upstreams of a group are avoided on the word of other entries: for
 // each way a third, since the others would not bear the load of more, and one entry that is
 // confused must not empty a service.
 type silentQuota struct{ upstreams, preferred, ejected int }
 
 func (q *silentQuota) count(now time.Time, h *health) {
-	q.upstreams++
-	if h == nil {
-		return
-	}
 	if now.Before(h.preferOthers) {
 		q.preferred++
 	}
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -179,6 +179,7 @@
 		}
 	}
 	e.forgetCallers()
+	e.forgetIdle(now)
 	for k, since := range e.unproven {
 		if now.Sub(since) > idleKept {
 			delete(e.unproven, k)
@@ -186,6 +187,28 @@
 	}
 }
 
+// healthKept is how long is remembered what this entry saw of an upstream with nothing in progress: longer than
+// any backoff, and than an upstream may be cold after a start.
+const healthKept = time.Minute
+
+// forgetIdle forgets what was seen of upstreams long ago: before 8,000 of a service, an entry meets all of them
+// within hours.
+func (e *Engine) forgetIdle(now time.Time) {
+	before := len(e.health)
+	for k, h := range e.health {
+		if h.met.IsZero() {
+			h.met = now
+		}
+		if h.flows+h.opening+h.busy == 0 && now.Sub(h.latest()) > healthKept {
+			delete(e.health, k)
+			delete(e.unsettled, k)
+		}
+	}
+	if len(e.health) < before {
+		e.forgetGroups()
+	}
+}
+
 // forgetCallers forgets callers whose last flow is forgotten.
 func (e *Engine) forgetCallers() {
 	for k, t := range e.last {
@@ -218,7 +241,6 @@
 		}
 		h.group.inProgress -= h.opening + h.busy
 		e.health[k] = e.newHealth(u)
-		e.health[k].renewed = now
 		e.health[k].group.silence.ended(now)
 		renewed[k] = true
 	}
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -58,6 +58,7 @@
 func (e *entry) renew(now time.Time, r *stoatpaddle.Registration) {
 	noted, service := e.noted, e.service
 	*e = *newEntry(now, r)
+	e.up.Renewed = now
 	e.noted, e.service = noted, service
 }
 
--- a/stoatroute/shards.go
+++ b/stoatroute/shards.go
@@ -24,8 +24,37 @@
 	change uint64
 }
 
-// serviceShard is a part of the services, by name, with those that may take new flows, ascending by key.
-type serviceShard map[stoatpaddle.ServiceID][]*Upstream
+// serviceShard is a part of the services, by name.
+type serviceShard map[stoatpaddle.ServiceID]openings
+
+// openings are the upstreams of a service that may take new flows.
+type openings struct {
+	all    []*Upstream // ascending by key
+	groups []Group
+}
+
+// Group is the upstreams of a service in one data centre that may take new flows, ascending by key.
+type Group struct {
+	DataCentre stoatpaddle.DataCentreID
+	Upstreams  []*Upstream
+}
+
+// newOpenings groups a list that is in ascending order.
+func newOpenings(list []*Upstream) openings {
+	out := openings{all: list}
+	place := map[stoatpaddle.DataCentreID]int{}
+	for _, u := range list {
+		i, known := place[u.DataCentre]
+		if !known {
+			i = len(out.groups)
+			place[u.DataCentre] = i
+			out.groups = append(out.groups, Group{DataCentre: u.DataCentre})
+		}
+		out.groups[i].Upstreams = append(out.groups[i].Upstreams, u)
+	}
+	slices.SortFunc(out.groups, func(x, y Group) int { return cmp.Compare(x.DataCentre, y.DataCentre) })
+	return out
+}
 
 func shardOfKey(k stoatpaddle.UpstreamKey) int { return int(k % shardCount) }
 
@@ -144,7 +173,7 @@
 			copied[i], out.services[i] = true, cloneServices(out.services[i])
 		}
 		if list := m.opening(id, out); len(list) > 0 {
-			out.services[i][id] = list
+			out.services[i][id] = newOpenings(list)
 		} else {
 			delete(out.services[i], id)
 		}
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -36,6 +36,7 @@
 	Started  bool      // it was cold when it was first heard of
 	Change   uint64    // the book's count of changes at its last one
 	Ended    time.Time // Gone: since when
+	Renewed  time.Time // when it was heard of that it started again under its id; zero: it did not
 }
 
 // Opens tells whether the upstream may take new flows.
@@ -119,7 +120,22 @@
 
 // Service returns the upstreams that may take new flows of the service, ascending by key.
 func (t *Table) Service(id stoatpaddle.ServiceID) []*Upstream {
-	return t.services[shardOfService(id)][id]
+	return t.services[shardOfService(id)][id].all
+}
+
+// Groups returns the same by data centre, in the order of their names.
+func (t *Table) Groups(id stoatpaddle.ServiceID) []Group {
+	return t.services[shardOfService(id)][id].groups
+}
+
+// Group returns those of one data centre.
+func (t *Table) Group(id stoatpaddle.ServiceID, centre stoatpaddle.DataCentreID) []*Upstream {
+	for _, g := range t.Groups(id) {
+		if g.DataCentre == centre {
+			return g.Upstreams
+		}
+	}
+	return nil
 }
 
 // Services returns the services that have upstreams which may take new flows, in any order.
