stoatroute: the table and the book share an upstream, and upstreams their names

Cause: the book had each upstream by value and each table a copy of it (316 bytes more), each with copies of its service's and data centre's names: 736 bytes an upstream, 7.4 MB at 10,000, 32 at 43,000. Now the book copies an upstream when it changes one that a table has: 498 bytes, 465 with one copy of each name. Tried: strings of decoded pages cloned, 341 bytes kept each with and without, reverted. TestLiveBytesAnUpstream fails without it.

--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -10,14 +10,15 @@
 )
 
 func newEntry(now time.Time, r *stoatpaddle.Registration) *entry {
-	return &entry{up: Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold), Started: r.Cold > 0}}
+	return &entry{up: &Upstream{Key: KeyOf(r.Target), Warm: now.Add(r.Cold), Started: r.Cold > 0}}
 }
 
 // cooled takes in how much longer the upstream says to be cold. One may become cold without a start,
 // as when its data centre was evacuated.
 func (e *entry) cooled(now time.Time, cold time.Duration) {
-	e.up.Warm = now.Add(cold)
-	e.up.Started = e.up.Started || cold > 0
+	u := e.edit()
+	u.Warm = now.Add(cold)
+	u.Started = u.Started || cold > 0
 }
 
 // Config configures a Book; zero values take the defaults.
@@ -41,7 +42,7 @@
 
 // entry is what the book has on one upstream.
 type entry struct {
-	up    Upstream
+	up    *Upstream // to read; edit returns it to change
 	until time.Time // Missing: when it counts as gone; Gone: when it is forgotten
 	held  bool      // Missing: another entry said so, and will say what became of it
 	// left is set if it said before a restore that it leaves, which no life takes back.
@@ -54,11 +55,20 @@
 	snapshot *Upstream // as the last table has it; nil: it changed since
 }
 
+// edit returns what is known of the upstream, to be changed: a copy, if a table has it.
+func (e *entry) edit() *Upstream {
+	if e.up == e.snapshot {
+		u := *e.up
+		e.up = &u
+	}
+	return e.up
+}
+
 // renew makes the entry that of another life.
 func (e *entry) renew(now time.Time, r *stoatpaddle.Registration) {
 	noted, service := e.noted, e.service
 	*e = *newEntry(now, r)
-	e.up.Renewed = now
+	e.edit().Renewed = now
 	e.noted, e.service = noted, service
 }
 
@@ -83,6 +93,7 @@
 	changes  uint64 // so many so far
 	altered  uint64 // changes when decl was adopted
 	evacuations
+	names   names
 	members members
 	table   *Table
 	dirty   bool // more than proven changed since table was made
@@ -216,7 +227,7 @@
 // changed notes that an upstream is not what it was.
 func (b *Book) changed(e *entry) {
 	b.changes++
-	e.up.Change, b.dirty = b.changes, true
+	e.edit().Change, b.dirty = b.changes, true
 	b.members.note(e)
 	if e.up.Standing >= Missing {
 		b.ending[e.up.ID] = e
@@ -255,7 +266,7 @@
 	if e == nil || revision < e.up.Revision || e.up.Standing == Gone {
 		return false
 	}
-	e.up.Revision = revision
+	e.edit().Revision = revision
 	b.end(now, e)
 	return true
 }
@@ -267,13 +278,14 @@
 	if e == nil || revision < e.up.Revision || e.up.Standing >= Missing {
 		return false
 	}
-	e.up.Revision = revision
+	e.edit().Revision = revision
 	b.miss(now, e)
 	return true
 }
 
 func (b *Book) end(now time.Time, e *entry) {
-	e.up.Standing, e.up.Ended, e.until = Gone, now, now.Add(b.cfg.Keep)
+	u := e.edit()
+	u.Standing, u.Ended, e.until = Gone, now, now.Add(b.cfg.Keep)
 	b.changed(e)
 }
 
@@ -299,7 +311,7 @@
 }
 
 func (b *Book) miss(now time.Time, e *entry) {
-	e.up.Standing, e.until, e.held = Missing, now.Add(b.cfg.Return), false
+	e.edit().Standing, e.until, e.held = Missing, now.Add(b.cfg.Return), false
 	b.changed(e)
 }
 
@@ -366,7 +378,7 @@
 	if e == nil {
 		return Upstream{}, false
 	}
-	return e.up, true
+	return *e.up, true
 }
 
 // Table returns the present snapshot. A new proof alone shares everything else with the one
@@ -414,7 +426,7 @@
 		return "", false
 	}
 	for _, o := range b.members.inShard[shardOfKey(e.up.Key)] {
-		if o != e && o.up.Key == e.up.Key && older(&o.up, &e.up) {
+		if o != e && o.up.Key == e.up.Key && older(o.up, e.up) {
 			return o.up.ID, true
 		}
 	}
--- /dev/null
+++ b/stoatroute/memory_test.go
@@ -0,0 +1,56 @@
+package stoatroute
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// fleetBook is a book with so many upstreams of two services in five data centres, whose names come from
+// messages, each in memory of its own.
+func fleetBook(n int) *Book {
+	b := NewBook(Config{})
+	b.Declare(stoatpaddle.Declaration{Version: 1}, 1)
+	names := map[stoatpaddle.UpstreamID]bool{}
+	for i := range n {
+		// Multiplied, so that keys do not follow each other (Knuth).
+		target := stoatpaddle.Target(uint32(i+1) * 2654435761)
+		id := stoatpaddle.UpstreamID(fmt.Sprintf("i-%010x", uint64(target)))
+		names[id] = true
+		b.Register(time.Unix(1000, 0), stoatpaddle.Registration{
+			ID: id, Target: target, Service: stoatpaddle.ServiceID(strings.Clone([]string{"intake-service", "application"}[i%2])),
+			DataCentre: stoatpaddle.DataCentreID(fmt.Sprint("data-centre-", i%5)),
+			Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8043), Slots: 2, Incarnation: 7, Created: stoatpaddle.Version(i + 2),
+		}, stoatpaddle.Version(i+2))
+	}
+	b.Listed(time.Unix(1000, 0), names, false)
+	return b
+}
+
+// Guards against a table that holds each upstream a second time, and names of its own in each: at 43,000
+// upstreams an entry has 25 MB.
+func TestLiveBytesAnUpstream(t *testing.T) {
+	const upstreams, most = 10000, 485
+	live := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := live()
+	b := fleetBook(upstreams)
+	table := b.Table()
+	if bytes := (live() - before) / upstreams; bytes > most {
+		t.Errorf("%d bytes an upstream, at most %d", bytes, most)
+	} else {
+		t.Logf("%d bytes an upstream", bytes)
+	}
+	runtime.KeepAlive(b)
+	runtime.KeepAlive(table)
+}
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -81,11 +81,12 @@
 		e.cooled(now, x.Cold)
 	}
 	was, standing := e.up.Standing, x.Standing
-	e.up.Registration, e.up.Revision = b.leaving(now, e, x.Registration), x.Revision
+	u := e.edit()
+	u.Registration, u.Revision = b.names.shared(b.leaving(now, e, x.Registration)), x.Revision
 	if standing == Serving {
 		standing = standingOf(&e.up.Registration)
 	}
-	e.up.Standing = standing
+	u.Standing = standing
 	switch standing {
 	case Gone:
 		b.end(now, e)
--- a/stoatroute/register.go
+++ b/stoatroute/register.go
@@ -78,7 +78,8 @@
 
 // adopt makes a registration and a standing what is known of an upstream.
 func (b *Book) adopt(e *entry, r stoatpaddle.Registration, revision stoatpaddle.Version, s Standing) {
-	e.up.Registration, e.up.Revision, e.up.Standing, e.spoiled = r, revision, s, false
+	u := e.edit()
+	u.Registration, u.Revision, u.Standing, e.spoiled = b.names.shared(r), revision, s, false
 	b.changed(e)
 }
 
@@ -106,7 +107,7 @@
 		return false
 	}
 	was, spoiled := e.up.Standing, e.spoiled || !e.up.Leaving
-	e.up.Leaving = true
+	e.edit().Leaving = true
 	b.adopt(e, e.up.Registration, revision, Leaving)
 	e.spoiled = spoiled
 	return was != Leaving
--- a/stoatroute/restore.go
+++ b/stoatroute/restore.go
@@ -28,7 +28,7 @@
 	}
 	b.revision, b.settled, b.members.staleAll = 0, now.Add(b.cfg.Return), true
 	for _, e := range b.ups {
-		e.up.Revision = 0
+		e.edit().Revision = 0
 		e.left = e.left || e.up.Leaving && !e.spoiled
 	}
 	for d, s := range b.evacuationStates {
--- a/stoatroute/shards.go
+++ b/stoatroute/shards.go
@@ -187,9 +187,9 @@
 	s := &upstreamShard{byKey: make(map[stoatpaddle.UpstreamKey]*Upstream, len(list)), held: make([]*Upstream, 0, len(list))}
 	for _, e := range list {
 		if e.snapshot == nil || m.staleAll {
-			u := e.up
+			u := e.edit()
 			u.Cap, u.ColdRate = d.Caps[u.Service], d.ColdRates[u.Service]
-			e.snapshot = &u
+			e.snapshot = u
 		}
 		u := e.snapshot
 		s.held = append(s.held, u)
--- a/stoatroute/shards_test.go
+++ b/stoatroute/shards_test.go
@@ -24,7 +24,7 @@
 func naive(b *Book) (map[stoatpaddle.UpstreamKey]Upstream, map[stoatpaddle.ServiceID][]stoatpaddle.UpstreamID) {
 	byKey := map[stoatpaddle.UpstreamKey]Upstream{}
 	for _, e := range b.ups {
-		u := e.up
+		u := *e.up
 		u.Cap, u.ColdRate = b.decl.Caps[u.Service], b.decl.ColdRates[u.Service]
 		if other, taken := byKey[u.Key]; !taken || older(&u, &other) {
 			byKey[u.Key] = u
