stoatedge, stoatsetting: the heap grows by what the machine has

Cause: a heap under 12 MB might grow to five times what lives, whatever the machine: 41 MB of own pages at 10,000 upstreams where 8 live, on machines of 120 MB. Now memory, a setting (the sheet has it), bounds it: an eighth of the machine until a collection, never under 40 per cent, never over the 400 of before; three quarters of the machine is the runtime's limit. Without the setting all is as before. TestCollector.

--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -71,7 +70,7 @@
 func Start(ctx context.Context, cfg Config) (*Edge, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	debug.SetGCPercent(collectAt(0))
+	limitMemory(cfg.Settings.MemoryBytes())
 	now := clock()
 	seed := uint64(now.UnixNano()) ^ addrSeed(cfg.Settings.Tunnel)
 	e := &Edge{
--- a/stoatedge/parts_test.go
+++ b/stoatedge/parts_test.go
@@ -148,11 +148,25 @@
 	}
 }
 
-// A small heap is collected rarely, a large one must not grow to several times its size.
+// Guards against a heap that grows to five times what lives on a machine that has no room for it, and against
+// one that is collected all the time.
 func TestCollector(t *testing.T) {
-	for live, want := range map[uint64]int{0: 400, 11 << 20: 400, 20 << 20: 200, 60 << 20: 100} {
-		if got := collectAt(live); got != want {
-			t.Errorf("%d MB: %d", live>>20, got)
+	for _, c := range []struct {
+		live, memory uint64
+		want         int
+	}{
+		{0, 0, 400},
+		{11 << 20, 0, 400},
+		{20 << 20, 0, 200},
+		{60 << 20, 0, 100},
+		{0, 120 << 20, 400},
+		{2 << 20, 120 << 20, 400},
+		{6 << 20, 120 << 20, 150},
+		{20 << 20, 120 << 20, 40},
+		{20 << 20, 280 << 20, 75},
+	} {
+		if got := collectAt(c.live, c.memory); got != c.want {
+			t.Errorf("%d of %d MB: %d", c.live>>20, c.memory>>20, got)
 		}
 	}
 }
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -250,7 +250,7 @@
 		e.post(ticked{})
 		e.giveUp(now)
 		if e.log.account(now) {
-			tuneCollector()
+			tuneCollector(e.settings().MemoryBytes())
 		}
 		if quiet, done := e.stop.done(now); done {
 			e.log.emit(now, EventStopped, stoatevent.F("quiet", quiet.String()))
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -30,6 +30,7 @@
 	Evacuate   time.Duration    // how soon an evacuation has to be in force; echo fabric only; 0: there are none
 	// Regions are the regions of data centres, for routes that allow only some; echo fabric only.
 	Regions map[stoatpaddle.DataCentreID]stoatpaddle.RegionID
+	Memory  float64       // what its machine has, MB; echo fabric only; 0: not known
 	Share   float64       // the part of a core that this instance has; echo fabric only; 0: not known
 	Life    time.Duration // how long a flow lives at most; echo fabric only
 	Return  time.Duration // how long a lapsed registration may take to come back; echo fabric only
@@ -69,6 +70,7 @@
 	defaultReturn   = 2500 * time.Millisecond
 	maxShare        = 1024
 	maxLink         = 1e6
+	maxMemory       = 1e6
 )
 
 // Bound is how soon anything that the platform says has to be in force.
@@ -82,6 +84,12 @@
 	return bound
 }
 
+// MemoryBytes is what the instance's machine has, bytes; 0: not known.
+func (s Settings) MemoryBytes() uint64 {
+	const megabyte = 1 << 20
+	return uint64(s.Memory * megabyte)
+}
+
 // Parse reads the settings, or returns *stoatpaddle.FaultsError with every fault.
 func Parse(file string, data []byte) (Settings, error) {
 	r := stoatini.Parse(file, data)
@@ -105,6 +113,7 @@
 		Regions:    regions(r.Section("regions")),
 		Share:      instance.Number("share", 0, 0, maxShare),
 		Link:       instance.Number("link", 0, 0, maxLink),
+		Memory:     instance.Number("memory", 0, 0, maxMemory),
 		Return:     r.Section("platform").Duration("return", defaultReturn),
 		Life:       r.Section("flow").Duration("life", defaultLife),
 		Platform:   r.Section("platform").AddrPort("address", defaultPlatform),
--- a/stoatsetting/template_test.go
+++ b/stoatsetting/template_test.go
@@ -25,6 +25,7 @@
 		"{{bind_addrs.datagram_addr}}", "10.1.0.10:8172", "{{bind_addrs.readiness_addr}}", "10.1.0.10:8167",
 		"{{bind_addrs.control}}", "10.1.0.10:8166", "{{forwarding_mode}}", "echo",
 		"{{#limits.cpu_share}}", "", "{{/limits.cpu_share}}", "", "{{limits.cpu_share}}", "0.4",
+		"{{#limits.memory_mb}}", "", "{{/limits.memory_mb}}", "", "{{limits.memory_mb}}", "284",
 		"{{#limits.link_mbps}}", "", "{{/limits.link_mbps}}", "", "{{limits.link_mbps}}", "1000.0",
 		"{{#bounds.drain_ms}}", "", "{{/bounds.drain_ms}}", "", "{{bounds.drain_ms}}", "3000",
 		"{{#bounds.evacuate_ms}}", "", "{{/bounds.evacuate_ms}}", "", "{{bounds.evacuate_ms}}", "5000",
@@ -38,7 +39,7 @@
 		t.Errorf("filled in:\n%s", body)
 	}
 	set, err := stoatsetting.Parse("entry.ini", []byte(text))
-	if err != nil || set.Fabric != stoatsetting.FabricEcho || len(set.Seeds) != 3 || set.Share != 0.4 || set.Link != 1000 || set.Bound() != 3*time.Second || !set.Metrics.IsValid() ||
+	if err != nil || set.Fabric != stoatsetting.FabricEcho || len(set.Seeds) != 3 || set.Share != 0.4 || set.Link != 1000 || set.MemoryBytes() != 284<<20 || set.Bound() != 3*time.Second || !set.Metrics.IsValid() ||
 		set.Evacuate != 5*time.Second || set.Regions["seeb"] != "muscat" || len(set.Regions) != 2 {
 		t.Errorf("%+v %v", set, err)
 	}
