stoatedge: a long list waits for a parent

Now an entry that is no seed reads four pages, and the rest only if nobody told it within one to three seconds; the first of these read on and have children. Lists of hundreds of upstreams and seeds are as before. TestLongListWaitsForAParent fails without it.

--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -22,6 +22,12 @@
 	// while it looks for a parent: the search takes some tens of milliseconds, and a watch that is given
 	// up then is paid for like any other. Its lists are older by that at most, once in a life.
 	parentWait = time.Second
+	// readyPages is how many pages of a list an entry reads before it has a parent: a deployment of hundreds of
+	// upstreams is known some tens of milliseconds after a start, whether anybody is left to ask or not.
+	readyPages = 4
+	// pagesWait is how long it waits for a parent with the rest, and up to twice as long at random. Each page is
+	// paid for by each entry; those whose wait ends first read all, and have children then.
+	pagesWait = time.Second
 )
 
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
@@ -57,6 +63,8 @@
 	table           *stoatroute.Table
 	announced       announcement // as last said to others
 	rung            rung
+	listPages       [topicCount]int     // of the list under way, read so far
+	pagesAfter      time.Time           // until when further pages wait for a parent
 	former          []stoatroute.Former // as the platform kept it when this entry started
 	changes         []standingChange    // of the present step, to be logged
 	out             []any               // effects of the present step
@@ -96,6 +104,7 @@
 	switch x := ev.(type) {
 	case started:
 		k.begun, k.heard = now, now
+		k.pagesAfter = now.Add(pagesWait + time.Duration(k.rnd.Int64N(int64(2*pagesWait))))
 		for _, t := range k.topics {
 			k.ask(now, t)
 		}
@@ -145,10 +154,18 @@
 	if !c.List && c.Wait > time.Millisecond && k.follow.allowed && k.follow.parent == "" {
 		c.Pause = max(c.Pause, k.begun.Add(parentWait).Sub(now))
 	}
+	if c.List && c.After != "" && k.waitsForParent(t) {
+		c.Pause = max(c.Pause, k.pagesAfter.Sub(now))
+	}
 	k.waiting[t], k.pending[t] = !c.List && c.Wait > time.Millisecond, true
 	k.do(ask{topic: t, call: c})
 }
 
+// waitsForParent tells whether the next page of a list can wait for somebody who has it all.
+func (k *keeper) waitsForParent(t topic) bool {
+	return !k.ready && k.follow.allowed && k.listPages[t] >= readyPages
+}
+
 // doubt has a topic asked at once, exactly.
 func (k *keeper) doubt(now time.Time, t topic) {
 	k.feeds[t].Doubt()
@@ -194,6 +211,7 @@
 	}
 	if x.result.Outcome == stoatfeed.Answered {
 		k.heard = now
+		k.countPage(&x)
 	}
 	f := k.feeds[x.topic]
 	failing := f.Failing()
--- a/stoatedge/keeper_test.go
+++ b/stoatedge/keeper_test.go
@@ -188,6 +188,40 @@
 	}
 }
 
+// Guards against a fleet in which each entry that starts reads all pages of a long list, each of them paid for:
+// after a few it waits for a parent, which sends the rest, and reads on if none comes.
+func TestLongListWaitsForAParent(t *testing.T) {
+	page := func(s *session, i int) {
+		s.end(upstreams, stoatfeed.Result{AsOf: at(10), More: true, Last: string(rune('a' + i))}, registered(stoatpaddle.UpstreamID(rune('a'+i)), stoatpaddle.Target(i+1), 6))
+	}
+	for name, c := range map[string]struct {
+		follows bool
+		pages   int
+		waits   bool
+	}{
+		"a short list":          {true, readyPages - 1, false},
+		"a long one":            {true, readyPages, true},
+		"a long one, of a seed": {false, readyPages, false},
+	} {
+		s := startSession(t, true, c.follows)
+		s.answer(declarations, 10, declared(1, 5))
+		for i := range c.pages {
+			page(s, i)
+		}
+		pause := s.calls[upstreams].Pause
+		if waits := pause >= pagesWait; waits != c.waits || pause > 3*pagesWait {
+			t.Error(name, "waits", pause)
+		}
+		if !c.waits {
+			continue
+		}
+		s.tell(update{from: "10.0.0.2:1", whole: true, known: at(10)}, declared(1, 5), registered("i-1", 1, 6))
+		if !s.table.Ready() || s.calls[upstreams] != nil && s.calls[upstreams].List {
+			t.Error(name, "is read on though a parent has told all")
+		}
+	}
+}
+
 // The platform is away. Afterwards the watch of upstreams would say that both ended: their
 // registrations lapsed meanwhile. Neither may be taken for gone; one comes back, the other
 // does not and is gone two seconds later.
--- a/stoatedge/lists.go
+++ b/stoatedge/lists.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// countPage counts the pages of the list under way.
+func (k *keeper) countPage(x *ended) {
+	switch {
+	case !x.call.List || !x.result.More:
+		k.listPages[x.topic] = 0
+	case x.call.After == "":
+		k.listPages[x.topic] = 1
+	default:
+		k.listPages[x.topic]++
+	}
+}
+
 // complete compares a finished list with what was known.
 func (k *keeper) complete(now time.Time, x ended, v stoatfeed.Verdict) {
 	if !x.call.List {
