--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -172,7 +172,7 @@
 func (e *Engine) InProgress(now time.Time) []InProgress {
 	out := make([]InProgress, 0, len(e.health))
 	for k, h := range e.health {
-		out = append(out, InProgress{Upstream: k, Flows: h.flows, Requests: h.busy, Mean: h.usual.mean, Ejected: h.isEjected(now), Failing: now.Before(h.mark.until), Avoided: now.Before(h.shunned) || now.Before(h.preferOthers)})
+		out = append(out, InProgress{Upstream: k, Flows: h.flows, Requests: h.busy, Mean: h.usual.mean, Ejected: h.isEjected(now), Failing: now.Before(h.mark.until), Avoided: h.avoidance.active(now) || now.Before(h.preferOthers)})
 	}
 	return out
 }
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -60,10 +60,9 @@
 // hears many times a second. So two upstreams that leave openings unanswered while none of the group
 // gave a sign send new flows to other data centres, if these answer. Open flows go on.
 type groupSilence struct {
-	heard   time.Time     // the last sign of any of the group
-	last    *health       // the upstream that left an opening unanswered last, without a sign of the group since
-	until   time.Time     // until when new flows prefer other data centres
-	backoff time.Duration // the last one
+	heard     time.Time // the last sign of any of the group
+	last      *health   // the upstream that left an opening unanswered last, without a sign of the group since
+	avoidance backoff   // new flows prefer other data centres
 }
 
 // groupBackoffLeast and groupBackoffMost bound how long flows prefer others until some of them find
@@ -79,9 +78,9 @@
 	case !sent.After(s.heard):
 	case s.last == nil:
 		s.last = h
-	case h != s.last && !now.Before(s.until):
-		s.backoff = longer(s.backoff, groupBackoffLeast, groupBackoffMost)
-		s.until, s.last = now.Add(s.backoff), nil
+	case h != s.last && !s.avoidance.active(now):
+		s.avoidance.begin(now, groupBackoffLeast, groupBackoffMost)
+		s.last = nil
 	}
 }
 
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -14,10 +14,10 @@
 	// 200 ms, which is as late as a request may be.
 	patienceLeast = 20 * time.Millisecond
 	patienceMost  = 150 * time.Millisecond
-	// shunLeast and shunMost bound how long an upstream that let an opening go unanswered
+	// avoidLeast and avoidMost bound how long an upstream that let an opening go unanswered
 	// gets no flows while others can take them; each time doubles it, a sign ends it.
-	shunLeast = 400 * time.Millisecond
-	shunMost  = 3200 * time.Millisecond
+	avoidLeast = 400 * time.Millisecond
+	avoidMost  = 3200 * time.Millisecond
 	// answerPatience is the same for a request: twice the slowest usual one.
 	answerPatience = 500 * time.Millisecond
 	// repeatLeast is the least time between a packet and its copy that counts as a repeat:
@@ -50,24 +50,22 @@
 // health is what this entry saw of one upstream: callers' packets only, for the answers
 // go past it.
 type health struct {
-	flows        int           // open ones that this entry saw
-	busy         int           // requests without an answer
-	opening      int           // openings without their caller's next packet
-	sign         time.Time     // last proof of life: a caller acknowledged something new
-	answer       time.Time     // last answer to a request, the surest sign
-	openFrom     time.Time     // since when an opening waits, without a sign since
-	busyFrom     time.Time     // since when a request waits, without a sign since
-	usual        leastMean     // from a request to its answer
-	recent       recent        // the same, of answers of late
-	beside       float64       // mean of requests in progress from here, itself included, when it was asked
-	repeats      int           // repeated packets since the last sign
-	ejected      time.Time     // until when it gets no flows; zero: a sign came since
-	ejection     time.Duration // the last one
-	trial        bool          // it got a flow after an ejection and has not answered
-	shunned      time.Time     // until when it gets no flows while others can take them
-	shun         time.Duration // the last one
-	window       window        // requests of late
-	mark         mark          // it fails requests
+	flows        int       // open ones that this entry saw
+	busy         int       // requests without an answer
+	opening      int       // openings without their caller's next packet
+	sign         time.Time // last proof of life: a caller acknowledged something new
+	answer       time.Time // last answer to a request, the surest sign
+	openFrom     time.Time // since when an opening waits, without a sign since
+	busyFrom     time.Time // since when a request waits, without a sign since
+	usual        leastMean // from a request to its answer
+	recent       recent    // the same, of answers of late
+	beside       float64   // mean of requests in progress from here, itself included, when it was asked
+	repeats      int       // repeated packets since the last sign
+	ejection     backoff   // it gets no flows
+	trial        bool      // it got a flow after an ejection and has not answered
+	avoidance    backoff   // it gets no flows while others can take them
+	window       window    // requests of late
+	mark         mark      // it fails requests
 	life         stoatroute.Life
 	waitFrom     time.Time // since when this entry waits for it in vain, as it reports; zero: it does not
 	waitSeen     time.Time // when the latest unanswered packet was noted
@@ -81,7 +79,7 @@
 // latest is when something of the upstream was last seen, sent or decided.
 func (h *health) latest() time.Time {
 	latest := h.met
-	for _, t := range [...]time.Time{h.sign, h.answer, h.taken, h.ejected, h.shunned, h.mark.until, h.waitSeen, h.preferOthers} {
+	for _, t := range [...]time.Time{h.sign, h.answer, h.taken, h.ejection.until, h.avoidance.until, h.mark.until, h.waitSeen, h.preferOthers} {
 		if t.After(latest) {
 			latest = t
 		}
@@ -92,14 +90,10 @@
 // heard notes a proof of life.
 func (h *health) heard(now time.Time) {
 	h.sign, h.openFrom, h.busyFrom = now, now, now
-	h.repeats, h.trial, h.ejected, h.ejection = 0, false, time.Time{}, 0
-	h.shunned, h.shun = time.Time{}, 0
+	h.repeats, h.trial, h.ejection, h.avoidance = 0, false, backoff{}, backoff{}
 	h.waitFrom, h.preferOthers, h.together = time.Time{}, time.Time{}, false
 }
 
-// longer returns the backoff that follows the last one: twice as long, within bounds.
-func longer(last, least, most time.Duration) time.Duration { return min(most, max(least, 2*last)) }
-
 // missed notes that an opening sent at that time went unanswered for good. A machine whose
 // server crashed refuses openings towards the caller, past this entry; the caller is back
 // within milliseconds, and would be sent there again.
@@ -107,8 +101,7 @@
 	if h.sign.After(sent) {
 		return
 	}
-	h.shun = longer(h.shun, shunLeast, shunMost)
-	h.shunned = now.Add(h.shun)
+	h.avoidance.begin(now, avoidLeast, avoidMost)
 }
 
 // silence is how long the upstream has owed an answer.
@@ -149,7 +142,7 @@
 
 // slowToAnswer tells whether new flows should rather go elsewhere for now.
 func (h *health) slowToAnswer(now time.Time, patience time.Duration) bool {
-	return h.trial || now.Before(h.group.silence.until) || now.Before(h.shunned) || now.Before(h.preferOthers) || now.Before(h.mark.until) ||
+	return h.trial || h.group.silence.avoidance.active(now) || h.avoidance.active(now) || now.Before(h.preferOthers) || now.Before(h.mark.until) ||
 		h.opening > 0 && now.Sub(h.openFrom) > patience || h.busy > 0 && now.Sub(h.busyFrom) > answerPatience
 }
 
@@ -177,9 +170,9 @@
 }
 
 // suspected tells whether the upstream let packets go unanswered and gave no sign since.
-func (h *health) suspected() bool { return !h.ejected.IsZero() || h.shun > 0 }
+func (h *health) suspected() bool { return h.ejection.begun() || h.avoidance.begun() }
 
-func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejected) }
+func (h *health) isEjected(now time.Time) bool { return h.ejection.active(now) }
 
 // silenceOf is how long the upstream may be silent: longer where its like take long to answer.
 //
@@ -214,8 +207,7 @@
 
 // eject keeps new flows away, for longer each time.
 func (h *health) eject(now time.Time) {
-	h.ejection = longer(h.ejection, ejectLeast, ejectMost)
-	h.ejected = now.Add(h.ejection)
+	h.ejection.begin(now, ejectLeast, ejectMost)
 	h.trial = false
 }
 
@@ -225,7 +217,7 @@
 	}
 	h.opening++
 	h.group.inProgress++
-	h.trial = !h.ejected.IsZero() && !h.isEjected(now)
+	h.trial = h.ejection.begun() && !h.isEjected(now)
 }
 
 func (h *health) asked(now time.Time) {
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -240,6 +240,6 @@
 	}
 	h.preferOthers = time.Time{}
 	if h.together {
-		h.ejected, h.ejection, h.together = time.Time{}, 0, false
+		h.ejection, h.together = backoff{}, false
 	}
 }
