--- a/deploy/regress.sh
+++ b/deploy/regress.sh
@@ -32,7 +32,8 @@
 [ -x "$bench" ] || { echo "no program at $bench" >&2; exit 2; }
 
 [ -n "$sites" ] || sites="further/kitamura-sapporo further-grown/kitamura-sapporo-grown grown/sawt-muscat-grown
-	grown/barrilete-edge-grown shifted/sawt-muscat-now-grown large/sawt-muscat-large"
+	grown/barrilete-edge-grown shifted/sawt-muscat-now-grown large/sawt-muscat-large
+	demands/filcon-bal-grown demands/esteira-sul-grown"
 [ -z "$all" ] || sites="$sites sites/sawt-muscat sites/barrilete-edge"
 
 work=$(mktemp -d)
