stoatecho, stoatroute, stoatmeasure: full upstreams cost more, less urgent openings give way

Cause: under six times the traffic of requests on long flows nothing is late, and who finds a queue full is turned away. Ruled out: lateness (admission refused nobody), the cap on flows (resets begin at 30 outstanding requests, not at 2,000). Now: the delay aside in what counts as quick, a first packet is never short, an upstream that refused of late costs up to nine times as much, and openings of routes with a more urgent one beside them give way from 0.3 refusals on.

--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -58,6 +58,8 @@
 	Busy  int
 	Mean  time.Duration
 	Bound time.Duration
+	// TurnedAway is which part of their requests of late the upstreams refused, where the flow gave way for it.
+	TurnedAway float64
 	// Excluded counts the upstreams that might not get the flow, where it was refused.
 	Excluded Excluded
 	// Ejected is the upstream that gets no flows for a while, on the packet's evidence, or nil.
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -36,6 +36,7 @@
 	usual      leastMean
 	inProgress int     // openings and requests from here
 	refused    float64 // share of openings of late that were refused for overload
+	turnedAway float64 // share of answers of late that were refusals
 	load       flowLoad
 	silence    groupSilence
 	nextTrial  time.Time // when a suspected upstream may get a flow next
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -58,6 +58,7 @@
 	openFrom     time.Time // since when an opening waits, without a sign since
 	busyFrom     time.Time // since when a request waits, without a sign since
 	usual        leastMean // from a request to its answer
+	full         full      // it turned requests away
 	recent       recent    // the same, of answers of late
 	beside       float64   // mean of requests in progress from here, itself included, when it was asked
 	repeats      int       // repeated packets since the last sign
@@ -283,6 +284,7 @@
 	if now.Before(u.Warm) {
 		c *= coldPenalty
 	}
+	c *= h.full.penalty(now)
 	if h.slowToAnswer(now, patience) {
 		c *= slowPenalty
 	}
--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -36,6 +36,10 @@
 	if !admitted {
 		return e.refuse(a, stoatpacket.DropOverload)
 	}
+	if e.yields(r, h.group) {
+		a.TurnedAway = h.group.turnedAway
+		return e.refuse(a, stoatpacket.DropOverload)
+	}
 	a.Moved = a.Moved && a.Upstream.Key != except
 	if a.Moved {
 		e.stats.Moved++
--- a/stoatecho/shed.go
+++ b/stoatecho/shed.go
@@ -22,6 +22,11 @@
 	// others quick.
 	shortShare = 0.5
 	quickShare = 0.5
+	// ackDelay is how long callers may keep the acknowledgement of a single packet back (RFC 1122, 4.2.3.2), which
+	// is in the time of each answer that is one packet: quick is what is left.
+	ackDelay = 45 * time.Millisecond
+	// onePacket is the data of a full packet: a first acknowledgement may cover no more of a long answer.
+	onePacket = 1200
 	// sizeWeight is the share of the newest answer in a route's usual size; that of a short one is
 	// smaller, so that refusals do not become usual within a burst, and a route whose answers have
 	// become short is followed within some thousands.
@@ -34,6 +39,7 @@
 
 // short takes in an answer's size, and tells whether it is much shorter than usual.
 func (s answerSizes) short(r *stoatroute.Route, bytes uint32) bool {
+	bytes = min(bytes, onePacket)
 	usual, known := s[r.Listen]
 	if !known {
 		s[r.Listen] = float64(bytes)
@@ -53,7 +59,7 @@
 	if least == 0 {
 		least = h.group.answers.mean
 	}
-	return e.sizes.short(r, bytes) && took < time.Duration(quickShare*float64(least))
+	return e.sizes.short(r, bytes) && took < ackDelay+time.Duration(quickShare*float64(max(0, least-ackDelay)))
 }
 
 // refused notes that the upstream turned a request away: it is as full as its answers were slow.
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -70,8 +70,12 @@
 	switch {
 	case e.turnedAway(r, h, took, bytes):
 		h.refused(now)
+		h.group.replied(true)
+		h.full.replied(now, true)
 		e.stats.TurnedAway++
 	default:
+		h.group.replied(false)
+		h.full.replied(now, false)
 		h.answered(now, took, f.beside)
 		// One that has just started is slow without a queue.
 		if !now.Before(u.Warm) {
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -87,7 +87,7 @@
 	EventReset = stoatevent.Register(stoatevent.Entry{
 		Number: 1411, Severity: stoatevent.Info, Since: "0.2",
 		Title: "flow reset",
-		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it; evacuated, outside and cold count those that might not get it: their data centre is evacuated, it is in no region that the route allows, they are cold and bear no more), gone (the platform says that its upstream has ended; waited says that its caller waited for an answer, and no packet of the flow was needed), overload (the mean answer of the best upstream is over bound, so that it would be late), young (no configuration yet).",
+		Text:  "The caller was told at once that its flow cannot go on, or cannot open; reason says why: route (no route has the address), upstream (none can take it; evacuated, outside and cold count those that might not get it: their data centre is evacuated, it is in no region that the route allows, they are cold and bear no more), gone (the platform says that its upstream has ended; waited says that its caller waited for an answer, and no packet of the flow was needed), overload (the mean answer of the best upstream is over bound, so that it would be late; or, with turned, a more urgent route shares the service, whose upstreams turned that part of their requests of late away), young (no configuration yet).",
 	})
 	EventDropped = stoatevent.Register(stoatevent.Entry{
 		Number: 1412, Severity: stoatevent.Info, Since: "0.2",
--- a/stoatedge/run_former.go
+++ b/stoatedge/run_former.go
@@ -16,9 +16,8 @@
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
-// Which services routes had before is kept at the platform. The configuration says only what they have now,
-// and after a power loss of all entries nobody else knows: flows that opened at the service before would be
-// taken for forged.
+// Which services routes had before is kept at the platform: the configuration says what they have now, and after a
+// power loss of all entries nobody else knows. Flows at the service before would be taken for forged.
 
 // formerRef names the object.
 var formerRef = stoatpaddle.Ref{Kind: stoatpaddle.ObjectRoutes, Name: "former"}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -135,6 +135,9 @@
 		if a.Reason == stoatpacket.DropOverload {
 			fields = append(fields, append(loadFields(a), stoatevent.F("bound", a.Bound.Round(time.Millisecond).String()))...)
 		}
+		if a.TurnedAway > 0 {
+			fields = append(fields, stoatevent.F("turned", strconv.FormatFloat(a.TurnedAway, 'f', 2, 64)))
+		}
 		if a.Reason == stoatpacket.DropNoUpstream {
 			fields = append(fields, excludedFields(&a.Excluded)...)
 		}
--- a/stoatmeasure/overload.go
+++ b/stoatmeasure/overload.go
@@ -54,11 +54,29 @@
 	// Objective is how soon an answer has to come, as entries know it; 0: they refuse nobody for being late.
 	Objective time.Duration
 	Seed      uint64
+	// Long has callers keep flows for many requests, before upstreams of two slots and a queue of eight.
+	Long bool
+	// Hanging is the part of the upstreams that never answer six of ten requests.
+	Hanging float64
 }
 
 // capacity is how many requests a second the upstreams can do.
 func (c OverloadConfig) capacity() float64 {
-	return float64(c.Upstreams) * overloadSlots / overloadWork.Seconds()
+	return float64(c.Upstreams) * float64(c.slots()) / overloadWork.Seconds()
+}
+
+func (c OverloadConfig) slots() int {
+	if c.Long {
+		return longSlots
+	}
+	return overloadSlots
+}
+
+func (c OverloadConfig) queue() int {
+	if c.Long {
+		return longQueue
+	}
+	return overloadQueue
 }
 
 // Outcomes count the requests of one route.
@@ -106,10 +124,12 @@
 	book    *stoatroute.Book
 	servers map[stoatpaddle.UpstreamID]*overloadServer
 	port    int
+	idle    map[netip.AddrPort][]*longFlow // open flows without a request
 	out     Overload
 }
 
 type overloadServer struct {
+	hangs   bool
 	running int
 	queue   []func()
 }
@@ -117,7 +137,7 @@
 func newOverloadModel(cfg OverloadConfig) *overloadModel {
 	m := &overloadModel{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), book: stoatroute.NewBook(stoatroute.Config{}),
-		servers: map[stoatpaddle.UpstreamID]*overloadServer{},
+		servers: map[stoatpaddle.UpstreamID]*overloadServer{}, idle: map[netip.AddrPort][]*longFlow{},
 	}
 	to := []stoatpaddle.Backend{{Service: "app", Weight: 1}}
 	m.book.Declare(stoatpaddle.Declaration{Version: 1, Routes: []stoatpaddle.Route{
@@ -127,9 +147,9 @@
 	names := map[stoatpaddle.UpstreamID]bool{}
 	for i := range cfg.Upstreams {
 		id := stoatpaddle.UpstreamID(fmt.Sprintf("i-%d", i+1))
-		m.servers[id], names[id] = &overloadServer{}, true
+		m.servers[id], names[id] = &overloadServer{hangs: float64(i) < cfg.Hanging*float64(cfg.Upstreams)}, true
 		m.book.Register(overloadEpoch, stoatpaddle.Registration{
-			ID: id, Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "here", Slots: overloadSlots, Created: stoatpaddle.Version(i + 2),
+			ID: id, Target: stoatpaddle.Target(i + 1), Service: "app", DataCentre: "here", Slots: cfg.slots(), Created: stoatpaddle.Version(i + 2),
 		}, stoatpaddle.Version(i+2))
 	}
 	m.book.Listed(overloadEpoch, names, false)
@@ -180,6 +200,10 @@
 				out, listen = &m.out.Stages[stage][1], urgentListen
 			}
 			out.Asked++
+			if m.cfg.Long {
+				m.ask(listen, out, m.q.now)
+				return
+			}
 			m.try(listen, out, m.q.now, 1)
 		})
 	}
@@ -225,25 +249,35 @@
 	})
 }
 
+// ended frees a slot for the next request of the queue.
+func (s *overloadServer) ended() {
+	s.running--
+	if len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		next()
+	}
+}
+
 // serve runs one request, now or from the queue, or turns it away.
 func (m *overloadModel) serve(s *overloadServer, done func(ran bool)) {
 	var begin func()
 	begin = func() {
 		s.running++
+		if s.hangs && m.rnd.Float64() < hangShare {
+			// Nobody hears of it again; its slot is free when its caller gives up.
+			m.q.after(longDeadline, func() { s.ended() })
+			return
+		}
 		m.q.after(time.Duration(float64(overloadWork)*(0.5+m.rnd.Float64())), func() {
-			s.running--
-			if len(s.queue) > 0 {
-				next := s.queue[0]
-				s.queue = s.queue[1:]
-				next()
-			}
+			s.ended()
 			done(true)
 		})
 	}
 	switch {
-	case s.running < overloadSlots:
+	case s.running < m.cfg.slots():
 		begin()
-	case len(s.queue) < overloadQueue:
+	case len(s.queue) < m.cfg.queue():
 		s.queue = append(s.queue, begin)
 	default:
 		m.q.after(overloadTrip, func() { done(false) })
--- a/stoatroute/book.go
+++ b/stoatroute/book.go
@@ -137,10 +137,10 @@
 		return false
 	}
 	routes := make(map[netip.AddrPort]*Route, len(d.Routes))
-	least := leastUrgent(d.Routes)
+	priorities := prioritiesOf(d.Routes)
 	b.changes++
 	for _, r := range d.Routes {
-		n := &Route{Route: r, Urgent: least.over(&r), Change: b.changes, had: map[stoatpaddle.ServiceID]bool{}}
+		n := &Route{Route: r, Urgent: priorities.urgent(&r), Yields: priorities.yields(&r), Change: b.changes, had: map[stoatpaddle.ServiceID]bool{}}
 		// A route that moved to another service keeps the open flows at the one before.
 		if old := b.routes[r.Listen]; old != nil {
 			if sameRoute(&old.Route, &r) {
@@ -165,11 +165,9 @@
 	return true
 }
 
-// Recall takes in what services routes had before, as another entry knows it that is no later than this one:
-// its routes, and what these had. Flows that opened there go on. It tells whether that is news.
-//
-// The failure: an entry starts after a route moved to another service. It reads the configuration from the
-// platform, which says nothing of the service before, and takes the cookies of all flows there for forged.
+// Recall takes in which services routes had, by a configuration that is no later than the one in force, and tells
+// whether that is news. Without it, an entry that starts after a route moved to another service would take the
+// cookies of flows at the service before for forged.
 func (b *Book) Recall(routes []stoatpaddle.Route) bool {
 	var recalled []*Route
 	for i := range routes {
@@ -234,30 +232,6 @@
 	}
 }
 
-// priorityOf holds the least urgent priority, which is the highest number, of the routes to
-// each service.
-type priorityOf map[stoatpaddle.ServiceID]int
-
-func leastUrgent(routes []stoatpaddle.Route) priorityOf {
-	least := priorityOf{}
-	for _, r := range routes {
-		for _, b := range r.Backends {
-			least[b.Service] = max(least[b.Service], r.Priority)
-		}
-	}
-	return least
-}
-
-// over tells whether a less urgent route shares a service with r.
-func (p priorityOf) over(r *stoatpaddle.Route) bool {
-	for _, b := range r.Backends {
-		if r.Priority < p[b.Service] {
-			return true
-		}
-	}
-	return false
-}
-
 // Remove takes in that a registration ended while the platform answered.
 func (b *Book) Remove(now time.Time, id stoatpaddle.UpstreamID, revision stoatpaddle.Version) bool {
 	e := b.ups[id]
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -48,6 +48,7 @@
 type Route struct {
 	stoatpaddle.Route
 	Urgent bool                           // a less urgent route shares its service
+	Yields bool                           // a more urgent route shares its service
 	Change uint64                         // the book's count of changes at its last one
 	had    map[stoatpaddle.ServiceID]bool // services that it ever had here
 }
