--- a/stoatecho/yield.go
+++ b/stoatecho/yield.go
@@ -7,9 +7,9 @@
 // served. An opening that is refused has not run, and its caller may come back.
 const (
 	// yieldFrom and yieldAll are the shares of answers that are refusals from which some and at which all openings
-	// of a less urgent route give way. Below the first, a caller with three tries fails once in forty; at the
-	// second, one in five of the urgent ones does.
-	yieldFrom, yieldAll = 0.30, 0.60
+	// of a less urgent route give way. Below the first, a caller with three tries fails once in three hundred; at
+	// the second, one in sixteen of the urgent ones does.
+	yieldFrom, yieldAll = 0.15, 0.40
 	// turnedAwayWeight is the weight of the newest answer in the share of refusals: an entry that hears fifty
 	// answers a second of a service follows the load within half a second.
 	turnedAwayWeight = 1.0 / 24
--- a/stoatecho/yield_test.go
+++ b/stoatecho/yield_test.go
@@ -60,7 +60,7 @@
 	}{
 		"nobody is turned away":  {func(int) bool { return false }, [2]float64{1, 1}, [2]float64{1, 1}},
 		"one in ten is":          {func(i int) bool { return i%10 == 0 }, [2]float64{0.9, 1}, [2]float64{1, 1}},
-		"half are":               {func(i int) bool { return i%2 == 0 }, [2]float64{0.1, 0.6}, [2]float64{1, 1}},
+		"half are":               {func(i int) bool { return i%2 == 0 }, [2]float64{0, 0.1}, [2]float64{1, 1}},
 		"nine in ten are":        {func(i int) bool { return i%10 != 0 }, [2]float64{0, 0}, [2]float64{1, 1}},
 		"half were, a while ago": {func(i int) bool { return i < 100 && i%2 == 0 }, [2]float64{1, 1}, [2]float64{1, 1}},
 	} {
