stoatecho: upstreams that have gone are not in the bound of those that get no flows

Cause: since the judgement goes by what this entry met, one that had gone, with flows remembered for up to 20 s, counted among the third that may be marked or ejected: the next that fails would go on getting flows. Found by reading. TestGoneUpstreamsAreNotInTheBound fails without it.

--- a/stoatecho/evidence.go
+++ b/stoatecho/evidence.go
@@ -149,28 +149,35 @@
 	}
 	var out []Marked
 	for _, service := range slices.Sorted(maps.Keys(named)) {
-		out = append(out, e.judge(now, named[service], len(t.Group(service, e.cfg.DataCentre)))...)
+		out = append(out, e.judge(now, t, named[service])...)
 	}
 	return out
 }
 
-// markedIn counts the upstreams of a group that are marked.
-func (e *Engine) markedIn(now time.Time, g *group) int {
-	n := 0
-	for _, h := range e.health {
-		if h.group == g && now.Before(h.mark.until) {
-			n++
+// eachMet calls do with what is known of each upstream of a group that may take new flows.
+func (e *Engine) eachMet(t *stoatroute.Table, g *group, do func(h *health)) {
+	for k, h := range e.health {
+		if h.group != g {
+			continue
+		}
+		if u := t.Upstream(k); u != nil && u.Opens() {
+			do(h)
 		}
 	}
-	return n
 }
 
-// judge looks at those of one service that failed requests; all is how many upstreams it has here.
-func (e *Engine) judge(now time.Time, own []Marked, all int) []Marked {
+// judge looks at those of one service that failed requests.
+func (e *Engine) judge(now time.Time, t *stoatroute.Table, own []Marked) []Marked {
+	all := len(t.Group(own[0].Upstream.Service, e.cfg.DataCentre))
 	if all < failCap {
 		return nil
 	}
-	marked := e.markedIn(now, e.groupOf(own[0].Upstream))
+	marked := 0
+	e.eachMet(t, e.groupOf(own[0].Upstream), func(h *health) {
+		if now.Before(h.mark.until) {
+			marked++
+		}
+	})
 	slices.SortFunc(own, func(a, b Marked) int {
 		return cmp.Or(cmp.Compare(b.Failed, a.Failed), cmp.Compare(a.Upstream.Key, b.Upstream.Key))
 	})
--- a/stoatecho/evidence_test.go
+++ b/stoatecho/evidence_test.go
@@ -122,6 +122,27 @@
 	}
 }
 
+// Guards against marks of upstreams that have gone, on which flows are still remembered, that use up the bound: the
+// next one that fails would go on getting flows.
+func TestGoneUpstreamsAreNotInTheBound(t *testing.T) {
+	w := six(t)
+	w.flowTo(1)
+	w.flowTo(2)
+	bad, good := stoatoutlier.Counts{Answered: 40, Failed: 40}, stoatoutlier.Counts{Answered: 60}
+	if got := w.told(map[stoatpaddle.Target]stoatoutlier.Counts{1: bad, 2: bad, 4: good, 5: good, 6: good, 7: good}); len(got) != 2 {
+		t.Fatal("marked", got)
+	}
+	for _, id := range []stoatpaddle.UpstreamID{"i-1", "i-2"} {
+		w.rev++
+		w.book.Remove(w.now, id, w.rev)
+	}
+	w.e.Retain(w.now, w.book.Table())
+	got := w.told(map[stoatpaddle.Target]stoatoutlier.Counts{4: bad, 5: good, 6: good, 7: good})
+	if diff := cmp.Diff([]stoatpaddle.UpstreamID{"i-4"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // An upstream is named for the first time: those entries that saw no failure have not said
 // yet that they saw answers, so that it seems to fail most of its requests.
 func TestFirstCountsAreNotEnough(t *testing.T) {
--- a/stoatecho/silent.go
+++ b/stoatecho/silent.go
@@ -152,25 +152,20 @@
 	}
 	var out []Silent
 	for _, k := range slices.SortedFunc(maps.Keys(named), groupKey.compare) {
-		out = append(out, e.judgeSilence(now, named[k], len(t.Group(k.service, k.centre)), delay)...)
+		out = append(out, e.judgeSilence(now, t, named[k], delay)...)
 	}
 	return out
 }
 
 // judgeSilence judges upstreams of one service in one data centre for which entries wait, those first for which
-// most do; all is how many upstreams the service has there.
-func (e *Engine) judgeSilence(now time.Time, named []*stoatroute.Upstream, all int, delay time.Duration) []Silent {
+// most do.
+func (e *Engine) judgeSilence(now time.Time, t *stoatroute.Table, named []*stoatroute.Upstream, delay time.Duration) []Silent {
 	var out []Silent
 	slices.SortFunc(named, func(a, b *stoatroute.Upstream) int {
 		return cmp.Or(cmp.Compare(e.together[b.Key].Entries, e.together[a.Key].Entries), cmp.Compare(a.Key, b.Key))
 	})
-	quota := silentQuota{upstreams: all}
-	group := e.groupOf(named[0])
-	for _, h := range e.health {
-		if h.group == group {
-			quota.count(now, h)
-		}
-	}
+	quota := silentQuota{upstreams: len(t.Group(named[0].Service, named[0].DataCentre))}
+	e.eachMet(t, e.groupOf(named[0]), func(h *health) { quota.count(now, h) })
 	for _, u := range named {
 		h, s := e.healthOf(u), e.together[u.Key].Silence
 		if s.Ended() {
