--- a/stoatedge/follow.go
+++ b/stoatedge/follow.go
@@ -29,6 +29,9 @@
 	// added at random. An entry that has nothing to serve by does not pause as long.
 	seekEvery = time.Second
 	seekFirst = 300 * time.Millisecond
+	// seekMost bounds the pause of such an entry, which doubles with each search: seeds that are asked by a thousand
+	// entries several times a second have no time left to read what these wait for.
+	seekMost = 2400 * time.Millisecond
 	// seekAgain bounds the random pause of an entry that lost its parent. All its children
 	// notice in one moment; if they asked each other in that moment, each would be accepted
 	// by one that has no parent either, and they would go round in a loop.
@@ -43,8 +46,9 @@
 	seeking bool   // it goes on, or a parent was found
 	parent  string // "": nobody tells
 	path    []netip.AddrPort
-	fresh   time.Time // as of when the parent's word was up to date; zero: never
-	again   time.Time // when to search next
+	fresh   time.Time     // as of when the parent's word was up to date; zero: never
+	again   time.Time     // when to search next
+	pause   time.Duration // the last one of an entry that has nothing to serve by
 }
 
 // naming is what the settings say of seeds.
@@ -94,7 +98,11 @@
 	f.seeking = true
 	pause := seekEvery + time.Duration(k.rnd.Int64N(int64(seekEvery/2)))
 	if !k.ready {
-		pause = seekFirst
+		f.pause = min(seekMost, max(seekFirst, 2*f.pause))
+		pause = f.pause
+		if pause > seekFirst {
+			pause = pause/2 + time.Duration(k.rnd.Int64N(int64(pause)))
+		}
 	}
 	f.again = now.Add(pause)
 	x := seek{serial: f.serial, known: k.known}
--- a/stoatedge/keeper.go
+++ b/stoatedge/keeper.go
@@ -24,10 +24,11 @@
 	parentWait = time.Second
 	// readyPages is how many pages of a list an entry reads before it has a parent: a deployment of hundreds of
 	// upstreams is known some tens of milliseconds after a start, whether anybody is left to ask or not.
-	readyPages = 4
-	// pagesWait is how long it waits for a parent with the rest, and up to twice as long at random. Each page is
-	// paid for by each entry; those whose wait ends first read all, and have children then.
-	pagesWait = time.Second
+	readyPages = 2
+	// pagesWait is how long it waits for a parent with the rest, and up to three times as long besides, at random.
+	// A thousand entries that list 10,000 upstreams at once fill the platform's link for 24 s, the seeds' answers
+	// among theirs. Those whose wait ends first read all.
+	pagesWait = 2 * time.Second
 )
 
 // keeper decides what is believed about routes and upstreams. One goroutine uses it.
@@ -104,7 +105,7 @@
 	switch x := ev.(type) {
 	case started:
 		k.begun, k.heard = now, now
-		k.pagesAfter = now.Add(pagesWait + time.Duration(k.rnd.Int64N(int64(2*pagesWait))))
+		k.pagesAfter = now.Add(pagesWait + time.Duration(k.rnd.Int64N(int64(3*pagesWait))))
 		for _, t := range k.topics {
 			k.ask(now, t)
 		}
