stoatmeasure: one way to begin a flow in both models of overload

The model of long flows made the entry and the five-tuple of a new flow by itself. No entry code changes.

--- a/stoatmeasure/long_flows.go
+++ b/stoatmeasure/long_flows.go
@@ -47,12 +47,8 @@
 
 // openLong opens a flow for the n-th try of a request.
 func (m *overloadModel) openLong(to netip.AddrPort, out *Outcomes, first time.Duration, n int) {
-	m.port++
-	src := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(m.port >> 16), 0, 7}), uint16(m.port))
-	f := &longFlow{
-		entry: m.entries[m.rnd.IntN(len(m.entries))], seq: 1, ack: 1,
-		tuple: stoatpacket.Tuple{Src: src, Dst: to, Protocol: stoatpaddle.ProtocolTCP},
-	}
+	e, tuple := m.newFlow(to)
+	f := &longFlow{entry: e, tuple: tuple, seq: 1, ack: 1}
 	a := f.entry.Handle(m.now(), m.book.Table(), &stoatpacket.Packet{Tuple: f.tuple, Opens: true})
 	if a.Verdict != stoatecho.Forward {
 		m.retryLong(to, out, first, n)
--- a/stoatmeasure/overload.go
+++ b/stoatmeasure/overload.go
@@ -209,12 +209,17 @@
 	}
 }
 
-// try opens a flow for a request that was first tried at that time.
-func (m *overloadModel) try(to netip.AddrPort, out *Outcomes, first time.Duration, n int) {
+// newFlow returns the entry that a new flow's packets pass, and its five-tuple.
+func (m *overloadModel) newFlow(to netip.AddrPort) (*stoatecho.Engine, stoatpacket.Tuple) {
 	m.port++
 	e := m.entries[m.rnd.IntN(len(m.entries))]
 	src := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(m.port >> 16), 0, 7}), uint16(m.port))
-	tuple := stoatpacket.Tuple{Src: src, Dst: to, Protocol: stoatpaddle.ProtocolTCP}
+	return e, stoatpacket.Tuple{Src: src, Dst: to, Protocol: stoatpaddle.ProtocolTCP}
+}
+
+// try opens a flow for a request that was first tried at that time.
+func (m *overloadModel) try(to netip.AddrPort, out *Outcomes, first time.Duration, n int) {
+	e, tuple := m.newFlow(to)
 	a := e.Handle(m.now(), m.book.Table(), &stoatpacket.Packet{Tuple: tuple, Opens: true})
 	again := func() {
 		if n == overloadTries {
