stoatecho: recognise slow rejections by their size

In a burst of six times the usual traffic, a full upstream rejects the first request of a new flow only after 110 to 200 ms, as it reads requests in turn. Such rejections were counted as answers: of 207 answers a second that one entry saw on new flows, more than 100 had 126 bytes, the size of a rejection, where the usual ones have 775 and more. Rejections that are quick, as on open flows, show the size by which the slow ones are recognised.

TestSlowRejectionsAreRecognisedBySize fails without it (2 of 12 rejections counted).

--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -37,6 +37,7 @@
 	inProgress      int     // pending openings and requests of this entry
 	refusedShare    float64 // share of recent openings that were refused for overload
 	rejectedShare   float64 // share of recent answers that were rejections
+	rejectionSizes  rejectionSizes
 	requestsPerFlow flowLoad
 	silence         groupSilence
 	nextTrial       time.Time // when a suspected upstream may get the next flow
--- a/stoatecho/shed.go
+++ b/stoatecho/shed.go
@@ -14,7 +14,9 @@
 // mean is as low as on a quiet day, entries admit every flow, and a full upstream looks like the fastest one.
 //
 // Entries do not see the answers, only how many bytes of them callers acknowledge, and when. A rejection is
-// shorter than the usual answers of its route and comes sooner than any real work could take.
+// shorter than the usual answers of its route, and mostly comes sooner than any real work could take. On a flow
+// that has just opened, a full upstream reads the request only after those before it, so that its rejection takes as
+// long as an answer does; such rejections are recognised by their size.
 const (
 	// shortShare and quickShare are the parts of a route's usual answer size and of an upstream's minimum
 	// answer time below which an answer counts as a rejection. Both must hold, since some answers are short and
@@ -55,11 +57,58 @@
 
 // isRejection reports whether an answer of the given time and size is a rejection.
 func (e *Engine) isRejection(r *stoatroute.Route, h *health, took time.Duration, bytes uint32) bool {
+	if !e.answerSizes.isShort(r, bytes) {
+		return false
+	}
 	least := h.answerTimes.floor
 	if least == 0 {
 		least = h.group.recentAnswers.mean
 	}
-	return e.answerSizes.isShort(r, bytes) && took < ackDelay+time.Duration(quickShare*float64(max(0, least-ackDelay)))
+	if took < ackDelay+time.Duration(quickShare*float64(max(0, least-ackDelay))) {
+		h.group.rejectionSizes.add(bytes)
+		return true
+	}
+	return h.group.rejectionSizes.contains(bytes)
+}
+
+// minSizeSamples is how many quick rejections of the same size make a slow short answer of that size a rejection. A
+// single one may be a short answer that happened to be quick.
+const minSizeSamples = 2
+
+// rejectionSizes counts the sizes of quick rejections, in bytes. It holds the most frequent ones: if there is no
+// room for another size, all counts fall by one (Misra and Gries 1982).
+type rejectionSizes [4]struct {
+	bytes uint32
+	count int
+}
+
+func (s *rejectionSizes) add(bytes uint32) {
+	free := -1
+	for i := range s {
+		switch {
+		case s[i].count > 0 && s[i].bytes == bytes:
+			s[i].count++
+			return
+		case s[i].count == 0:
+			free = i
+		}
+	}
+	if free >= 0 {
+		s[free].bytes, s[free].count = bytes, 1
+		return
+	}
+	for i := range s {
+		s[i].count--
+	}
+}
+
+func (s *rejectionSizes) contains(bytes uint32) bool {
+	for i := range s {
+		if s[i].bytes == bytes && s[i].count >= minSizeSamples {
+			return true
+		}
+	}
+	return false
 }
 
 // noteRejection records that the upstream rejected a request. It counts as an answer that was as slow as the
--- a/stoatecho/shed_test.go
+++ b/stoatecho/shed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
@@ -81,3 +82,38 @@
 		t.Error(before, "rejections at first,", after-before, "of the last hundred answers")
 	}
 }
+
+// On a flow that has just opened, a full upstream rejects the request only after as long as an answer takes. If such
+// rejections counted as answers, a full upstream would not be seen as full by what it does with new flows.
+func TestSlowRejectionsAreRecognisedBySize(t *testing.T) {
+	for name, c := range map[string]struct {
+		quick, slow uint32 // sizes in bytes
+		want        int64
+	}{
+		"the size of earlier rejections": {126, 126, 12},
+		"another size":                   {126, 150, 2},
+	} {
+		w := newSingleUpstreamWorld(t, 0)
+		// The objective is so long, and the route so urgent, that no opening is refused.
+		w.declareObjectives(20 * time.Second)
+		for range 20 {
+			w.request(nonIdempotentAddr, 30*ms)
+		}
+		reject := func(took time.Duration, bytes uint32) {
+			f := w.caller(nonIdempotentAddr)
+			f.open()
+			f.sendRequest()
+			w.after(took)
+			f.ackBytes(bytes)
+		}
+		for range 2 {
+			reject(5*ms, c.quick)
+		}
+		for range 10 {
+			reject(150*ms, c.slow)
+		}
+		if n := w.e.Stats().Rejected; n != c.want {
+			t.Errorf("%s: %d rejections, expected %d", name, n, c.want)
+		}
+	}
+}
