--- /dev/null
+++ b/stoatadmission/evidence.go
@@ -0,0 +1,100 @@
+package stoatadmission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatload"
+)
+
+// answerRate is the rate of answers and the mean of their times.
+type answerRate struct {
+	weight   float64 // of the answers so far, at the time of the latest one
+	at       time.Time
+	mean     float64 // in nanoseconds
+	unqueued time.Duration
+}
+
+func (a *answerRate) weightAt(now time.Time) float64 {
+	if a.weight == 0 {
+		return 0
+	}
+	return a.weight * math.Exp(-float64(now.Sub(a.at))/float64(evidenceDecay))
+}
+
+func (a *answerRate) add(now time.Time, took, unqueued time.Duration) {
+	if took == 0 {
+		took = time.Duration(a.mean)
+	}
+	before := a.weightAt(now)
+	a.mean = (a.mean*before + float64(took)) / (before + 1)
+	a.weight, a.at, a.unqueued = before+1, now, unqueued
+}
+
+func (a *answerRate) perSecond(now time.Time) float64 {
+	return a.weightAt(now) / evidenceDecay.Seconds()
+}
+
+// observation is the evidence that an update is based on.
+type observation struct {
+	shared               bool
+	answered, rejected   float64 // a second
+	answerTime, unqueued time.Duration
+	arrived, admitted    float64 // openings of all levels a second
+}
+
+// total returns the requests a second.
+func (o *observation) total() float64 { return o.answered + o.rejected }
+
+// count returns the answers and rejections that the rates consist of.
+func (o *observation) count() float64 { return o.total() * evidenceDecay.Seconds() }
+
+func (o *observation) rejectedShare() float64 {
+	if o.rejected <= 0 {
+		return 0
+	}
+	return o.rejected / o.total()
+}
+
+// queued reports whether answers take longer than without a queue.
+func (o *observation) queued() bool {
+	return o.unqueued > 0 && float64(o.answerTime) > queuedAnswer*float64(o.unqueued)
+}
+
+// observe collects the evidence in use, and sets the arrivals of each level by it.
+func (l *Limiter) observe(now time.Time) {
+	o := observation{
+		answered: l.answers.perSecond(now), rejected: l.rejected.PerSecond(now, evidenceDecay),
+		answerTime: time.Duration(l.answers.mean), unqueued: l.answers.unqueued,
+	}
+	if e := &l.shared; l.cfg.Source == SharedEvidence && !e.At.IsZero() && now.Sub(e.At) < maxSharedAge {
+		o = observation{shared: true, answered: e.Answered, rejected: e.Rejected, answerTime: e.AnswerTime, unqueued: e.Unqueued}
+		for _, x := range e.Levels {
+			l.levelOf(now, x.Priority)
+		}
+	}
+	for i := range l.levels {
+		v := &l.levels[i]
+		arrived, admitted := v.arrivals.PerSecond(now, arrivalDecay), v.admissions.PerSecond(now, arrivalDecay)
+		if o.shared {
+			x := l.sharedLevel(v.priority)
+			arrived, admitted = max(arrived, x.Arrived), max(admitted, x.Admitted)
+		}
+		v.sharedRate = arrived
+		o.arrived += arrived
+		o.admitted += admitted
+	}
+	l.observed = o
+	l.countActive(now)
+}
+
+// sharedLevel returns the load of a level in the data centre.
+func (l *Limiter) sharedLevel(priority int) stoatload.LevelLoad {
+	i, found := slices.BinarySearchFunc(l.shared.Levels, priority, func(x stoatload.LevelLoad, p int) int { return cmp.Compare(x.Priority, p) })
+	if !found {
+		return stoatload.LevelLoad{Priority: priority}
+	}
+	return l.shared.Levels[i]
+}
--- a/stoatecho/admit.go
+++ b/stoatecho/admit.go
@@ -29,8 +29,8 @@
 	// of them are.
 	overloadAdmitShare   = 0.3
 	overloadRefusedShare = 0.25
-	// urgentShare and overloadUrgentShare are the same for a route that is more urgent than another one to the
-	// same service. They are higher, so that in an overload mostly openings of the less urgent route are refused.
+	// urgentShare and overloadUrgentShare are the same for a route that is more urgent than another one with
+	// recent traffic to the same group. They are higher, so that in an overload mostly openings of the less urgent route are refused.
 	urgentShare         = 0.75
 	overloadUrgentShare = 0.65
 	// admitFloorFactor is the factor on the answer time without a queue up to which flows are admitted whatever
@@ -88,7 +88,7 @@
 // admitBound returns the greatest expected answer time with which one more flow of the route is admitted.
 func admitBound(h *health, r *stoatroute.Route) time.Duration {
 	most, least := admitShare, overloadAdmitShare
-	if r.HasPrecedence {
+	if h.group.limiter.HasPrecedence(r.Priority) {
 		most, least = urgentShare, overloadUrgentShare
 	}
 	share := most - (most-least)*min(1, h.group.refusedShare/overloadRefusedShare)
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatadmission"
 	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
+	"github.com/stoatpaddle/stoatpaddle/stoatload"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -16,6 +18,7 @@
 	Start      time.Time
 	Regions    stoatfilter.Regions
 	MaxFlows   int // how many flows are remembered at once
+	Admission  stoatadmission.Config
 	Seed       uint64
 }
 
@@ -60,8 +63,10 @@
 	InProgress     int
 	ExpectedAnswer time.Duration
 	AnswerBound    time.Duration
-	// RejectedShare is the share of recent requests that the upstreams rejected, if the flow was refused for it.
-	RejectedShare float64
+	// Priority is the priority of the opening's route, and Admission the decision by levels about it; both are set
+	// for openings that have an upstream.
+	Priority  int
+	Admission stoatadmission.Decision
 	// Excluded counts the upstreams that were not eligible for the flow, if it was refused.
 	Excluded Excluded
 	// Ejected is the upstream that the packet caused to be ejected, so that it gets no new flows for a while,
@@ -130,6 +135,9 @@
 	lastAdoption     time.Time // when a packet last came of a flow that another entry had placed
 	reportChanged    bool      // what this entry reports about upstreams has changed
 	groups           map[groupKey]*group
+	limited          map[groupKey]*group // groups with a level that is limited, or with changes to report
+	sharedGroups     []*group            // groups with evidence of the data centre
+	otherLoads       []stoatload.CentreLoad
 	answerSizes      answerSizes
 	endedUpTo        uint64    // the table's change counter at the last TakeOrphanedFlows
 	queueEmptied     time.Time // when this entry had last handled all packets received; zero: it is never behind
@@ -141,7 +149,7 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, recheck: map[stoatpaddle.UpstreamKey]bool{}, groups: map[groupKey]*group{}, answerSizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, recheck: map[stoatpaddle.UpstreamKey]bool{}, groups: map[groupKey]*group{}, limited: map[groupKey]*group{}, answerSizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
 		unknownCookies: map[stoatpaddle.UpstreamKey]time.Time{}, lastOpenings: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), lastSweep: cfg.Start,
 	}
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatadmission"
 )
 
 const (
@@ -32,11 +33,12 @@
 
 // group is what this entry has seen of the upstreams that share a load.
 type group struct {
+	key             groupKey
 	recentAnswers   decayingMean
 	answerTimes     meanWithFloor
 	inProgress      int     // pending openings and requests of this entry
 	refusedShare    float64 // share of recent openings that were refused for overload
-	rejectedShare   float64 // share of recent answers that were rejections
+	limiter         *stoatadmission.Limiter
 	requestsPerFlow flowLoad
 	silence         groupSilence
 	nextTrial       time.Time // when a suspected upstream may get the next flow
--- a/stoatecho/health.go
+++ b/stoatecho/health.go
@@ -314,7 +314,7 @@
 	k := groupKey{service: u.Service, centre: u.DataCentre}
 	g := e.groups[k]
 	if g == nil {
-		g = &group{}
+		g = &group{key: k, limiter: e.newLimiter(k)}
 		g.unseen.group = g
 		e.groups[k] = g
 	}
--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -33,12 +33,9 @@
 	h := e.healthOf(u)
 	a.InProgress, a.ExpectedAnswer, a.AnswerBound = h.pendingRequests+h.pendingOpenings, expectedAnswer(now, h), admitBound(h, r)
 	h.group.noteAdmission(admitted)
-	if !admitted {
-		return e.refuse(a, stoatpacket.DropOverload)
-	}
-	if e.yields(r, h.group) {
-		a.RejectedShare = h.group.rejectedShare
-		return e.refuse(a, stoatpacket.DropOverload)
+	a.Priority, a.Admission = r.Priority, e.decideByLevel(now, r, h.group, p, admitted)
+	if !a.Admission.Admitted {
+		return e.refuse(a, refusals[a.Admission.Reason])
 	}
 	a.Moved = a.Moved && a.Upstream.Key != except
 	if a.Moved {
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -70,18 +70,19 @@
 	switch {
 	case e.isRejection(r, h, took, bytes):
 		h.noteRejection(now)
-		h.group.noteAnswer(true)
+		h.group.limiter.Rejected(now)
 		h.saturation.noteAnswer(now, true)
 		e.stats.Rejected++
 	default:
-		h.group.noteAnswer(false)
 		h.saturation.noteAnswer(now, false)
 		h.answered(now, took, f.concurrency)
 		// A cold upstream is slow without a queue.
-		if !now.Before(u.WarmAt) {
+		cold := now.Before(u.WarmAt)
+		if !cold {
 			h.recentAnswers.add(now, took)
 			h.group.answered(now, took)
 		}
+		h.group.noteAnswer(now, took, cold)
 	}
 	e.noteAlive(now, h)
 	f.requestStart = time.Time{}
@@ -280,6 +281,7 @@
 	for k, g := range e.groups {
 		if !used[g] {
 			delete(e.groups, k)
+			delete(e.limited, k)
 		}
 	}
 }
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -136,8 +136,8 @@
 		if a.Reason == stoatpacket.DropOverload {
 			fields = append(fields, append(loadFields(a), stoatevent.F("bound", a.AnswerBound.Round(time.Millisecond).String()))...)
 		}
-		if a.RejectedShare > 0 {
-			fields = append(fields, stoatevent.F("turned", strconv.FormatFloat(a.RejectedShare, 'f', 2, 64)))
+		if a.Reason == stoatpacket.DropLevel || a.Reason == stoatpacket.DropFairness || a.Reason == stoatpacket.DropAway {
+			fields = append(fields, levelFields(&a)...)
 		}
 		if a.Reason == stoatpacket.DropNoUpstream {
 			fields = append(fields, excludedFields(&a.Excluded)...)
@@ -174,6 +174,18 @@
 	return out
 }
 
+// levelFields returns log fields with the decision by priority levels about an opening.
+func levelFields(a *stoatecho.Action) []stoatevent.Field {
+	d := &a.Admission
+	return []stoatevent.Field{
+		stoatevent.F("priority", strconv.Itoa(a.Priority)), stoatevent.F("share", shareText(d.Share)), stoatevent.F("turned", shareText(d.RejectedShare)),
+		stoatevent.F("shared", strconv.FormatBool(d.Shared)),
+	}
+}
+
+// shareText returns a share as log fields give it.
+func shareText(share float64) string { return strconv.FormatFloat(share, 'f', 2, 64) }
+
 // loadFields returns log fields with the load that decided a placement or refusal.
 func loadFields(a stoatecho.Action) []stoatevent.Field {
 	return []stoatevent.Field{stoatevent.F("busy", strconv.Itoa(a.InProgress)), stoatevent.F("mean", a.ExpectedAnswer.Round(time.Millisecond).String())}
--- a/stoatpacket/packet.go
+++ b/stoatpacket/packet.go
@@ -34,12 +34,16 @@
 	DropUpstreamGone    // the flow's upstream is gone
 	DropNoRoute         // no route has the address
 	DropOverload        // it would be answered late and delay others
+	DropLevel           // a more urgent level needs the room at the upstreams
+	DropFairness        // other routes of its level need the room at the upstreams
+	DropAway            // the callers of its upstreams' own data centre leave no room
 	DropCount           // number of reasons
 )
 
 var dropNames = [DropCount]string{
 	"none", "short", "notip", "fragment", "protocol", "service", "limit", "upstream", "hops", "foreign", "elsewhere",
 	"length", "flags", "own", "forged", "unproven", "young", "gone", "route", "overload",
+	"level", "fairness", "away",
 }
 
 // String returns the metric label of the reason.
--- a/stoatroute/builder.go
+++ b/stoatroute/builder.go
@@ -141,10 +141,9 @@
 		return false
 	}
 	routes := make(map[netip.AddrPort]*Route, len(d.Routes))
-	priorities := prioritiesOf(d.Routes)
 	b.changeSeq++
 	for _, r := range d.Routes {
-		n := &Route{Route: r, HasPrecedence: priorities.hasPrecedence(&r), Yields: priorities.yields(&r), ChangeSeq: b.changeSeq, everUsed: map[stoatpaddle.ServiceID]bool{}}
+		n := &Route{Route: r, ChangeSeq: b.changeSeq, everUsed: map[stoatpaddle.ServiceID]bool{}}
 		// A route that moved to another service keeps its open flows at the former one.
 		if old := b.routes[r.Listen]; old != nil {
 			if sameRoute(&old.Route, &r) {
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -47,10 +47,8 @@
 // Route says where flows to one address go.
 type Route struct {
 	stoatpaddle.Route
-	HasPrecedence bool                           // a less urgent route shares one of its services
-	Yields        bool                           // a more urgent route shares one of its services
-	ChangeSeq     uint64                         // the builder's change sequence number at its last change
-	everUsed      map[stoatpaddle.ServiceID]bool // its services, also former ones
+	ChangeSeq uint64                         // the builder's change sequence number at its last change
+	everUsed  map[stoatpaddle.ServiceID]bool // its services, also former ones
 }
 
 // EverUsed reports whether the route uses the service or used it before. Flows that were opened there continue.
