stoatecho: count refusals by level in the share of refused openings

The bounds on the answer time depend on that share. Without the refusals by level, they would be those of a slight overload while most openings are refused, and queues would swing between full and empty.

--- a/stoatadmission/config.go
+++ b/stoatadmission/config.go
@@ -18,10 +18,11 @@
 	budgetGain = 3.0
 	// budgetGrowth is how fast the budget grows without rejections, as a share of the requests a second.
 	budgetGrowth = 4.0
-	// queuedGrowth is the factor on the growth while answers take more than queuedAnswer times as long as without a
-	// queue: no slot is idle then.
-	queuedGrowth = 0.2
-	queuedAnswer = 1.5
+	// The budget grows fully while answers take up to promptAnswer times as long as without a queue, since slots may be
+	// idle then, and by the factor queuedGrowth while they take more than queuedAnswer times as long, when none is.
+	promptAnswer = 2.0
+	queuedAnswer = 3.0
+	queuedGrowth = 0.0
 	// surplus is the ratio of budget to arrivals at which limiting ends.
 	surplus = 1.2
 	// guaranteedShare is the share of each level that is always admitted, so that no level starves. With the order by
--- a/stoatadmission/evidence.go
+++ b/stoatadmission/evidence.go
@@ -40,7 +40,7 @@
 // observation is the evidence that an update is based on.
 type observation struct {
 	shared               bool
-	answered, rejected   float64 // a second
+	answered, rejected   float64 // requests a second
 	answerTime, unqueued time.Duration
 	arrived, admitted    float64 // openings of all levels a second
 }
@@ -58,9 +58,13 @@
 	return o.rejected / o.total()
 }
 
-// queued reports whether answers take longer than without a queue.
-func (o *observation) queued() bool {
-	return o.unqueued > 0 && float64(o.answerTime) > queuedAnswer*float64(o.unqueued)
+// idleShare returns 1 while answers take about as long as without a queue, so that slots may be idle, 0 while they take
+// so long that no slot is, and a value between in between.
+func (o *observation) idleShare() float64 {
+	if o.unqueued == 0 {
+		return 1
+	}
+	return min(1, max(queuedGrowth, (queuedAnswer-float64(o.answerTime)/float64(o.unqueued))/(queuedAnswer-promptAnswer)))
 }
 
 // observe collects the evidence in use, and sets the arrivals of each level by it.
--- a/stoatadmission/law.go
+++ b/stoatadmission/law.go
@@ -44,9 +44,7 @@
 		l.budget -= budgetGain * excess * dt
 	} else {
 		growth := budgetGrowth * o.total() * (1 - o.rejectedShare()/rejectedTarget)
-		if o.queued() {
-			growth *= queuedGrowth
-		}
+		growth *= o.idleShare()
 		l.budget += (growth - excess) * dt
 	}
 	if o.shared && l.budget < o.arrived {
--- a/stoatadmission/limiter.go
+++ b/stoatadmission/limiter.go
@@ -60,12 +60,19 @@
 // judge returns the reason for the decision about an opening of the level; r is its route, nil if the route is not
 // tracked.
 func (l *Limiter) judge(now time.Time, o Opening, v *level, r *route) Reason {
-	switch {
-	case o.Late:
-		return RefusedLate
-	case !l.limiting:
-		return Admitted
-	case o.Away:
+	reason := Admitted
+	if l.limiting {
+		reason = l.judgeByLevel(now, o, v, r)
+	}
+	if reason != Admitted || !o.Late {
+		return reason
+	}
+	return RefusedLate
+}
+
+// judgeByLevel returns the reason for the decision while openings are limited.
+func (l *Limiter) judgeByLevel(now time.Time, o Opening, v *level, r *route) Reason {
+	if o.Away {
 		return RefusedAway
 	}
 	share := v.share
--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -32,8 +32,8 @@
 	}
 	h := e.healthOf(u)
 	a.InProgress, a.ExpectedAnswer, a.AnswerBound = h.pendingRequests+h.pendingOpenings, expectedAnswer(now, h), admitBound(h, r)
-	h.group.noteAdmission(admitted)
 	a.Priority, a.Admission = r.Priority, e.decideByLevel(now, r, h.group, p, admitted)
+	h.group.noteAdmission(a.Admission.Admitted)
 	if !a.Admission.Admitted {
 		return e.refuse(a, refusals[a.Admission.Reason])
 	}
