--- a/stoatadmission/config.go
+++ b/stoatadmission/config.go
@@ -17,12 +17,15 @@
 	// the target.
 	budgetGain = 3.0
 	// budgetGrowth is how fast the budget grows without rejections, as a share of the requests a second.
-	budgetGrowth = 4.0
+	budgetGrowth = 2.0
 	// The budget grows fully while answers take up to promptAnswer times as long as without a queue, since slots may be
 	// idle then, and by the factor queuedGrowth while they take more than queuedAnswer times as long, when none is.
 	promptAnswer = 2.0
 	queuedAnswer = 3.0
 	queuedGrowth = 0.0
+	// lateTarget is the share of late openings, of those that the levels admit, at which the budget grows no more: it
+	// is not what limits the openings then.
+	lateTarget = 0.1
 	// surplus is the ratio of budget to arrivals at which limiting ends.
 	surplus = 1.2
 	// guaranteedShare is the share of each level that is always admitted, so that no level starves. With the order by
--- a/stoatadmission/law.go
+++ b/stoatadmission/law.go
@@ -44,7 +44,7 @@
 		l.budget -= budgetGain * excess * dt
 	} else {
 		growth := budgetGrowth * o.total() * (1 - o.rejectedShare()/rejectedTarget)
-		growth *= o.idleShare()
+		growth *= o.idleShare() * max(0, 1-l.lateShare()/lateTarget)
 		l.budget += (growth - excess) * dt
 	}
 	if o.shared && l.budget < o.arrived {
@@ -57,6 +57,15 @@
 	}
 }
 
+// lateShare returns the share of the openings admitted by level whose answers would be late.
+func (l *Limiter) lateShare() float64 {
+	passed := l.passed.PerSecond(l.updated, evidenceDecay)
+	if passed == 0 {
+		return 0
+	}
+	return l.late.PerSecond(l.updated, evidenceDecay) / passed
+}
+
 // rescaled returns the budget in the scale of the present evidence when it changes between an entry and its data
 // centre: the same share of the openings stays admitted.
 func (l *Limiter) rescaled() float64 { return l.admittedShare() * l.observed.arrived }
--- a/stoatadmission/limiter.go
+++ b/stoatadmission/limiter.go
@@ -12,6 +12,7 @@
 	cfg          Config
 	rnd          *rand.Rand // created when it is first needed
 	answers      answerRate
+	passed, late stoatload.Rate // openings that the levels admit, and those of them whose answers would be late
 	rejected     stoatload.Rate
 	shared       Evidence
 	levels       []level // ascending by priority
@@ -64,9 +65,14 @@
 	if l.limiting {
 		reason = l.judgeByLevel(now, o, v, r)
 	}
-	if reason != Admitted || !o.Late {
+	if reason != Admitted {
 		return reason
 	}
+	l.passed.Add(now, evidenceDecay)
+	if !o.Late {
+		return Admitted
+	}
+	l.late.Add(now, evidenceDecay)
 	return RefusedLate
 }
 
