stoatadmission: react to rejections at once; positions of unknown callers are random

With the positions of few known callers by their address alone, all entries admitted or refused the same address after the start of an overload.

--- a/stoatadmission/config.go
+++ b/stoatadmission/config.go
@@ -16,6 +16,10 @@
 	// budgetGain is how fast the budget falls, in openings a second per second, for each rejection a second above
 	// the target.
 	budgetGain = 3.0
+	// promptGain is the part of the rejections above the target that is taken off the admitted openings at once, and given
+	// back as they cease. The budget alone follows too late for a burst on long flows: each opening admitted in its
+	// first tenths of a second brings requests for as long as the burst lasts.
+	promptGain = 1.0
 	// budgetGrowth is how fast the budget grows without rejections, as a share of the requests a second.
 	budgetGrowth = 2.0
 	// The budget grows fully while answers take up to promptAnswer times as long as without a queue, since slots may be
--- a/stoatadmission/law.go
+++ b/stoatadmission/law.go
@@ -30,6 +30,7 @@
 // moveBudget moves the budget for the time that passed.
 func (l *Limiter) moveBudget(passed time.Duration) {
 	o := &l.observed
+	excess := o.excess()
 	switch {
 	case !l.limiting:
 		// What is admitted now is too much. At an entry that starts in an overload, it is what the others admit.
@@ -39,7 +40,6 @@
 	}
 	l.evidenceAll = o.shared
 	dt := passed.Seconds()
-	excess := o.rejected - rejectedTarget*o.total()
 	if excess > 0 {
 		l.budget -= budgetGain * excess * dt
 	} else {
@@ -117,7 +117,7 @@
 
 // allocate sets the admitted share of each level.
 func (l *Limiter) allocate(now time.Time) {
-	rest, rank := l.budget, 0
+	rest, rank := l.budget-promptGain*max(0, l.observed.excess()), 0
 	for i := range l.levels {
 		v := &l.levels[i]
 		share := 1.0
--- a/stoatadmission/order.go
+++ b/stoatadmission/order.go
@@ -18,12 +18,9 @@
 	// guaranteedShare.
 	guaranteedEpochs = 144
 	// Addresses that send more than smallCaller of the openings stand for several callers. Their positions are partly
-	// random, and entirely from largeCaller on.
+	// random, and entirely from largeCaller on. After few openings each address seems to be such a one.
 	smallCaller = 1.0 / 32
 	largeCaller = 1.0 / 8
-	// unseenOpenings is added to the number of openings when a caller's part of them is found, since after few
-	// openings each caller seems to send a large part.
-	unseenOpenings = 16
 )
 
 // position returns the position of an opening in [0,1).
@@ -80,5 +77,5 @@
 	i := uint8(h >> upperHalf)
 	c.counts[i]++
 	c.total++
-	return float64(c.counts[i] / (c.total + unseenOpenings))
+	return float64(c.counts[i] / (c.total))
 }
