--- a/stoatadmission/order.go
+++ b/stoatadmission/order.go
@@ -77,5 +77,5 @@
 	i := uint8(h >> upperHalf)
 	c.counts[i]++
 	c.total++
-	return float64(c.counts[i] / (c.total))
+	return float64(c.counts[i] / c.total)
 }
--- a/stoatcommand/operate.go
+++ b/stoatcommand/operate.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatadmin"
@@ -224,8 +226,24 @@
 				v.Version, v.AgeMS, v.Routes, v.Serving, v.Leaving, v.Missing, v.Gone)
 		}
 		_, _ = fmt.Fprintln(w)
+		printLevels(w, st.Levels)
 	}
 	for _, name := range cs.Silent {
 		_, _ = fmt.Fprintf(w, "%-16s does not answer\n", name)
 	}
 }
+
+// printLevels prints one line for each priority level.
+func printLevels(w io.Writer, levels []stoatstatus.Level) {
+	for i := range levels {
+		v := &levels[i]
+		_, _ = fmt.Fprintf(w, "  %s in %s, priority %d: arrived=%.1f/s admitted=%.1f/s share=%.2f turned=%.2f shared=%t", v.Service, v.Centre, v.Priority, v.Arrived, v.Admitted, v.Share, v.RejectedShare, v.Shared)
+		if v.LimitedMS > 0 {
+			_, _ = fmt.Fprintf(w, " limited=%dms", v.LimitedMS)
+		}
+		for _, reason := range slices.Sorted(maps.Keys(v.Refused)) {
+			_, _ = fmt.Fprintf(w, " %s=%d", reason, v.Refused[reason])
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+}
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -199,4 +199,14 @@
 		Title: "child left",
 		Text:  "The child closed the connection, could not be written to, or this entry stops; cause says which.",
 	})
+	EventLevelLimited = stoatevent.Register(stoatevent.Definition{
+		Number: 1440, Severity: stoatevent.Warning, Since: "0.9",
+		Title: "priority level is limited",
+		Text:  "The upstreams of the service in the data centre (centre) reject requests (turned is the share), and openings of this priority are refused so that more urgent ones get the room. Share is what is admitted of them. Shared says whether all entries' observations decided, or only this entry's. Logged once for each period; SP1411 tells of single openings. The service needs more upstreams if this happens at usual load.",
+	})
+	EventLevelUnlimited = stoatevent.Register(stoatevent.Definition{
+		Number: 1441, Severity: stoatevent.Info, Since: "0.9",
+		Title: "priority level is no longer limited",
+		Text:  "All openings of this priority are admitted again. Lasted is for how long the level was limited. Refused counts the openings of the level that this entry has refused for more urgent ones since its start.",
+	})
 )
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -102,6 +102,7 @@
 	}
 	e.metrics.WritePrometheus(w)
 	e.writeInProgress(w)
+	e.writeLevels(w)
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -52,6 +52,7 @@
 			Leaving: n[stoatroute.Leaving], Missing: n[stoatroute.Missing], Gone: n[stoatroute.Gone],
 		},
 	}
+	s.Levels = e.levelStatuses(clock())
 	named := false
 	for _, seed := range set.Seeds {
 		named = named || seed == set.AdminAddr
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -249,7 +249,7 @@
 }
 
 // tick drives what happens without packets: the controller's ticks, the refusal of packets held for too long,
-// the log of omitted lines, the tuning of the garbage collector, and the planned stop.
+// the log of priority levels and of omitted lines, the tuning of the garbage collector, and the planned stop.
 func (e *Edge) tick() error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
@@ -266,6 +266,7 @@
 		}
 		e.post(ticked{})
 		e.rejectOverdue(now)
+		e.logLevelChanges(now)
 		if e.log.reportOmitted(now) {
 			tuneGC(e.settings().MemoryBytes())
 		}
--- a/stoatstatus/status.go
+++ b/stoatstatus/status.go
@@ -37,6 +37,7 @@
 	Instances         []Instance        `json:"instances"`
 	Evacuated         []string          `json:"evacuated,omitempty"` // data centres; only on a tunnel fabric
 	View              *RoutingSummary   `json:"view,omitempty"`      // only on an echo fabric
+	Levels            []Level           `json:"levels,omitempty"`    // of services with two or more priorities; only on an echo fabric
 }
 
 // RoutingSummary summarizes the routes and upstreams known to an entry on an echo fabric.
@@ -50,6 +51,20 @@
 	Gone    int    `json:"gone"`
 }
 
+// Level is the state of a priority level of a service in a data centre, as an entry sees it.
+type Level struct {
+	Service       string           `json:"service"`
+	Centre        string           `json:"centre"`
+	Priority      int              `json:"priority"`
+	Arrived       float64          `json:"arrived"`  // openings a second
+	Admitted      float64          `json:"admitted"` // openings a second
+	Share         float64          `json:"share"`    // of its openings that are admitted
+	RejectedShare float64          `json:"turned"`   // share of the requests that the upstreams reject
+	Shared        bool             `json:"shared"`   // whether all entries' observations decide
+	LimitedMS     int64            `json:"limited"`  // ms since it has been limited; 0: it is not
+	Refused       map[string]int64 `json:"refused"`  // openings since the start of the entry, by reason
+}
+
 // Instance is the state of one instance as an entry sees it.
 type Instance struct {
 	Name      string `json:"name"`
