--- a/stoatadmission/config.go
+++ b/stoatadmission/config.go
@@ -26,7 +26,7 @@
 	// idle then, and by the factor queuedGrowth while they take more than queuedAnswer times as long, when none is.
 	promptAnswer = 2.0
 	queuedAnswer = 3.0
-	queuedGrowth = 0.0
+	queuedGrowth = 0.2
 	// lateTarget is the share of late openings, of those that the levels admit, at which the budget grows no more: it
 	// is not what limits the openings then.
 	lateTarget = 0.1
@@ -39,6 +39,9 @@
 	// below which it ends. Fewer say little.
 	beginEvidence = 6
 	keepEvidence  = 3
+	// sufficientEvidence is the number of answers and rejections with which an entry knows the share of rejections of
+	// its data centre to about a tenth.
+	sufficientEvidence = 30
 )
 
 const (
--- a/stoatadmission/evidence.go
+++ b/stoatadmission/evidence.go
@@ -43,6 +43,9 @@
 	answered, rejected   float64 // requests a second
 	answerTime, unqueued time.Duration
 	arrived, admitted    float64 // openings of all levels a second
+	// prompt is the rejections a second above the target by the latest evidence: this entry's own if that suffices,
+	// since sums of the data centre are some tenths of a second old.
+	prompt float64
 }
 
 // total returns the requests a second.
@@ -72,29 +75,62 @@
 
 // observe collects the evidence in use, and sets the arrivals of each level by it.
 func (l *Limiter) observe(now time.Time) {
-	o := observation{
+	here := observation{
 		answered: l.answers.perSecond(now), rejected: l.rejected.PerSecond(now, evidenceDecay),
 		answerTime: time.Duration(l.answers.mean), unqueued: l.answers.unqueued,
 	}
+	o := here
 	if e := &l.shared; l.cfg.Source == SharedEvidence && !e.At.IsZero() && now.Sub(e.At) < maxSharedAge {
-		o = observation{shared: true, answered: e.Answered, rejected: e.Rejected, answerTime: e.AnswerTime, unqueued: e.Unqueued}
+		o = e.observation()
 		for _, x := range e.Levels {
 			l.levelOf(now, x.Priority)
 		}
 	}
+	own := l.observeLevels(now, &o)
+	o.prompt = o.excess()
+	if o.shared && own > 0 {
+		o.preferOwn(&here, o.arrived/own)
+	}
+	l.observed = o
+	l.countActive(now)
+}
+
+// observation returns what the evidence says of requests.
+func (e *Evidence) observation() observation {
+	return observation{shared: true, answered: e.Answered, rejected: e.Rejected, answerTime: e.AnswerTime, unqueued: e.Unqueued}
+}
+
+// observeLevels sets the arrivals of each level by the evidence in use, adds them up, and returns the arrivals here.
+func (l *Limiter) observeLevels(now time.Time, o *observation) float64 {
+	own := 0.0
 	for i := range l.levels {
 		v := &l.levels[i]
 		arrived, admitted := v.arrivals.PerSecond(now, arrivalDecay), v.admissions.PerSecond(now, arrivalDecay)
+		v.activeElsewhere = false
+		own += arrived
 		if o.shared {
 			x := l.sharedLevel(v.priority)
+			v.activeElsewhere = x.Arrived > 0
 			arrived, admitted = max(arrived, x.Arrived), max(admitted, x.Admitted)
 		}
 		v.sharedRate = arrived
 		o.arrived += arrived
 		o.admitted += admitted
 	}
-	l.observed = o
-	l.countActive(now)
+	return own
+}
+
+// preferOwn uses what this entry sees itself for what it has sufficient evidence of: sums of the data centre are some
+// tenths of a second old. Scale is the ratio of the rates in the data centre to those here.
+func (o *observation) preferOwn(here *observation, scale float64) {
+	if here.count() >= beginEvidence {
+		o.prompt = here.excess() * scale
+	}
+	if here.count() >= sufficientEvidence {
+		share, total := here.rejectedShare(), o.total()
+		o.answered, o.rejected = (1-share)*total, share*total
+		o.answerTime, o.unqueued = here.answerTime, here.unqueued
+	}
 }
 
 // sharedLevel returns the load of a level in the data centre.
--- a/stoatadmission/law.go
+++ b/stoatadmission/law.go
@@ -10,12 +10,12 @@
 	}
 	l.updated = now
 	l.observe(now)
-	switch least := float64(beginEvidence); {
+	switch {
 	case l.cfg.Method == Unlimited || l.activeLevels < 2:
 		l.end()
 	case l.limiting && l.observed.count() < keepEvidence:
 		l.end()
-	case !l.limiting && (l.observed.count() < least || l.observed.rejectedShare() <= rejectedTarget):
+	case !l.limiting && (l.observed.count() < beginEvidence || l.observed.prompt <= 0):
 	case l.cfg.Method == ByThreshold:
 		l.moveThreshold(min(passed, maxStep))
 	default:
@@ -48,7 +48,7 @@
 		l.budget += (growth - excess) * dt
 	}
 	if o.shared && l.budget < o.arrived {
-		l.budget += (o.admitted - l.budget) * dt / agreementTime.Seconds()
+		l.budget += (1 - o.idleShare()) * (o.admitted - l.budget) * dt / agreementTime.Seconds()
 	}
 	// The most urgent level is admitted whatever the budget; a lower one would only delay the growth.
 	l.budget = max(l.budget, l.mostUrgentRate())
@@ -117,7 +117,7 @@
 
 // allocate sets the admitted share of each level.
 func (l *Limiter) allocate(now time.Time) {
-	rest, rank := l.budget-promptGain*max(0, l.observed.excess()), 0
+	rest, rank := l.budget-promptGain*max(0, l.observed.prompt), 0
 	for i := range l.levels {
 		v := &l.levels[i]
 		share := 1.0
--- a/stoatadmission/level.go
+++ b/stoatadmission/level.go
@@ -11,16 +11,17 @@
 
 // level is the state of the openings of one priority.
 type level struct {
-	priority     int
-	arrivals     stoatload.Rate
-	admissions   stoatload.Rate
-	lastArrival  time.Time
-	sharedRate   float64 // arrivals a second in the data centre, by the evidence in use
-	share        float64 // of its openings that are admitted
-	routes       []route
-	limitedSince time.Time // zero: it is not limited
-	fullSince    time.Time // since when all are admitted, while limitedSince is set
-	counts       [ReasonCount]int64
+	priority        int
+	arrivals        stoatload.Rate
+	admissions      stoatload.Rate
+	lastArrival     time.Time
+	sharedRate      float64 // arrivals a second in the data centre, by the evidence in use
+	activeElsewhere bool    // it has traffic by the evidence of the data centre
+	share           float64 // of its openings that are admitted
+	routes          []route
+	limitedSince    time.Time // zero: it is not limited
+	fullSince       time.Time // since when all are admitted, while limitedSince is set
+	counts          [ReasonCount]int64
 }
 
 // route is the state of the openings of one route within a level.
@@ -56,7 +57,7 @@
 
 // active reports whether the level has recent traffic.
 func (l *Limiter) active(now time.Time, v *level) bool {
-	return now.Sub(v.lastArrival) <= levelIdle || l.observed.shared && v.sharedRate > 0
+	return now.Sub(v.lastArrival) <= levelIdle || v.activeElsewhere
 }
 
 // countActive finds the levels with recent traffic.
