--- a/stoatadmission/config.go
+++ b/stoatadmission/config.go
@@ -16,13 +16,17 @@
 	// budgetGain is how fast the budget falls, in openings a second per second, for each rejection a second above
 	// the target.
 	budgetGain = 3.0
+	// promptGain is the part of the rejections above the target that is taken off the admitted openings at once, and given
+	// back as they cease. The budget alone follows too late for a burst on long flows: each opening admitted in its
+	// first tenths of a second brings requests for as long as the burst lasts.
+	promptGain = 1.0
 	// budgetGrowth is how fast the budget grows without rejections, as a share of the requests a second.
 	budgetGrowth = 2.0
 	// The budget grows fully while answers take up to promptAnswer times as long as without a queue, since slots may be
 	// idle then, and by the factor queuedGrowth while they take more than queuedAnswer times as long, when none is.
 	promptAnswer = 2.0
 	queuedAnswer = 3.0
-	queuedGrowth = 0.0
+	queuedGrowth = 0.2
 	// lateTarget is the share of late openings, of those that the levels admit, at which the budget grows no more: it
 	// is not what limits the openings then.
 	lateTarget = 0.1
@@ -35,6 +39,9 @@
 	// below which it ends. Fewer say little.
 	beginEvidence = 6
 	keepEvidence  = 3
+	// sufficientEvidence is the number of answers and rejections with which an entry knows the share of rejections of
+	// its data centre to about a tenth.
+	sufficientEvidence = 30
 )
 
 const (
