--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -25,7 +25,8 @@
 	if p.Retransmits == 0 {
 		except = e.lastRefusedBy(now, p)
 	}
-	u, admitted, excluded := e.choose(now, t, r, except, a.Moved)
+	service := e.backend(r)
+	u, admitted, excluded := e.choose(now, t, r, service, except, a.Moved)
 	if a.Upstream = u; u == nil {
 		a.Excluded = excluded
 		return e.refuse(a, stoatpacket.DropNoUpstream)
@@ -35,7 +36,11 @@
 	a.Priority, a.Admission = r.Priority, e.decideByLevel(now, r, h.group, p, admitted)
 	h.group.noteAdmission(a.Admission.Admitted)
 	if !a.Admission.Admitted {
-		return e.refuse(a, refusals[a.Admission.Reason])
+		other := e.overflow(now, t, r, service, p)
+		if other == nil {
+			return e.refuse(a, refusals[a.Admission.Reason])
+		}
+		a.Upstream, a.Overflow, h = other, true, e.healthOf(other)
 	}
 	a.Moved = a.Moved && a.Upstream.Key != except
 	if a.Moved {
@@ -49,7 +54,7 @@
 	h.group.requestsPerFlow.flowOpened(now)
 	if len(e.flows) < e.cfg.MaxFlows {
 		h.openingStarted(now)
-		e.flows[p.Tuple] = &flow{key: a.Upstream.Key, lastSeen: now, opening: true}
+		e.flows[p.Tuple] = &flow{key: a.Upstream.Key, lastSeen: now, opening: true, firstRequest: true}
 		e.openingTimeouts.add(p.Tuple, now)
 		e.patienceTimeouts.add(p.Tuple, now)
 		e.lastOpenings[callerOf(p)] = p.Tuple
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -70,7 +70,9 @@
 	switch {
 	case e.isRejection(r, h, took, bytes):
 		h.noteRejection(now)
-		h.group.limiter.Rejected(now)
+		if f.firstRequest {
+			h.group.limiter.Rejected(now)
+		}
 		h.saturation.noteAnswer(now, true)
 		e.stats.Rejected++
 	default:
@@ -82,10 +84,12 @@
 			h.recentAnswers.add(now, took)
 			h.group.answered(now, took)
 		}
-		h.group.noteAnswer(now, took, cold)
+		if f.firstRequest {
+			h.group.noteAnswer(now, took, cold)
+		}
 	}
 	e.noteAlive(now, h)
-	f.requestStart = time.Time{}
+	f.requestStart, f.firstRequest = time.Time{}, false
 	e.stats.Answered++
 	a.AnswerTime, a.InProgress = took, h.pendingRequests
 	if r.TargetLatency > 0 && took > r.TargetLatency {
@@ -106,7 +110,7 @@
 func (e *Engine) answeredElsewhere(now time.Time, h *health, f *flow) {
 	h.requestEnded()
 	e.noteAlive(now, h)
-	f.requestStart = time.Time{}
+	f.requestStart, f.firstRequest = time.Time{}, false
 	e.stats.AnsweredElsewhere++
 }
 
