--- a/stoatecho/choose.go
+++ b/stoatecho/choose.go
@@ -48,11 +48,12 @@
 // while another one is not. If none would answer in time, the flow is refused, since sending it to another data
 // centre would fill that one next in a general overload. Ejected upstreams are the last resort: if all are
 // ejected, the cause is more likely this entry's network than the upstreams.
-func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, service stoatpaddle.ServiceID, except stoatpaddle.UpstreamKey, retried bool) (*stoatroute.Upstream, bool, Excluded) {
+func (e *Engine) choose(now time.Time, t *stoatroute.Table, r *stoatroute.Route, except stoatpaddle.UpstreamKey, retried bool) (*stoatroute.Upstream, bool, Excluded) {
 	var o bestPicks
 	var excluded Excluded
 	patience := e.handshake.patience()
 	c := placement{now: now, route: r, patience: patience, except: except, retried: retried}
+	service := e.backend(r)
 	if all := t.Candidates(service); len(all) <= maxCandidates {
 		for _, u := range all {
 			e.consider(t, &c, u, &o, &excluded)
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -50,7 +50,6 @@
 	Upstream        *stoatroute.Upstream // set for a flow that is reset too, if its upstream is known
 	Reason          stoatpacket.DropReason
 	Opened          bool // a new flow was placed
-	Overflow        bool // it went to another backend of its route than the one picked by weight, which refused it
 	Moved           bool // its opening went to another upstream before and was not answered
 	Retransmissions int  // retransmissions of the flow's packet, where known
 	// AnswerTime is how long the answer took that the packet acknowledges; Late reports that this exceeds the
--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -25,8 +25,7 @@
 	if p.Retransmits == 0 {
 		except = e.lastRefusedBy(now, p)
 	}
-	service := e.backend(r)
-	u, admitted, excluded := e.choose(now, t, r, service, except, a.Moved)
+	u, admitted, excluded := e.choose(now, t, r, except, a.Moved)
 	if a.Upstream = u; u == nil {
 		a.Excluded = excluded
 		return e.refuse(a, stoatpacket.DropNoUpstream)
@@ -36,11 +35,7 @@
 	a.Priority, a.Admission = r.Priority, e.decideByLevel(now, r, h.group, p, admitted)
 	h.group.noteAdmission(a.Admission.Admitted)
 	if !a.Admission.Admitted {
-		other := e.overflow(now, t, r, service, p)
-		if other == nil {
-			return e.refuse(a, refusals[a.Admission.Reason])
-		}
-		a.Upstream, a.Overflow, h = other, true, e.healthOf(other)
+		return e.refuse(a, refusals[a.Admission.Reason])
 	}
 	a.Moved = a.Moved && a.Upstream.Key != except
 	if a.Moved {
