--- a/stoatload/load.go
+++ b/stoatload/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -58,9 +59,41 @@
 	for _, l := range o.Levels {
 		out.addLevel(l)
 	}
+	// The most urgent levels are kept, so that the result does not depend on the order of additions.
+	out.Levels = out.Levels[:min(len(out.Levels), MaxLevels)]
 	return out
 }
 
+// Idle reports whether the group has no traffic and no pending requests.
+func (g *GroupLoad) Idle() bool {
+	return g.Answered < trafficFloor && g.Rejected < trafficFloor && g.InProgress <= 0 && g.activeLevels() == 0
+}
+
+// UnderPressure reports whether upstreams reject requests of the group, or entries refuse openings.
+func (g *GroupLoad) UnderPressure() bool {
+	if g.Rejected >= trafficFloor && g.RejectedShare() > maxRejectedShare {
+		return true
+	}
+	return slices.ContainsFunc(g.Levels, func(l LevelLoad) bool {
+		return l.Arrived >= trafficFloor && l.Arrived-l.Admitted > maxRejectedShare*l.Arrived
+	})
+}
+
+// Contended reports whether decisions on the group can depend on what other entries observe: several levels have
+// traffic, or upstreams reject requests.
+func (g *GroupLoad) Contended() bool { return g.Rejected >= trafficFloor || g.activeLevels() > 1 }
+
+// activeLevels returns the number of levels with traffic.
+func (g *GroupLoad) activeLevels() int {
+	n := 0
+	for _, l := range g.Levels {
+		if l.Arrived >= trafficFloor {
+			n++
+		}
+	}
+	return n
+}
+
 // addLevel adds the load of a level.
 func (g *GroupLoad) addLevel(l LevelLoad) {
 	i, found := slices.BinarySearchFunc(g.Levels, l.Priority, func(x LevelLoad, p int) int { return cmp.Compare(x.Priority, p) })
@@ -80,7 +113,7 @@
 	case b == 0 || weightB <= 0:
 		return a
 	}
-	return time.Duration((float64(a)*weightA + float64(b)*weightB) / (weightA + weightB))
+	return time.Duration(math.Round((float64(a)*weightA + float64(b)*weightB) / (weightA + weightB)))
 }
 
 // CentreLoad is the load of the services in one data centre as of a time.
--- a/stoatload/rate.go
+++ b/stoatload/rate.go
@@ -13,8 +13,11 @@
 }
 
 // Add records an event; decay is the time in which its weight falls to 1/e.
-func (r *Rate) Add(now time.Time, decay time.Duration) {
-	r.perSecond, r.at = r.PerSecond(now, decay)+1/decay.Seconds(), now
+func (r *Rate) Add(now time.Time, decay time.Duration) { r.addAmount(now, decay, 1) }
+
+// addAmount records an event that counts as often as amount says.
+func (r *Rate) addAmount(now time.Time, decay time.Duration, amount float64) {
+	r.perSecond, r.at = r.PerSecond(now, decay)+amount/decay.Seconds(), now
 }
 
 // PerSecond returns the rate in events a second.
@@ -22,5 +25,5 @@
 	if r.perSecond == 0 {
 		return 0
 	}
-	return r.perSecond * math.Exp(-float64(now.Sub(r.at))/float64(decay))
+	return r.perSecond * math.Exp(-float64(max(0, now.Sub(r.at)))/float64(decay))
 }
