stoatedge: exchange loads along the relay tree and between data centres

A child posts the load of its subtree to /v1/load of its parent, and the sum of the data centre comes back in two new fields of the parent's messages. The topmost entries of data centres exchange theirs. Nothing is sent while no entry has several levels or rejections, and the exchange is off while the engine measures no loads. Requests to other entries, and the rule which entry is the topmost of its data centre, are shared with the reports on upstreams.

--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -28,6 +28,7 @@
 type Config struct {
 	Settings stoatsetting.Settings
 	Log      io.Writer
+	loads    loadEngine // nil: the engine itself; only tests set it
 }
 
 // Edge is one running entry on an echo fabric.
@@ -59,6 +60,7 @@
 	observed        chan struct{}             // signals that what entries observed of upstreams changed
 	reports         chan pendingReport        // to the parent
 	reportPending   atomic.Bool               // a report is in progress
+	loads           *loadExchange             // nil: loads are not exchanged
 	wakeTracker     stoatoutlier.DeltaTracker // what children were last woken for; used by shareObservations only
 	group           *errgroup.Group
 	ctx             context.Context
@@ -89,6 +91,7 @@
 			Rand: rand.New(rand.NewPCG(seed, 2)),
 		}),
 	}
+	e.loads = newLoadExchange(cfg.Settings, loadEngineOf(cfg, e.engine))
 	e.pause.lastTick.Store(int64(uptime()))
 	e.table.Store(&stoatroute.Table{})
 	e.counts.initMetrics()
--- a/stoatedge/edge_test.go
+++ b/stoatedge/edge_test.go
@@ -103,6 +103,14 @@
 
 // start starts an entry that listens on the host address and has the given seeds.
 func (r *rig) start(host string, seeds ...netip.AddrPort) (*stoatedge.Edge, stoatsetting.Settings, *logBuffer) {
+	r.t.Helper()
+	set := r.settings(host, seeds...)
+	e, l := r.startConfigured(stoatedge.Config{Settings: set})
+	return e, set, l
+}
+
+// settings returns the settings of an entry that listens on the host address and has the given seeds.
+func (r *rig) settings(host string, seeds ...netip.AddrPort) stoatsetting.Settings {
 	r.t.Helper()
 	free := func() netip.AddrPort {
 		a, err := stoatfake.FreeAddr()
@@ -111,19 +119,25 @@
 		}
 		return a
 	}
-	set := stoatsetting.Settings{
+	return stoatsetting.Settings{
 		Instance: "edge-" + stoatpaddle.InstanceID(host), DataCentre: "here", LogLevel: "info", PlatformAddr: r.addr, Seeds: seeds,
 		TunnelAddr: netip.AddrPortFrom(netip.MustParseAddr(host), r.port), ReadyAddr: free(), AdminAddr: free(),
 		MaxEvacuateDelay: r.maxEvacuateDelay,
 		MaxApplyDelay:    600 * time.Millisecond, GracePeriod: 500 * time.Millisecond, FlowLifetime: time.Minute, StopDeadline: 4 * time.Second,
 	}
+}
+
+// startConfigured starts an entry, whose log it returns.
+func (r *rig) startConfigured(cfg stoatedge.Config) (*stoatedge.Edge, *logBuffer) {
+	r.t.Helper()
 	l := &logBuffer{}
-	e, err := stoatedge.Start(context.Background(), stoatedge.Config{Settings: set, Log: l})
+	cfg.Log = l
+	e, err := stoatedge.Start(context.Background(), cfg)
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(e.Kill)
-	return e, set, l
+	return e, l
 }
 
 func (r *rig) wait(what string, ok func() bool) {
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -15,6 +15,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathUpdates, e.serveUpdates)
 	mux.HandleFunc("POST "+pathReports, e.receiveReport)
+	if e.loads != nil {
+		mux.HandleFunc("POST "+pathLoads, e.receiveLoads)
+	}
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.status()) })
 	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.report()) })
 	mux.HandleFunc("GET /metrics", e.writeMetrics)
--- a/stoatedge/run_parent.go
+++ b/stoatedge/run_parent.go
@@ -115,6 +115,7 @@
 	}
 	e.aggregator.HandleParentUpdate(clock(), netip.AddrPort{}, stoatoutlier.Update{})
 	e.setPlace(netip.AddrPort{}, stoatfilter.EntryRank{})
+	e.loads.parentLost(clock())
 	if left := context.Cause(ctx); left != nil {
 		cause = left
 	}
@@ -214,6 +215,7 @@
 		e.aggregator.HandleParentUpdate(clock(), netip.AddrPort{}, stoatoutlier.Update{})
 		e.setPlace(netip.AddrPort{}, stoatfilter.EntryRank{})
 	}
+	e.loads.handleHead(clock(), addr, h)
 	e.post(x)
 	return nil
 }
--- a/stoatedge/run_reports.go
+++ b/stoatedge/run_reports.go
@@ -1,10 +1,7 @@
 package stoatedge
 
 import (
-	"bytes"
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -176,17 +173,6 @@
 	}
 }
 
-// reportClient keeps the connection to the parent. A connection that has gone silent costs peerTimeout, and
-// is not reused.
-var reportClient = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
-	MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout, DisableCompression: true,
-}}
-
-// reportIdleTimeout is how long the connection is kept without reports: after one upstream fails, others
-// usually follow within seconds.
-const reportIdleTimeout = 10 * time.Second
-
 // sendReport sends a report, and returns whether the parent accepted it. A parent that does not accept it is
 // either detected by its silence, or lacks the earlier reports.
 func (e *Edge) sendReport(x pendingReport) bool {
@@ -194,23 +180,14 @@
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, peerTimeout)
-	defer cancel()
-	url := "http://" + x.to.String() + pathReports + "?" + paramFrom + "=" + e.settings().AdminAddr.String() + "&" + paramSize + "=" + strconv.Itoa(x.size)
+	query := paramFrom + "=" + e.settings().AdminAddr.String() + "&" + paramSize + "=" + strconv.Itoa(x.size)
 	if x.update.Full {
-		url += "&" + paramWhole + "=1"
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return false
+		query += "&" + paramWhole + "=1"
 	}
-	e.relay.sent.Add(int64(len(body)))
-	res, err := reportClient.Do(req)
+	status, _, err := e.sendRequest(peerRequest{to: x.to, path: pathReports, query: query, body: body})
 	if err != nil {
 		e.log.emit(clock(), EventReportFailed, stoatevent.F("parent", x.to.String()), stoatevent.F("cause", err.Error()))
 		return false
 	}
-	_, _ = io.Copy(io.Discard, res.Body)
-	_ = res.Body.Close()
-	return res.StatusCode == http.StatusNoContent
+	return status == http.StatusNoContent
 }
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -18,6 +18,7 @@
 	e.group.Go(e.tick)
 	e.group.Go(e.shareObservations)
 	e.group.Go(e.sendReports)
+	e.startLoadWorkers()
 }
 
 // packetBuffers holds what one goroutine needs to handle packets; nothing in it is shared.
--- a/stoatedge/run_updates.go
+++ b/stoatedge/run_updates.go
@@ -123,8 +123,12 @@
 	cause := e.streamUpdates(w, r, join)
 	e.relay.mu.Lock()
 	e.relay.tree.RemoveChild(join.From, a.Admission)
+	_, admittedAgain := e.relay.tree.ChildCentre(join.From)
 	e.relay.mu.Unlock()
 	e.aggregator.RemoveChild(join.From)
+	if !admittedAgain {
+		e.loads.removeChild(join.From)
+	}
 	e.log.emit(clock(), EventChildLeft, stoatevent.F("child", join.From.String()), stoatevent.F("cause", cause))
 }
 
@@ -141,7 +145,7 @@
 	var child stoatrelay.ChildState
 	var reports stoatoutlier.DeltaTracker
 	for {
-		next := e.relay.notifier.wait()
+		next, loads := e.relay.notifier.wait(), e.loads.waitForChange(join.Centre)
 		if e.stop.requested() {
 			return "this entry stops"
 		}
@@ -159,7 +163,7 @@
 			return err.Error()
 		}
 		child = held
-		if cause := e.waitForUpdate(r, next, stoatfeed.Fraction(bound, keepaliveShare)); cause != "" {
+		if cause := e.waitForUpdate(r, next, loads, stoatfeed.Fraction(bound, keepaliveShare)); cause != "" {
 			return cause
 		}
 	}
@@ -182,11 +186,12 @@
 
 // waitForUpdate returns an empty string when there is a change or a message is due anyway, or else what ended
 // the connection.
-func (e *Edge) waitForUpdate(r *http.Request, next <-chan struct{}, longest time.Duration) string {
+func (e *Edge) waitForUpdate(r *http.Request, next, loads <-chan struct{}, longest time.Duration) string {
 	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case <-next:
+	case <-loads:
 	case <-timer.C:
 	case <-r.Context().Done():
 		return "the child closed the connection"
@@ -208,6 +213,7 @@
 			h.Reports, h.FullReports = stoatoutlier.Encode(now, u.Reports), u.Full
 		}
 	}
+	e.loads.addTo(now, &h, join.Centre)
 	e.relay.mu.Lock()
 	h.Siblings = stoatrelay.FormatAddrs(e.relay.tree.Siblings(join.From, join.Centre))
 	if own := e.ownPlace(); join.Centre == e.settings().DataCentre && own.Entries > 0 {
--- a/stoatload/aggregator.go
+++ b/stoatload/aggregator.go
@@ -24,11 +24,13 @@
 	mu       sync.Mutex
 	own      received
 	wantedAt time.Time // when this entry last needed the loads of others
-	children map[netip.AddrPort]received
-	parent   netip.AddrPort // parent in this data centre; invalid: none
-	sum      *CentreLoad    // of this data centre, as the parent sent it; nil: none
-	topmost  bool           // no entry of this data centre is above this one
-	parts    map[partKey]storedPart
+	// requestedAt is when the parent, which is in another data centre, last asked for the load of this one.
+	requestedAt time.Time
+	children    map[netip.AddrPort]received
+	parent      netip.AddrPort // parent in this data centre; invalid: none
+	sum         *CentreLoad    // of this data centre, as the parent sent it; nil: none
+	topmost     bool           // no entry of this data centre is above this one
+	parts       map[partKey]storedPart
 }
 
 // received holds loads and the time at which they were received.
@@ -115,6 +117,20 @@
 	}
 }
 
+// HandleRequest records that a parent in another data centre asks for the load of this one.
+func (agg *Aggregator) HandleRequest(now time.Time) {
+	agg.mu.Lock()
+	defer agg.mu.Unlock()
+	agg.requestedAt = now
+}
+
+// Parent returns the parent in this data centre; invalid: none.
+func (agg *Aggregator) Parent() netip.AddrPort {
+	agg.mu.Lock()
+	defer agg.mu.Unlock()
+	return agg.parent
+}
+
 // SetTopmost sets whether no entry of this data centre is above this one. An entry that has neither a parent nor this
 // role is cut off.
 func (agg *Aggregator) SetTopmost(topmost bool) {
@@ -252,7 +268,8 @@
 	return agg.parent.IsValid() && agg.sum != nil && now.Sub(agg.sum.At) < age
 }
 
-// Sum returns the load of this data centre; false: none is known that is recent enough for decisions.
+// Sum returns the load of this data centre; false: none is known that is recent enough for decisions, or entries
+// report nothing since none is needed.
 func (agg *Aggregator) Sum(now time.Time) (CentreLoad, bool) {
 	agg.mu.Lock()
 	defer agg.mu.Unlock()
@@ -264,9 +281,6 @@
 func (agg *Aggregator) SumForChildren(now time.Time) (CentreLoad, bool) {
 	agg.mu.Lock()
 	defer agg.mu.Unlock()
-	if agg.topmost && !agg.parent.IsValid() && !agg.requested(now) {
-		return CentreLoad{}, false
-	}
 	return agg.centreSum(now, LoadTTL)
 }
 
@@ -277,7 +291,7 @@
 			return CentreLoad{}, false
 		}
 		return *agg.sum, true
-	case agg.topmost:
+	case agg.topmost && agg.requested(now):
 		return CentreLoad{DataCentre: agg.cfg.DataCentre, At: now, Groups: sumGroups(append(agg.subtree(now), agg.otherParts(now)...))}, true
 	}
 	return CentreLoad{}, false
@@ -297,7 +311,7 @@
 
 // requested reports whether any entry, also of another data centre, needs the load of this one.
 func (agg *Aggregator) requested(now time.Time) bool {
-	if agg.wanted(now) || agg.freshSum(now, LoadTTL) {
+	if agg.wanted(now) || fresh(now, agg.requestedAt) || agg.freshSum(now, LoadTTL) {
 		return true
 	}
 	return len(agg.freshParts(now, func(p storedPart) bool { return p.Wanted })) > 0
--- a/stoatload/pacer.go
+++ b/stoatload/pacer.go
@@ -68,6 +68,28 @@
 	return true
 }
 
+// Record records a message that was sent for another reason.
+func (p *Pacer) Record(now time.Time) { p.sentAt = now }
+
+// ChildPacer decides when children have to be sent the data centre's sum. The zero value is ready to use.
+type ChildPacer struct {
+	pacer Pacer
+	sumAt time.Time // of the sum that was last sent
+}
+
+// Next reports whether the sum as of sumAt has to be sent, and records it as sent if it has. The sum of the topmost
+// entry is as of now, and is sent at the pace. An entry below passes each sum of its parent on at once.
+func (p *ChildPacer) Next(now time.Time, pace Pace, sumAt time.Time) bool {
+	if sumAt.Sub(p.sumAt) < PressedInterval/2 {
+		return false
+	}
+	if sumAt.Equal(now) && !p.pacer.Next(now, pace) {
+		return false
+	}
+	p.sumAt = sumAt
+	return true
+}
+
 // elapsed reports whether the interval has passed since then; zero: there is no such time.
 func elapsed(now, then time.Time, interval time.Duration) bool {
 	return then.IsZero() || now.Sub(then) >= interval-timerSlack
@@ -92,6 +114,9 @@
 	return true
 }
 
+// Record records a message that was sent for another reason.
+func (p *CentrePacer) Record(now time.Time, parts []Part) { p.sentAt, p.sent = now, parts }
+
 const (
 	// minChange is the relative change of a figure that is worth a message.
 	minChange = 0.1
--- a/stoatrelay/codec_test.go
+++ b/stoatrelay/codec_test.go
@@ -1,6 +1,7 @@
 package stoatrelay
 
 import (
+	"bytes"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
@@ -260,3 +262,70 @@
 		t.Errorf("%+v %v", w, err)
 	}
 }
+
+// headOfEarlierRelease is the Head of a release that sends no loads.
+type headOfEarlierRelease struct {
+	_msgpack          struct{} `msgpack:",as_array"`
+	PositionRevision  uint64
+	AgeMS             int64
+	Path              []string
+	Siblings          []string
+	Centre            string
+	Reports           []stoatoutlier.WireReport
+	FullReports       bool
+	HasBody           bool
+	Rank              int
+	DataCentreEntries int
+	PositionEra       uint64
+	BodyEra           uint64
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (h *headOfEarlierRelease) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return decodeFields(dec, &h.PositionRevision, &h.AgeMS, &h.Path, &h.Siblings, &h.Centre, &h.Reports, &h.FullReports, &h.HasBody, &h.Rank, &h.DataCentreEntries, &h.PositionEra, &h.BodyEra)
+}
+
+// Guards against a release with loads that the previous one cannot read, or that cannot read the previous one's
+// messages, and against bytes that are sent although no load is.
+func TestHeadLoadsOfOtherReleases(t *testing.T) {
+	exported := cmpopts.IgnoreUnexported(Head{}, headOfEarlierRelease{}, stoatoutlier.WireReport{})
+	reports := []stoatoutlier.WireReport{{Key: 5, Answered: 300, Failed: 7, FirstWaitAgeMS: -1}}
+	earlier := headOfEarlierRelease{
+		PositionRevision: 1 << 40, AgeMS: -1, Path: []string{"10.0.0.1:1"}, Centre: "here", Reports: reports, HasBody: true, Rank: 300, DataCentreEntries: 400, PositionEra: 2, BodyEra: 3,
+	}
+	head := Head{
+		PositionRevision: 1 << 40, AgeMS: -1, Path: []string{"10.0.0.1:1"}, Centre: "here", Reports: reports, HasBody: true, Rank: 300, DataCentreEntries: 400, PositionEra: 2, BodyEra: 3,
+	}
+	old, err := Encode(&earlier)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plain, err := Encode(&head)
+	if err != nil || !bytes.Equal(old, plain) {
+		t.Errorf("without loads:\n% x\n% x %v", plain, old, err)
+	}
+	var got Head
+	if err := msgpack.Unmarshal(old, &got); err != nil || cmp.Diff(head, got, exported) != "" {
+		t.Error(err, cmp.Diff(head, got, exported))
+	}
+	for _, loads := range [][2]msgpack.RawMessage{{{0x93, 1, 2, 3}, {0x91, 5}}, {nil, {0x81, 1, 2}}} {
+		head.CentreLoad, head.OtherLoads = loads[0], loads[1]
+		data, err := Encode(&head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data = append(data, 0x2a)
+		dec := msgpack.NewDecoder(bytes.NewReader(data))
+		var skipped headOfEarlierRelease
+		if err := dec.Decode(&skipped); err != nil || cmp.Diff(earlier, skipped, exported) != "" {
+			t.Errorf("%+v %v", skipped, err)
+		}
+		if next, err := dec.DecodeInt(); err != nil || next != 0x2a {
+			t.Error("what follows the message is read at the wrong place:", next, err)
+		}
+		got = Head{}
+		if err := msgpack.Unmarshal(data[:len(data)-1], &got); err != nil || !bytes.Equal(got.CentreLoad, head.CentreLoad) || !bytes.Equal(got.OtherLoads, head.OtherLoads) {
+			t.Errorf("%x %x %v", got.CentreLoad, got.OtherLoads, err)
+		}
+	}
+}
--- a/stoatrelay/compat.go
+++ b/stoatrelay/compat.go
@@ -30,7 +30,28 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (h *Head) DecodeMsgpack(dec *msgpack.Decoder) error {
-	return decodeFields(dec, &h.PositionRevision, &h.AgeMS, &h.Path, &h.Siblings, &h.Centre, &h.Reports, &h.FullReports, &h.HasBody, &h.Rank, &h.DataCentreEntries, &h.PositionEra, &h.BodyEra)
+	return decodeFields(dec, &h.PositionRevision, &h.AgeMS, &h.Path, &h.Siblings, &h.Centre, &h.Reports, &h.FullReports, &h.HasBody, &h.Rank, &h.DataCentreEntries, &h.PositionEra, &h.BodyEra, &h.CentreLoad, &h.OtherLoads)
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder. A Head without loads has the fields of the releases that send none,
+// so that it has no more bytes. The loads stay encoded, so that a fault in them does not make the Head unreadable.
+func (h *Head) EncodeMsgpack(enc *msgpack.Encoder) error {
+	fields := []any{h.PositionRevision, h.AgeMS, h.Path, h.Siblings, h.Centre, h.Reports, h.FullReports, h.HasBody, h.Rank, h.DataCentreEntries, h.PositionEra, h.BodyEra}
+	if len(h.CentreLoad)+len(h.OtherLoads) > 0 {
+		fields = append(fields, encodedField(h.CentreLoad), encodedField(h.OtherLoads))
+	}
+	if err := enc.EncodeArrayLen(len(fields)); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(fields...)
+}
+
+// encodedField returns the field as the encoder takes it; an empty one is encoded as nil.
+func encodedField(m msgpack.RawMessage) any {
+	if len(m) == 0 {
+		return nil
+	}
+	return m
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/stoatrelay/wire.go
+++ b/stoatrelay/wire.go
@@ -1,6 +1,10 @@
 package stoatrelay
 
-import "github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatoutlier"
+)
 
 // Head begins each message. Messages are msgpack arrays: each child gets one about every second, and field
 // names would be half of it.
@@ -18,6 +22,8 @@
 	DataCentreEntries int                       // number of those entries; 0: the child is in another data centre, or the number is not known
 	PositionEra       uint64                    // era of the position whose revision is PositionRevision
 	BodyEra           uint64                    // era of the revisions in the Body; 0: the parent knows of none
+	CentreLoad        msgpack.RawMessage        // load of the child's data centre; empty: none is needed, or none is known
+	OtherLoads        msgpack.RawMessage        // loads of other data centres; empty: none are known
 }
 
 // Body follows a Head when something changed.
--- a/stoattree/tree.go
+++ b/stoattree/tree.go
@@ -261,6 +261,12 @@
 	return rank
 }
 
+// ChildCentre returns the data centre of a child; false: the entry is not a child.
+func (t *Tree) ChildCentre(from netip.AddrPort) (stoatpaddle.DataCentreID, bool) {
+	c, known := t.children[from]
+	return c.centre, known
+}
+
 // RemoveChild removes a child, unless it has been admitted again.
 func (t *Tree) RemoveChild(from netip.AddrPort, admission AdmissionID) {
 	if t.children[from].admission == admission {
