stoatload: exchange only contended groups, and limit the bytes of a lasting overload

Which groups others need follows from their loads, so that messages need no flag for it. After a burst, reports and sums continue at a rate that leaves half of an entry's control traffic to other messages.

--- a/stoatedge/load_exchange.go
+++ b/stoatedge/load_exchange.go
@@ -24,6 +24,7 @@
 	children     *notifier                      // wakes the connections of the children in this data centre
 	remoteParent atomic.Pointer[netip.AddrPort] // parent in another data centre; nil: none
 	unsupported  atomic.Pointer[netip.AddrPort] // parent whose release does not take loads; nil: not known
+	headBytes    atomic.Int64                   // bytes of the loads in the latest message to a child
 	mu           sync.Mutex                     // guards peers
 	peers        map[netip.AddrPort]*loadPeer
 }
@@ -131,6 +132,7 @@
 	if centres := x.aggregator.Centres(now); len(centres) > 0 {
 		h.OtherLoads = encodedOrNone(stoatload.EncodeCentres(now, centres))
 	}
+	x.headBytes.Store(int64(len(h.CentreLoad) + len(h.OtherLoads)))
 }
 
 // encodedOrNone leaves out a load that cannot be encoded, since a message is of use without it.
--- a/stoatedge/load_peers.go
+++ b/stoatedge/load_peers.go
@@ -43,6 +43,15 @@
 	return m, p.remote.Next(now, pace, m.Parts)
 }
 
+// charge records the length of what was posted to a peer.
+func (x *loadExchange) charge(to netip.AddrPort, bytes int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if p := x.peers[to]; p != nil {
+		p.local.Charge(bytes)
+	}
+}
+
 // answer returns the response to an exchange. It counts as sent to the peer, so that only one of the two entries
 // posts.
 func (x *loadExchange) answer(now time.Time, to netip.AddrPort, below bool) stoatload.Exchange {
--- a/stoatedge/load_test.go
+++ b/stoatedge/load_test.go
@@ -312,7 +312,7 @@
 	r := newRig(t)
 	seed := r.startLoads("127.0.0.31", "here", loadOf("here", 10, 0.1))
 	r.wait("the seed adds up", hasSum(seed, 1, 10))
-	report, err := stoatload.EncodeReport(time.Now(), stoatload.Report{Wanted: true, Groups: loadOf("here", 1000, 1)})
+	report, err := stoatload.EncodeReport(time.Now(), stoatload.Report{Groups: loadOf("here", 1000, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/stoatedge/run_load.go
+++ b/stoatedge/run_load.go
@@ -68,6 +68,7 @@
 	e.engineMu.Unlock()
 	if forChildren, ok := agg.SumForChildren(now); ok && pacer.Next(now, agg.Pace(now), forChildren.At) {
 		e.loads.children.notify()
+		pacer.Charge(int(e.loads.headBytes.Load()))
 	}
 }
 
@@ -86,22 +87,23 @@
 			continue
 		}
 		if pacer.Next(now, agg.Pace(now)) {
-			e.sendLoadReport(now, parent)
+			pacer.Charge(e.sendLoadReport(now, parent))
 		}
 	}
 }
 
-// sendLoadReport posts one report. A report that is lost is made up for by the next one.
-func (e *Edge) sendLoadReport(now time.Time, parent netip.AddrPort) {
+// sendLoadReport posts one report, and returns its length. A report that is lost is made up for by the next one.
+func (e *Edge) sendLoadReport(now time.Time, parent netip.AddrPort) int {
 	body, err := stoatload.EncodeReport(now, e.loads.aggregator.Report(now))
 	if err != nil {
-		return
+		return 0
 	}
 	query := url.Values{paramFrom: {e.settings().AdminAddr.String()}}.Encode()
 	status, _, err := e.sendRequest(peerRequest{to: parent, path: pathLoads, query: query, body: body})
 	if err == nil && status == http.StatusNotFound {
 		e.loads.unsupported.Store(&parent)
 	}
+	return len(body)
 }
 
 // exchangeLoads exchanges the loads of data centres, if this entry is the topmost of its data centre.
@@ -145,6 +147,7 @@
 	if err != nil {
 		return
 	}
+	e.loads.charge(to, len(body))
 	query := url.Values{paramFrom: {e.settings().AdminAddr.String()}, paramCentre: {string(x.DataCentre)}}.Encode()
 	status, data, err := e.sendRequest(peerRequest{to: to, path: pathLoads, query: query, body: body, maxBytes: stoatload.MaxMessageBytes + 1})
 	if err != nil {
--- a/stoatload/aggregator.go
+++ b/stoatload/aggregator.go
@@ -20,10 +20,11 @@
 // Aggregator adds up the loads of this entry and of the entries below it, and keeps the loads that the parent and
 // other data centres publish. Its methods may be called by several goroutines.
 type Aggregator struct {
-	cfg      AggregatorConfig
-	mu       sync.Mutex
-	own      received
-	wantedAt time.Time // when this entry last needed the loads of others
+	cfg AggregatorConfig
+	mu  sync.Mutex
+	own received
+	// contendedAt is when each group was last seen to be contended, here or in another data centre.
+	contendedAt map[stoatpaddle.ServiceID]time.Time
 	// requestedAt is when the parent, which is in another data centre, last asked for the load of this one.
 	requestedAt time.Time
 	children    map[netip.AddrPort]received
@@ -36,7 +37,6 @@
 // received holds loads and the time at which they were received.
 type received struct {
 	at     time.Time
-	wanted bool
 	groups []GroupLoad
 }
 
@@ -56,7 +56,7 @@
 
 // NewAggregator returns an Aggregator without loads.
 func NewAggregator(cfg AggregatorConfig) *Aggregator {
-	return &Aggregator{cfg: cfg, children: map[netip.AddrPort]received{}, parts: map[partKey]storedPart{}}
+	return &Aggregator{cfg: cfg, children: map[netip.AddrPort]received{}, parts: map[partKey]storedPart{}, contendedAt: map[stoatpaddle.ServiceID]time.Time{}}
 }
 
 // SetOwn replaces the load that this entry measures. Groups of other data centres don't count.
@@ -64,8 +64,25 @@
 	agg.mu.Lock()
 	defer agg.mu.Unlock()
 	agg.own = received{at: now, groups: agg.usable(groups)}
-	if PaceOf(agg.own.groups) != Silent {
-		agg.wantedAt = now
+	agg.noteContended(now, agg.own.groups)
+}
+
+// noteContended records which of the groups are contended. Their loads are exchanged for LoadTTL from now, so that
+// the exchange does not end with each pause in the traffic of a level.
+func (agg *Aggregator) noteContended(now time.Time, groups []GroupLoad) {
+	for i := range groups {
+		if groups[i].Contended() {
+			agg.contendedAt[groups[i].Group.Service] = now
+		}
+	}
+	if len(agg.contendedAt) > MaxContended {
+		maps.DeleteFunc(agg.contendedAt, func(_ stoatpaddle.ServiceID, at time.Time) bool { return !fresh(now, at) })
+	}
+	for s := range agg.contendedAt {
+		if len(agg.contendedAt) <= MaxContended {
+			break
+		}
+		delete(agg.contendedAt, s)
 	}
 }
 
@@ -92,7 +109,8 @@
 	if _, known := agg.children[from]; !known && len(agg.children) >= MaxChildren {
 		return false
 	}
-	agg.children[from] = received{at: now, wanted: r.Wanted, groups: agg.usable(r.Groups)}
+	agg.children[from] = received{at: now, groups: agg.usable(r.Groups)}
+	agg.noteContended(now, agg.children[from].groups)
 	for i := range r.Parts {
 		agg.keepPart(now, r.Parts[i], true)
 	}
@@ -174,6 +192,7 @@
 	}
 	p.Load.Groups = sumGroups(p.Load.Groups)
 	agg.parts[key] = storedPart{Part: p, below: below}
+	agg.noteContended(now, p.Load.Groups)
 }
 
 // hasRoom removes expired parts, and reports whether a further part of the data centre can be kept.
@@ -209,24 +228,22 @@
 	return sumGroups(all)
 }
 
-// wanted reports whether an entry of the subtree needs the loads of others.
-func (agg *Aggregator) wanted(now time.Time) bool {
-	if fresh(now, agg.wantedAt) {
-		return true
-	}
-	for _, c := range agg.children {
-		if c.wanted && fresh(now, c.at) {
-			return true
+// needed returns the groups whose loads have to be exchanged: those that are contended anywhere, as far as this entry
+// knows, or that the parent sent.
+func (agg *Aggregator) needed(now time.Time, groups []GroupLoad) []GroupLoad {
+	return slices.DeleteFunc(groups, func(g GroupLoad) bool {
+		if fresh(now, agg.contendedAt[g.Group.Service]) {
+			return false
 		}
-	}
-	return false
+		return !agg.freshSum(now, LoadTTL) || agg.sum.Find(g.Group.Service) == nil
+	})
 }
 
 // Report returns what the parent has to be told.
 func (agg *Aggregator) Report(now time.Time) Report {
 	agg.mu.Lock()
 	defer agg.mu.Unlock()
-	return Report{Wanted: agg.wanted(now), Groups: agg.subtree(now), Parts: agg.freshParts(now, func(p storedPart) bool { return p.below })}
+	return Report{Groups: agg.needed(now, agg.subtree(now)), Parts: agg.freshParts(now, func(p storedPart) bool { return p.below })}
 }
 
 // Exchange returns what another entry has to be told of this data centre and others. An entry below this one is told
@@ -238,7 +255,7 @@
 	switch {
 	case agg.topmost:
 		x.Parts = append(x.Parts, Part{
-			Origin: agg.cfg.Self, Wanted: agg.wanted(now), Load: CentreLoad{DataCentre: agg.cfg.DataCentre, At: now, Groups: agg.subtree(now)},
+			Origin: agg.cfg.Self, Load: CentreLoad{DataCentre: agg.cfg.DataCentre, At: now, Groups: agg.needed(now, agg.subtree(now))},
 		})
 	case below && agg.freshSum(now, LoadTTL):
 		x.Parts = append(x.Parts, Part{Load: *agg.sum})
@@ -291,8 +308,11 @@
 			return CentreLoad{}, false
 		}
 		return *agg.sum, true
-	case agg.topmost && agg.requested(now):
-		return CentreLoad{DataCentre: agg.cfg.DataCentre, At: now, Groups: sumGroups(append(agg.subtree(now), agg.otherParts(now)...))}, true
+	case agg.topmost:
+		sum := sumGroups(append(agg.subtree(now), agg.otherParts(now)...))
+		agg.noteContended(now, sum)
+		sum = agg.needed(now, sum)
+		return CentreLoad{DataCentre: agg.cfg.DataCentre, At: now, Groups: sum}, len(sum) > 0
 	}
 	return CentreLoad{}, false
 }
@@ -309,28 +329,30 @@
 	return out
 }
 
-// requested reports whether any entry, also of another data centre, needs the load of this one.
-func (agg *Aggregator) requested(now time.Time) bool {
-	if agg.wanted(now) || fresh(now, agg.requestedAt) || agg.freshSum(now, LoadTTL) {
-		return true
-	}
-	return len(agg.freshParts(now, func(p storedPart) bool { return p.Wanted })) > 0
-}
-
 // Pace returns how often this entry has to report.
 func (agg *Aggregator) Pace(now time.Time) Pace {
 	agg.mu.Lock()
 	defer agg.mu.Unlock()
-	if !agg.requested(now) {
-		return Silent
-	}
-	pace := max(Steady, PaceOf(agg.subtree(now)))
+	pace := PaceOf(agg.subtree(now))
 	if sum, ok := agg.centreSum(now, LoadTTL); ok {
-		pace = max(pace, PaceOf(sum.Groups))
+		pace = max(pace, Steady, PaceOf(sum.Groups))
+	}
+	if pace == Silent && (fresh(now, agg.requestedAt) || agg.anyContended(now)) {
+		pace = Steady
 	}
 	return pace
 }
 
+// anyContended reports whether a group was recently contended here or in another data centre.
+func (agg *Aggregator) anyContended(now time.Time) bool {
+	for _, at := range agg.contendedAt {
+		if fresh(now, at) {
+			return true
+		}
+	}
+	return false
+}
+
 // Centres returns the recent loads of other data centres, ascending by name.
 func (agg *Aggregator) Centres(now time.Time) []CentreLoad {
 	agg.mu.Lock()
--- a/stoatload/aggregator_test.go
+++ b/stoatload/aggregator_test.go
@@ -76,9 +76,14 @@
 		order := rapid.Permutation(indexes(len(loads))).Draw(t, "order")
 		above := make([]int, len(order)) // index in order of the parent of each entry; the first is the root
 		nodes := make([]*Aggregator, len(order))
+		requested := CentreLoad{DataCentre: "here", At: start} // entries report all groups that the sum has
+		for _, s := range []stoatpaddle.ServiceID{"a", "b", "c"} {
+			requested.Groups = append(requested.Groups, GroupLoad{Group: GroupID{Service: s, DataCentre: "here"}, Answered: 1})
+		}
 		for i := range order {
 			nodes[i] = newAggregator(i, "here")
 			nodes[i].SetOwn(start, loads[order[i]])
+			nodes[i].HandleParent(start, addrOf(0), &requested)
 			if i > 0 {
 				above[i] = rapid.IntRange(0, i-1).Draw(t, "parent")
 			}
@@ -286,13 +291,58 @@
 	}
 }
 
+// Guards against bytes for groups that no entry needs: of two services, only the one with rejections is exchanged, and
+// the entries that see none of them contribute to it too.
+func TestOnlyContendedGroupsAreExchanged(t *testing.T) {
+	root, child := newAggregator(1, "here"), newAggregator(2, "here")
+	other := GroupLoad{Group: GroupID{Service: "other", DataCentre: "here"}, Entries: 1, Answered: 50}
+	root.SetTopmost(true)
+	root.SetOwn(start, append(contended("here", 10), other))
+	child.SetOwn(start, append(calm("here", 5), other))
+	if r := child.Report(start); len(r.Groups) != 0 || child.Pace(start) != Silent {
+		t.Errorf("%+v", r)
+	}
+	sum, ok := root.Sum(start)
+	if !ok || len(sum.Groups) != 1 || sum.Find("app") == nil {
+		t.Fatalf("%+v %v", sum, ok)
+	}
+	child.HandleParent(start, addrOf(1), &sum)
+	r := child.Report(start)
+	if len(r.Groups) != 1 || r.Groups[0].Answered != 5 || child.Pace(start) == Silent {
+		t.Errorf("%+v", r)
+	}
+	root.HandleChild(start, addrOf(2), r)
+	if sum, _ := root.Sum(start); len(sum.Groups) != 1 || sum.Find("app").Answered != 15 {
+		t.Errorf("%+v", sum)
+	}
+}
+
+// Guards against a data centre that needs nothing itself and never publishes what others need: an entry whose parent is
+// in another data centre is asked by it.
+func TestRequestFromAnotherDataCentre(t *testing.T) {
+	agg := newAggregator(1, "here")
+	agg.SetTopmost(true)
+	agg.SetOwn(start, calm("here", 5))
+	if agg.Pace(start) != Silent {
+		t.Error("not silent")
+	}
+	agg.HandleRequest(start)
+	if agg.Pace(start) != Steady || agg.Pace(start.Add(LoadTTL)) != Silent {
+		t.Error(agg.Pace(start), agg.Pace(start.Add(LoadTTL)))
+	}
+	agg.HandleExchange(start, Exchange{DataCentre: "there", Parts: []Part{{Origin: addrOf(2), Load: CentreLoad{DataCentre: "there", At: start, Groups: contended("there", 9)}}}}, false)
+	if x := agg.Exchange(start, addrOf(2), false); len(x.Parts) != 1 || len(x.Parts[0].Load.Groups) != 1 {
+		t.Errorf("%+v", x)
+	}
+}
+
 // Guards against unbounded memory: children, groups, data centres and parts from others beyond the limits are not
 // kept.
 func TestAggregatorIsBounded(t *testing.T) {
 	agg := newAggregator(0, "here")
 	var groups []GroupLoad
 	for i := range 3 * MaxGroups {
-		groups = append(groups, GroupLoad{Group: GroupID{Service: stoatpaddle.ServiceID(fmt.Sprint(i)), DataCentre: "here"}, Entries: 1, Answered: 1})
+		groups = append(groups, GroupLoad{Group: GroupID{Service: stoatpaddle.ServiceID(fmt.Sprint(i)), DataCentre: "here"}, Entries: 1, Answered: 1, Rejected: 1})
 	}
 	for i := range 3 * MaxChildren {
 		if ok := agg.HandleChild(start, addrOf(i+1), Report{Groups: groups}); ok != (i < MaxChildren) {
@@ -305,6 +355,9 @@
 		parts = append(parts, Part{Origin: addrOf(i), Load: CentreLoad{DataCentre: dc, At: start, Groups: calm(dc, 1)}})
 	}
 	agg.HandleExchange(start, Exchange{DataCentre: "there", Parts: parts}, true)
+	if len(agg.contendedAt) > MaxContended {
+		t.Error(len(agg.contendedAt))
+	}
 	if len(agg.children) != MaxChildren || len(agg.Subtree(start)) != MaxGroups || len(agg.parts) > MaxParts || len(agg.Centres(start)) > MaxCentres {
 		t.Error(len(agg.children), len(agg.Subtree(start)), len(agg.parts), len(agg.Centres(start)))
 	}
--- a/stoatload/codec.go
+++ b/stoatload/codec.go
@@ -18,7 +18,6 @@
 // wireReport is the wire form of a Report.
 type wireReport struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	Wanted   bool
 	Groups   []wireGroup
 	Parts    []wirePart
 }
@@ -34,7 +33,6 @@
 type wirePart struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Origin   []byte   // address and port in binary; empty: a whole data centre
-	Wanted   bool
 	Load     wireCentre
 }
 
@@ -82,7 +80,7 @@
 // EncodeReport returns the wire form of a report.
 func EncodeReport(now time.Time, r Report) ([]byte, error) {
 	return encodeParts(r.Parts, func(parts []Part) any {
-		return &wireReport{Wanted: r.Wanted, Groups: wireGroups(r.Groups), Parts: wireParts(now, parts)}
+		return &wireReport{Groups: wireGroups(r.Groups), Parts: wireParts(now, parts)}
 	})
 }
 
@@ -135,7 +133,7 @@
 func wireParts(now time.Time, list []Part) []wirePart {
 	out := make([]wirePart, 0, len(list))
 	for i := range list {
-		w := wirePart{Wanted: list[i].Wanted, Load: *wireCentreOf(now, &list[i].Load)}
+		w := wirePart{Load: *wireCentreOf(now, &list[i].Load)}
 		if list[i].Origin.IsValid() {
 			// The binary form of an address without a zone cannot fail.
 			w.Origin, _ = list[i].Origin.MarshalBinary()
@@ -184,7 +182,7 @@
 	if err := decode(data, &w); err != nil {
 		return Report{}, &stoatpaddle.DecodeError{What: "a load report", Cause: err}
 	}
-	return Report{Wanted: w.Wanted, Groups: groupsOf(dc, w.Groups), Parts: partsOf(now, w.Parts)}, nil
+	return Report{Groups: groupsOf(dc, w.Groups), Parts: partsOf(now, w.Parts)}, nil
 }
 
 // DecodeExchange decodes an exchange that was received now, or returns *stoatpaddle.DecodeError.
@@ -222,7 +220,7 @@
 func partsOf(now time.Time, list []wirePart) []Part {
 	out := make([]Part, 0, len(list))
 	for i := range list {
-		p := Part{Wanted: list[i].Wanted, Load: centreOf(now, &list[i].Load)}
+		p := Part{Load: centreOf(now, &list[i].Load)}
 		if len(list[i].Origin) > 0 {
 			// The decoder has checked the address.
 			_ = p.Origin.UnmarshalBinary(list[i].Origin)
--- a/stoatload/codec_test.go
+++ b/stoatload/codec_test.go
@@ -19,12 +19,12 @@
 func TestReportCodec(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		want := sumGroups(rapid.SliceOfN(groupGenerator(), 0, 5).Draw(t, "groups"))
-		data, err := EncodeReport(start, Report{Wanted: true, Groups: want})
+		data, err := EncodeReport(start, Report{Groups: want})
 		if err != nil {
 			t.Fatal(err)
 		}
 		got, err := DecodeReport(start, "here", data)
-		if err != nil || !got.Wanted || len(got.Groups) != len(want) {
+		if err != nil || len(got.Groups) != len(want) {
 			t.Fatal(err, len(got.Groups), len(want))
 		}
 		for i, g := range got.Groups {
@@ -40,7 +40,7 @@
 // Guards against times of one machine's clock that another one takes for its own: only ages are sent.
 func TestExchangeCodec(t *testing.T) {
 	x := Exchange{DataCentre: "here", Parts: []Part{
-		{Origin: addrOf(1), Wanted: true, Load: CentreLoad{DataCentre: "here", At: start.Add(-300 * ms), Groups: contended("here", 10)}},
+		{Origin: addrOf(1), Load: CentreLoad{DataCentre: "here", At: start.Add(-300 * ms), Groups: contended("here", 10)}},
 		{Load: CentreLoad{DataCentre: "there", At: start.Add(-700 * ms), Groups: calm("there", 5)}},
 	}}
 	data, err := EncodeExchange(start, x)
@@ -124,26 +124,26 @@
 		return out
 	}
 	faults := map[string]any{
-		"negative entries":        []any{true, []any{with(1, -1)}, []any{}},
-		"negative rate":           []any{true, []any{with(2, -5)}, []any{}},
-		"rate out of bounds":      []any{true, []any{with(3, int64(1)<<62)}, []any{}},
-		"rate beyond int64":       []any{true, []any{with(3, uint64(math.MaxUint64))}, []any{}},
-		"rate that is no number":  []any{true, []any{with(4, math.NaN())}, []any{}},
-		"infinite rate":           []any{true, []any{with(4, math.Inf(1))}, []any{}},
-		"rate that is text":       []any{true, []any{with(4, "1")}, []any{}},
-		"answer time of a day":    []any{true, []any{with(5, int64(86_400_000_000))}, []any{}},
-		"service without a name":  []any{true, []any{with(0, 5)}, []any{}},
-		"long name":               []any{true, []any{with(0, string(make([]byte, maxNameBytes+1)))}, []any{}},
-		"too many levels":         []any{true, []any{with(7, make([]level, MaxLevels+1))}, []any{}},
-		"priority out of bounds":  []any{true, []any{with(7, []level{{Priority: int64(1) << 40, Arrived: 1, Admitted: 1}})}, []any{}},
-		"negative arrivals":       []any{true, []any{with(7, []level{{Arrived: -1, Admitted: 1}})}, []any{}},
-		"too many groups":         []any{true, groups(MaxGroups + 1), []any{}},
-		"too many parts":          []any{true, []any{}, make([]any, MaxParts+1)},
-		"faulty origin":           []any{true, []any{}, []any{[]any{[]byte{1, 2, 3}, false, []any{"there", 5, []any{}}}}},
-		"negative age":            []any{true, []any{}, []any{[]any{[]byte{}, false, []any{"there", -5, []any{}}}}},
+		"negative entries":        []any{[]any{with(1, -1)}, []any{}},
+		"negative rate":           []any{[]any{with(2, -5)}, []any{}},
+		"rate out of bounds":      []any{[]any{with(3, int64(1)<<62)}, []any{}},
+		"rate beyond int64":       []any{[]any{with(3, uint64(math.MaxUint64))}, []any{}},
+		"rate that is no number":  []any{[]any{with(4, math.NaN())}, []any{}},
+		"infinite rate":           []any{[]any{with(4, math.Inf(1))}, []any{}},
+		"rate that is text":       []any{[]any{with(4, "1")}, []any{}},
+		"answer time of a day":    []any{[]any{with(5, int64(86_400_000_000))}, []any{}},
+		"service without a name":  []any{[]any{with(0, 5)}, []any{}},
+		"long name":               []any{[]any{with(0, string(make([]byte, maxNameBytes+1)))}, []any{}},
+		"too many levels":         []any{[]any{with(7, make([]level, MaxLevels+1))}, []any{}},
+		"priority out of bounds":  []any{[]any{with(7, []level{{Priority: int64(1) << 40, Arrived: 1, Admitted: 1}})}, []any{}},
+		"negative arrivals":       []any{[]any{with(7, []level{{Arrived: -1, Admitted: 1}})}, []any{}},
+		"too many groups":         []any{groups(MaxGroups + 1), []any{}},
+		"too many parts":          []any{[]any{}, make([]any, MaxParts+1)},
+		"faulty origin":           []any{[]any{}, []any{[]any{[]byte{1, 2, 3}, []any{"there", 5, []any{}}}}},
+		"negative age":            []any{[]any{}, []any{[]any{[]byte{}, []any{"there", -5, []any{}}}}},
 		"no array":                map[string]int{"a": 1},
-		"group that is no array":  []any{true, []any{5}, []any{}},
-		"groups that are no list": []any{true, 5, []any{}},
+		"group that is no array":  []any{[]any{5}, []any{}},
+		"groups that are no list": []any{5, []any{}},
 	}
 	for name, message := range faults {
 		data, err := msgpack.Marshal(message)
@@ -155,7 +155,7 @@
 			t.Errorf("%s: accepted as %+v, %v", name, got, err)
 		}
 	}
-	data, err := msgpack.Marshal([]any{true, groups(2), []any{}})
+	data, err := msgpack.Marshal([]any{groups(2), []any{}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -231,8 +231,8 @@
 func TestReportsOfOtherReleases(t *testing.T) {
 	group := []any{"app", 3, 10, 10, 10, 10, 10, []any{[]any{1, 5, 5, "new"}}, map[string]int{"new": 1}}
 	for name, message := range map[string]any{
-		"later":   []any{true, []any{group}, []any{[]any{[]byte{}, true, []any{"there", 5, []any{group}, 1}, 2}}, "new", []any{1, 2}},
-		"earlier": []any{true, []any{group}},
+		"later":   []any{[]any{group}, []any{[]any{[]byte{}, []any{"there", 5, []any{group}, 1}, 2}}, "new", []any{1, 2}},
+		"earlier": []any{[]any{group}},
 	} {
 		data, err := msgpack.Marshal(message)
 		if err != nil {
--- a/stoatload/decode.go
+++ b/stoatload/decode.go
@@ -68,13 +68,6 @@
 	return func(dec *msgpack.Decoder) error { return decodeList[T, P](dec, what, limit, out) }
 }
 
-func boolField(out *bool) field {
-	return func(dec *msgpack.Decoder) (err error) {
-		*out, err = dec.DecodeBool()
-		return err
-	}
-}
-
 // intField decodes an integer from low to high.
 func intField(what string, low, high int64, out *int64) field {
 	return func(dec *msgpack.Decoder) (err error) {
@@ -122,7 +115,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (w *wireReport) DecodeMsgpack(dec *msgpack.Decoder) error {
-	return decodeFields(dec, boolField(&w.Wanted), listField("number of groups", MaxGroups, &w.Groups), listField("number of parts", MaxParts, &w.Parts))
+	return decodeFields(dec, listField("number of groups", MaxGroups, &w.Groups), listField("number of parts", MaxParts, &w.Parts))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -132,7 +125,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (w *wirePart) DecodeMsgpack(dec *msgpack.Decoder) error {
-	return decodeFields(dec, addrField(&w.Origin), boolField(&w.Wanted), w.Load.DecodeMsgpack)
+	return decodeFields(dec, addrField(&w.Origin), w.Load.DecodeMsgpack)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/stoatload/limits.go
+++ b/stoatload/limits.go
@@ -13,6 +13,8 @@
 	MaxCentres  = 16 // data centres
 	MaxParts    = 32 // parts of all data centres; a data centre has a part for each of its topmost entries
 	MaxChildren = 32 // children that report to one entry; the relay tree admits fewer
+	// MaxContended limits the services that an entry knows to be contended in any data centre.
+	MaxContended = 4 * MaxGroups
 
 	// MaxMessageBytes limits an encoded message. MaxGroups groups with MaxLevels levels each and the longest names
 	// fit; parts that don't are left out.
--- a/stoatload/pacer.go
+++ b/stoatload/pacer.go
@@ -55,21 +55,42 @@
 	return pace
 }
 
+const (
+	// burstBytes can be sent at the full pace: a report at each PressedInterval for about twenty seconds.
+	burstBytes = 20 << 10
+	// sustainedBytes is the rate at which messages continue afterwards, in bytes a second: a report and a message to
+	// one child at this rate are half of what an entry may send. Three groups are still sent about every second.
+	sustainedBytes = 500.0
+	// requestBytes is what a message costs besides its loads: the headers of a request and its response, or the rest of
+	// a message to a child.
+	requestBytes = 250
+)
+
 // Pacer decides when a message within a data centre is due. The zero value is ready to use.
-type Pacer struct{ sentAt time.Time }
+type Pacer struct {
+	sentAt time.Time
+	spent  float64 // bytes of burstBytes that were sent as of sentAt
+}
 
 // Next reports whether a message is due, and records it as sent if it is.
 func (p *Pacer) Next(now time.Time, pace Pace) bool {
 	interval, needed := pace.interval()
-	if !needed || !elapsed(now, p.sentAt, interval) {
+	if !needed || !elapsed(now, p.sentAt, interval) || p.spentAt(now) > burstBytes {
 		return false
 	}
-	p.sentAt = now
+	p.Record(now)
 	return true
 }
 
 // Record records a message that was sent for another reason.
-func (p *Pacer) Record(now time.Time) { p.sentAt = now }
+func (p *Pacer) Record(now time.Time) { p.spent, p.sentAt = p.spentAt(now), now }
+
+// Charge records how many bytes the loads in the latest message had.
+func (p *Pacer) Charge(bytes int) { p.spent += float64(bytes + requestBytes) }
+
+func (p *Pacer) spentAt(now time.Time) float64 {
+	return max(0, p.spent-sustainedBytes*max(0, now.Sub(p.sentAt)).Seconds())
+}
 
 // ChildPacer decides when children have to be sent the data centre's sum. The zero value is ready to use.
 type ChildPacer struct {
@@ -90,6 +111,9 @@
 	return true
 }
 
+// Charge records how many bytes the loads in the latest message to one child had.
+func (p *ChildPacer) Charge(bytes int) { p.pacer.Charge(bytes) }
+
 // elapsed reports whether the interval has passed since then; zero: there is no such time.
 func elapsed(now, then time.Time, interval time.Duration) bool {
 	return then.IsZero() || now.Sub(then) >= interval-timerSlack
@@ -126,7 +150,7 @@
 
 func partsChanged(a, b []Part) bool {
 	return !slices.EqualFunc(a, b, func(x, y Part) bool {
-		return x.Origin == y.Origin && x.Wanted == y.Wanted && x.Load.DataCentre == y.Load.DataCentre &&
+		return x.Origin == y.Origin && x.Load.DataCentre == y.Load.DataCentre &&
 			slices.EqualFunc(x.Load.Groups, y.Load.Groups, similarGroups)
 	})
 }
--- a/stoatload/pacer_test.go
+++ b/stoatload/pacer_test.go
@@ -26,6 +26,46 @@
 	}
 }
 
+// Guards against an overload that lasts and takes more than the bytes of an entry: messages continue at a lower rate,
+// with small ones still often enough for sums that are less than a second old.
+func TestPacerLimitsBytes(t *testing.T) {
+	const lasting = 10 * time.Minute
+	for _, bytes := range []int{50, 200, 3000} {
+		var p Pacer
+		total := 0
+		n := sendings(lasting, func(now time.Time) bool {
+			due := p.Next(now, Pressed)
+			if due {
+				p.Charge(bytes)
+				total += bytes + requestBytes
+			}
+			return due
+		})
+		if limit := burstBytes + sustainedBytes*lasting.Seconds() + float64(bytes+requestBytes); float64(total) > limit {
+			t.Errorf("%d bytes a message: %d bytes in all, at most %g expected", bytes, total, limit)
+		}
+		if interval := lasting / time.Duration(n); bytes <= 200 && interval > MaxSumAge {
+			t.Errorf("%d bytes a message: one in %s", bytes, interval)
+		}
+	}
+}
+
+// Guards against sums that wait at each level of the tree, and against children that are woken for the same sum again.
+func TestChildPacer(t *testing.T) {
+	var root, below ChildPacer
+	n := sendings(10*time.Second, func(now time.Time) bool { return root.Next(now, Steady, now) })
+	if n != 10 {
+		t.Error("the root sends", n)
+	}
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * PressedInterval)
+		sumAt := now.Add(-30 * ms)
+		if !below.Next(now, Silent, sumAt) || below.Next(now.Add(50*ms), Silent, sumAt.Add(ms)) {
+			t.Error("a sum is not passed on, or twice")
+		}
+	}
+}
+
 // Guards against needless bytes between data centres: unchanged loads are sent every 2 s, changed ones every second,
 // and none while none are needed.
 func TestCentrePacer(t *testing.T) {
--- a/stoatload/part.go
+++ b/stoatload/part.go
@@ -10,13 +10,11 @@
 // parts.
 type Part struct {
 	Origin netip.AddrPort // the topmost entry; invalid: the load is that of the whole data centre
-	Wanted bool           // entries below the origin need the loads of others
 	Load   CentreLoad
 }
 
 // Report is what an entry reports to its parent.
 type Report struct {
-	Wanted bool // an entry of the subtree needs the loads of others
 	Groups []GroupLoad
 	Parts  []Part // of other data centres, from entries that are below this one
 }
