stoatedge: only seeds and entries below another data centre publish sums

An entry that had just lost its parent still announced the path to it, and could have taken its own subtree for the data centre for one round.

--- a/stoatedge/load_test.go
+++ b/stoatedge/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -31,6 +32,8 @@
 	fresh  bool
 	others []stoatload.CentreLoad
 	rounds int
+	// fewest is the smallest number of entries in a sum that was recent enough for decisions.
+	fewest int
 }
 
 func (f *fakeLoads) Loads(time.Time) []stoatload.GroupLoad {
@@ -44,6 +47,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sum, f.fresh, f.others = own, fresh, others
+	if g := own.Find("app"); fresh && g != nil {
+		f.fewest = min(f.fewest, g.Entries)
+	}
+}
+
+func (f *fakeLoads) resetFewest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fewest = math.MaxInt
+}
+
+func (f *fakeLoads) fewestEntries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fewest
 }
 
 func (f *fakeLoads) set(own []stoatload.GroupLoad) {
@@ -147,14 +165,17 @@
 	}
 }
 
-// Guards against decisions by a sum that nobody renews: when the root is gone, the sum expires at the entries below it,
-// and they keep working.
+// Guards against decisions by a sum that nobody renews, and against an entry without a parent that takes its own subtree
+// for the data centre: when the root is gone, the sum expires at the entries below it, and no smaller one replaces it.
 func TestSumExpiresWithoutParent(t *testing.T) {
 	r := newRig(t)
 	chain := r.startChain()
 	for _, x := range chain {
 		r.wait("the sum arrives", hasSum(x, 3, 70))
 	}
+	for _, x := range chain[1:] {
+		x.loads.resetFewest()
+	}
 	chain[0].Kill()
 	for _, x := range chain[1:] {
 		r.wait("the sum expires", func() bool { _, _, fresh := x.loads.shared(); return !fresh })
@@ -165,6 +186,9 @@
 		if n, a, fresh := x.loads.shared(); fresh {
 			t.Error("a sum without a root:", n, a)
 		}
+		if n := x.loads.fewestEntries(); n < 3 {
+			t.Error("a sum of", n, "entries")
+		}
 	}
 }
 
--- a/stoatedge/run_load.go
+++ b/stoatedge/run_load.go
@@ -56,11 +56,8 @@
 	e.engineMu.Lock()
 	own := e.loads.engine.Loads(now)
 	e.engineMu.Unlock()
-	e.relay.mu.Lock()
-	topmost := e.topmost()
-	e.relay.mu.Unlock()
 	agg.SetOwn(now, own)
-	agg.SetTopmost(topmost)
+	agg.SetTopmost(e.topmost())
 	sum, fresh := agg.Sum(now)
 	centres := agg.Centres(now)
 	e.engineMu.Lock()
@@ -72,6 +69,17 @@
 	}
 }
 
+// topmost reports whether no entry of this data centre is above this one: it is a seed, or its parent is in another data
+// centre. Any other entry without a parent is cut off, and does not know what the others observe.
+func (e *Edge) topmost() bool {
+	if e.relay.assigned.Load() != nil {
+		return false
+	}
+	e.relay.mu.Lock()
+	defer e.relay.mu.Unlock()
+	return e.loads.remoteParent.Load() != nil || e.relay.tree.IsSeed()
+}
+
 // sendLoadReports reports the load of the subtree to the parent.
 func (e *Edge) sendLoadReports() error {
 	var pacer stoatload.Pacer
@@ -114,10 +122,7 @@
 			return nil
 		case <-e.loads.peerRound:
 		}
-		e.relay.mu.Lock()
-		topmost := e.topmost()
-		e.relay.mu.Unlock()
-		peers := e.loadPeers(topmost)
+		peers := e.loadPeers()
 		e.loads.keepPeers(peers)
 		for _, addr := range peers {
 			now := clock()
@@ -130,8 +135,8 @@
 
 // loadPeers returns the entries with which this one exchanges loads: the parent in another data centre, or else the
 // other seeds.
-func (e *Edge) loadPeers(topmost bool) []netip.AddrPort {
-	if !topmost {
+func (e *Edge) loadPeers() []netip.AddrPort {
+	if !e.topmost() {
 		return nil
 	}
 	if parent := e.loads.remoteParent.Load(); parent != nil {
--- a/stoatedge/run_place.go
+++ b/stoatedge/run_place.go
@@ -15,20 +15,14 @@
 	place  stoatfilter.EntryRank
 }
 
-// topmost reports whether no entry of this data centre is above this one; the caller holds relay.mu. The first
-// entry of a data centre is a seed, or has a parent in another data centre. Any other entry without a parent
-// knows of no other entries.
-func (e *Edge) topmost() bool {
-	return e.relay.assigned.Load() == nil && (len(e.relay.announced.Load().path) > 0 || e.relay.tree.IsSeed())
-}
-
-// ownPlace returns this entry's place as the tree has it now; the caller holds relay.mu. An entry that is cut off
-// from the others has none.
+// ownPlace returns this entry's place as the tree has it now; the caller holds relay.mu. The first entry of a
+// data centre is a seed, or has a parent in another data centre. Any other entry without a parent knows of no
+// other entries, and has no place.
 func (e *Edge) ownPlace() stoatfilter.EntryRank {
 	if assigned := e.relay.assigned.Load(); assigned != nil {
 		return assigned.place
 	}
-	if !e.topmost() {
+	if len(e.relay.announced.Load().path) == 0 && !e.relay.tree.IsSeed() {
 		return stoatfilter.EntryRank{}
 	}
 	return stoatfilter.EntryRank{Entries: e.relay.tree.SubtreeSize()}
--- a/stoatload/codec.go
+++ b/stoatload/codec.go
@@ -15,8 +15,8 @@
 // earlier release does not send stay empty, and those that a later one adds are skipped. Figures are sent in
 // thousandths as integers, of which the usual ones take one to three bytes.
 
-// wireReport is the wire form of a Report.
-type wireReport struct {
+// wireSubtree is the wire form of a Report.
+type wireSubtree struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Groups   []wireGroup
 	Parts    []wirePart
@@ -80,7 +80,7 @@
 // EncodeReport returns the wire form of a report.
 func EncodeReport(now time.Time, r Report) ([]byte, error) {
 	return encodeParts(r.Parts, func(parts []Part) any {
-		return &wireReport{Groups: wireGroups(r.Groups), Parts: wireParts(now, parts)}
+		return &wireSubtree{Groups: wireGroups(r.Groups), Parts: wireParts(now, parts)}
 	})
 }
 
@@ -178,7 +178,7 @@
 // DecodeReport decodes a report of an entry of the data centre that was received now, or returns
 // *stoatpaddle.DecodeError.
 func DecodeReport(now time.Time, dc stoatpaddle.DataCentreID, data []byte) (Report, error) {
-	var w wireReport
+	var w wireSubtree
 	if err := decode(data, &w); err != nil {
 		return Report{}, &stoatpaddle.DecodeError{What: "a load report", Cause: err}
 	}
--- a/stoatload/decode.go
+++ b/stoatload/decode.go
@@ -114,7 +114,7 @@
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
-func (w *wireReport) DecodeMsgpack(dec *msgpack.Decoder) error {
+func (w *wireSubtree) DecodeMsgpack(dec *msgpack.Decoder) error {
 	return decodeFields(dec, listField("number of groups", MaxGroups, &w.Groups), listField("number of parts", MaxParts, &w.Parts))
 }
 
--- a/stoatrelay/fuzz_test.go
+++ b/stoatrelay/fuzz_test.go
@@ -24,12 +24,17 @@
 	if err != nil {
 		f.Fatal(err)
 	}
+	withLoads, err := Encode(&Head{CentreLoad: msgpack.RawMessage{0x92, 1, 2}, OtherLoads: msgpack.RawMessage{0x90}})
+	if err != nil {
+		f.Fatal(err)
+	}
 	body, err := Encode(EncodeBody(at, b.Table(), ChildState{}))
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(append(head, body...))
 	f.Add(head)
+	f.Add(withLoads)
 	f.Add([]byte{0x9a})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		h, w, err := Read(msgpack.NewDecoder(bytes.NewReader(data)))
@@ -40,6 +45,9 @@
 		if err != nil {
 			return
 		}
+		if data, err := Encode(h); err != nil || msgpack.Unmarshal(data, &Head{}) != nil {
+			t.Fatal("an accepted head cannot be encoded again:", err)
+		}
 		child := stoatroute.NewBuilder(stoatroute.Config{RequireEvacuations: true})
 		child.BeginEra(at, m.Era)
 		if m.Delta != nil {
