--- a/stoatedge/load_engine.go
+++ b/stoatedge/load_engine.go
@@ -11,7 +11,8 @@
 type loadEngine interface {
 	// Loads returns the load that this entry observes of the groups with traffic.
 	Loads(now time.Time) []stoatload.GroupLoad
-	// SetSharedLoads replaces the load of this data centre, if it is recent enough for decisions, and those of others.
+	// SetSharedLoads replaces the load of this data centre and those of others, which must not be modified. Unless fresh
+	// is set, own is empty, and the entry decides by what it observes itself.
 	SetSharedLoads(now time.Time, own stoatload.CentreLoad, fresh bool, others []stoatload.CentreLoad)
 }
 
--- a/stoatedge/load_test.go
+++ b/stoatedge/load_test.go
@@ -192,8 +192,7 @@
 	}
 }
 
-// Guards against an entry that counts on for seconds after it was killed: its parent's sum loses it when its connection
-// ends.
+// Guards against an entry that counts on after it was killed, at its parent or further up.
 func TestKilledChildIsRemoved(t *testing.T) {
 	r := newRig(t)
 	chain := r.startChain()
@@ -204,6 +203,39 @@
 	}
 }
 
+// Guards against a child that counts besides its new parent's report: when its connection has ended, its report counts no
+// longer, and further ones are refused.
+func TestChildThatLeftDoesNotCount(t *testing.T) {
+	r := newRig(t)
+	seed := r.startLoads("127.0.0.31", "here", loadOf("here", 10, 0.1))
+	const child = "127.0.0.1:9"
+	res, err := http.Get("http://" + seed.set.AdminAddr.String() + "/v1/news?from=" + child + "&known=0&within=0&centre=here")
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := stoatload.EncodeReport(time.Now(), stoatload.Report{Groups: loadOf("here", 1000, 0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	post := func() int {
+		answer, err := http.Post("http://"+seed.set.AdminAddr.String()+"/v1/load?from="+child, "", bytes.NewReader(report))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = answer.Body.Close()
+		return answer.StatusCode
+	}
+	r.wait("the child counts", func() bool { return post() == http.StatusNoContent && hasSum(seed, 2, 1010)() })
+	_ = res.Body.Close()
+	r.wait("reports are refused", func() bool { return post() == http.StatusConflict })
+	// Rounds are shorter than the time for which a report counts.
+	before := seed.loads.round()
+	r.wait("three rounds pass", func() bool { return seed.loads.round() > before+3 })
+	if n, answered, _ := seed.loads.shared(); n != 1 || answered != 10 {
+		t.Error(n, answered)
+	}
+}
+
 // loadProxy passes HTTP requests on to an entry and counts the posts of loads. If it refuses, it answers them as an
 // entry of the previous release does.
 type loadProxy struct {
