stoatadmission: evidence from the first requests of flows

A request on an open flow goes to the upstream of its flow, full or not. In a burst of six times the usual traffic half of all requests were rejected that way while openings still found room, so that nearly all openings of the less urgent level were refused. Only the first request after a placement shows whether openings find room; the others count where first requests are too few.

--- a/stoatadmission/config.go
+++ b/stoatadmission/config.go
@@ -112,13 +112,15 @@
 
 // Evidence is what the entries of a data centre together observed of the group.
 type Evidence struct {
-	At         time.Time
-	Entries    int
-	Answered   float64 // requests a second
-	Rejected   float64 // requests a second that upstreams rejected
-	AnswerTime time.Duration
-	Unqueued   time.Duration // answer time without a queue; 0: not known
-	Levels     []stoatload.LevelLoad
+	At       time.Time
+	Entries  int
+	Answered float64 // requests a second
+	Rejected float64 // requests a second that upstreams rejected
+	// FirstAnswered and FirstRejected are the part of them that were the first requests of flows.
+	FirstAnswered, FirstRejected float64
+	AnswerTime                   time.Duration
+	Unqueued                     time.Duration // answer time without a queue; 0: not known
+	Levels                       []stoatload.LevelLoad
 }
 
 // Opening is a request to open a flow.
--- a/stoatadmission/evidence.go
+++ b/stoatadmission/evidence.go
@@ -61,6 +61,14 @@
 	return o.rejected / o.total()
 }
 
+// useFirst bases the evidence on the first requests of flows if there are enough of them. Rejections of later requests,
+// which go to the upstream of their flow, full or not, would have openings refused while other upstreams have room.
+func (o *observation) useFirst(answered, rejected float64) {
+	if (answered+rejected)*evidenceDecay.Seconds() >= beginEvidence {
+		o.answered, o.rejected = answered, rejected
+	}
+}
+
 // excess returns the rejections a second above the target.
 func (o *observation) excess() float64 { return o.rejected - rejectedTarget*o.total() }
 
@@ -79,6 +87,7 @@
 		answered: l.answers.perSecond(now), rejected: l.rejected.PerSecond(now, evidenceDecay),
 		answerTime: time.Duration(l.answers.mean), unqueued: l.answers.unqueued,
 	}
+	here.useFirst(l.firstAnswered.PerSecond(now, evidenceDecay), l.firstRejected.PerSecond(now, evidenceDecay))
 	o := here
 	if e := &l.shared; l.cfg.Source == SharedEvidence && !e.At.IsZero() && now.Sub(e.At) < maxSharedAge {
 		o = e.observation()
@@ -97,7 +106,9 @@
 
 // observation returns what the evidence says of requests.
 func (e *Evidence) observation() observation {
-	return observation{shared: true, answered: e.Answered, rejected: e.Rejected, answerTime: e.AnswerTime, unqueued: e.Unqueued}
+	o := observation{shared: true, answered: e.Answered, rejected: e.Rejected, answerTime: e.AnswerTime, unqueued: e.Unqueued}
+	o.useFirst(e.FirstAnswered, e.FirstRejected)
+	return o
 }
 
 // observeLevels sets the arrivals of each level by the evidence in use, adds them up, and returns the arrivals here.
--- a/stoatadmission/limiter.go
+++ b/stoatadmission/limiter.go
@@ -14,18 +14,20 @@
 	answers      answerRate
 	passed, late stoatload.Rate // openings that the levels admit, and those of them whose answers would be late
 	rejected     stoatload.Rate
-	shared       Evidence
-	levels       []level // ascending by priority
-	updated      time.Time
-	observed     observation // as of the latest update
-	limiting     bool
-	budget       float64 // openings a second in the scale of the evidence, while limiting
-	threshold    float64 // ByThreshold: how many levels are admitted
-	changes      []Change
-	activeLevels int           // levels with recent traffic
-	leastUrgent  int           // the least urgent of them
-	callers      *callerCounts // while limiting
-	evidenceAll  bool          // whether the budget is one of the data centre
+	// firstAnswered and firstRejected are the first requests of flows.
+	firstAnswered, firstRejected stoatload.Rate
+	shared                       Evidence
+	levels                       []level // ascending by priority
+	updated                      time.Time
+	observed                     observation // as of the latest update
+	limiting                     bool
+	budget                       float64 // openings a second in the scale of the evidence, while limiting
+	threshold                    float64 // ByThreshold: how many levels are admitted
+	changes                      []Change
+	activeLevels                 int           // levels with recent traffic
+	leastUrgent                  int           // the least urgent of them
+	callers                      *callerCounts // while limiting
+	evidenceAll                  bool          // whether the budget is one of the data centre
 }
 
 // New returns a Limiter.
@@ -40,6 +42,15 @@
 // Rejected records that an upstream rejected a request.
 func (l *Limiter) Rejected(now time.Time) { l.rejected.Add(now, evidenceDecay) }
 
+// FirstRequest records the outcome of the first request of a flow, in addition to Answered or Rejected.
+func (l *Limiter) FirstRequest(now time.Time, rejected bool) {
+	if rejected {
+		l.firstRejected.Add(now, evidenceDecay)
+		return
+	}
+	l.firstAnswered.Add(now, evidenceDecay)
+}
+
 // SetShared replaces the evidence of the data centre.
 func (l *Limiter) SetShared(e Evidence) { l.shared = e }
 
--- a/stoatadmission/state.go
+++ b/stoatadmission/state.go
@@ -93,6 +93,7 @@
 func (l *Limiter) Load(now time.Time) stoatload.GroupLoad {
 	g := stoatload.GroupLoad{
 		Entries: 1, Answered: l.answers.perSecond(now), Rejected: l.rejected.PerSecond(now, evidenceDecay),
+		FirstAnswered: l.firstAnswered.PerSecond(now, evidenceDecay), FirstRejected: l.firstRejected.PerSecond(now, evidenceDecay),
 		AnswerTime: time.Duration(l.answers.mean), Unqueued: l.answers.unqueued,
 	}
 	for i := range l.levels {
--- a/stoatecho/admission.go
+++ b/stoatecho/admission.go
@@ -131,6 +131,7 @@
 		e.sharedGroups = append(e.sharedGroups, g)
 		g.limiter.SetShared(stoatadmission.Evidence{
 			At: own.At, Entries: l.Entries, Answered: l.Answered, Rejected: l.Rejected, AnswerTime: l.AnswerTime, Unqueued: l.Unqueued, Levels: l.Levels,
+			FirstAnswered: l.FirstAnswered, FirstRejected: l.FirstRejected,
 		})
 	}
 }
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -67,12 +67,14 @@
 func (e *Engine) answered(now time.Time, r *stoatroute.Route, u *stoatroute.Upstream, h *health, f *flow, bytes uint32, a *Action) {
 	took := now.Sub(f.requestStart)
 	h.requestEnded()
+	rejected := e.isRejection(r, h, took, bytes)
+	if f.firstRequest {
+		h.group.limiter.FirstRequest(now, rejected)
+	}
 	switch {
-	case e.isRejection(r, h, took, bytes):
+	case rejected:
 		h.noteRejection(now)
-		if f.firstRequest {
-			h.group.limiter.Rejected(now)
-		}
+		h.group.limiter.Rejected(now)
 		h.saturation.noteAnswer(now, true)
 		e.stats.Rejected++
 	default:
@@ -84,9 +86,7 @@
 			h.recentAnswers.add(now, took)
 			h.group.answered(now, took)
 		}
-		if f.firstRequest {
-			h.group.noteAnswer(now, took, cold)
-		}
+		h.group.noteAnswer(now, took, cold)
 	}
 	e.noteAlive(now, h)
 	f.requestStart, f.firstRequest = time.Time{}, false
--- a/stoatload/codec_test.go
+++ b/stoatload/codec_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -229,10 +230,11 @@
 // Entries of several releases run side by side: a message that lacks the last fields is readable, and fields that a
 // later release adds are skipped.
 func TestReportsOfOtherReleases(t *testing.T) {
-	group := []any{"app", 3, 10, 10, 10, 10, 10, []any{[]any{1, 5, 5, "new"}}, map[string]int{"new": 1}}
+	earlier := []any{"app", 3, 10, 10, 10, 10, 10, []any{[]any{1, 5, 5, "new"}}}
+	later := append(slices.Clone(earlier), 10, 10, map[string]int{"new": 1})
 	for name, message := range map[string]any{
-		"later":   []any{[]any{group}, []any{[]any{[]byte{}, []any{"there", 5, []any{group}, 1}, 2}}, "new", []any{1, 2}},
-		"earlier": []any{[]any{group}},
+		"later":   []any{[]any{later}, []any{[]any{[]byte{}, []any{"there", 5, []any{later}, 1}, 2}}, "new", []any{1, 2}},
+		"earlier": []any{[]any{earlier}},
 	} {
 		data, err := msgpack.Marshal(message)
 		if err != nil {
--- a/stoatload/decode.go
+++ b/stoatload/decode.go
@@ -137,7 +137,8 @@
 func (w *wireGroup) DecodeMsgpack(dec *msgpack.Decoder) error {
 	return decodeFields(dec, nameField("a service", &w.Service), intField("entries", 0, maxEntries, &w.Entries), figureField("answered", &w.Answered),
 		figureField("rejected", &w.Rejected), figureField("in progress", &w.InProgress), durationField("answer time", &w.AnswerUS),
-		durationField("answer time without a queue", &w.UnqueuedUS), listField("number of levels", MaxLevels, &w.Levels))
+		durationField("answer time without a queue", &w.UnqueuedUS), listField("number of levels", MaxLevels, &w.Levels),
+		figureField("first requests answered", &w.FirstAnswered), figureField("first requests rejected", &w.FirstRejected))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/stoatload/load.go
+++ b/stoatload/load.go
@@ -29,14 +29,18 @@
 
 // GroupLoad is what one or several entries observed of a group.
 type GroupLoad struct {
-	Group      GroupID
-	Entries    int           // entries that contributed
-	Answered   float64       // answered requests a second, rejections not included
-	Rejected   float64       // requests a second that upstreams rejected
-	InProgress float64       // pending requests and openings
-	AnswerTime time.Duration // mean answer time, weighted by Answered
-	Unqueued   time.Duration // answer time without a queue, weighted by Answered; 0: not known
-	Levels     []LevelLoad   // ascending by priority
+	Group    GroupID
+	Entries  int     // entries that contributed
+	Answered float64 // answered requests a second, rejections not included
+	Rejected float64 // requests a second that upstreams rejected
+	// FirstAnswered and FirstRejected are the part of Answered and Rejected that were the first requests of flows.
+	// Only these show whether an opening still finds room: later requests go to the upstream of their flow, full or
+	// not.
+	FirstAnswered, FirstRejected float64
+	InProgress                   float64       // pending requests and openings
+	AnswerTime                   time.Duration // mean answer time, weighted by Answered
+	Unqueued                     time.Duration // answer time without a queue, weighted by Answered; 0: not known
+	Levels                       []LevelLoad   // ascending by priority
 }
 
 // RejectedShare returns the share of the recent requests that upstreams rejected; 0 if there were none.
@@ -51,6 +55,7 @@
 func (g GroupLoad) Add(o GroupLoad) GroupLoad {
 	out := GroupLoad{
 		Group: g.Group, Entries: g.Entries + o.Entries, Answered: g.Answered + o.Answered, Rejected: g.Rejected + o.Rejected,
+		FirstAnswered: g.FirstAnswered + o.FirstAnswered, FirstRejected: g.FirstRejected + o.FirstRejected,
 		InProgress: g.InProgress + o.InProgress,
 		AnswerTime: weightedMean(g.AnswerTime, g.Answered, o.AnswerTime, o.Answered),
 		Unqueued:   weightedMean(g.Unqueued, g.Answered, o.Unqueued, o.Answered),
