--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -42,20 +42,24 @@
 }
 
 type measureArgs struct {
-	Entries   int     `default:"9" help:"number of entry instances, in three data centres"`
-	Upstreams int     `default:"14" help:"number of upstreams of the service"`
-	Flows     int     `default:"67200" help:"number of open flows in the steady state"`
-	Opens     float64 `default:"3000" help:"new flows a second, over all entries"`
-	Lean      string  `default:"balance" help:"what the customer prefers: flows or balance"`
-	Gain      float64 `help:"weight of load differences; 0 for the engine's default"`
-	Seed      uint64  `default:"1" help:"seed of the random choices"`
-	Only      string  `help:"run only the experiments whose names begin with this, such as 3 or 3a"`
-	Curve     bool    `help:"instead, measure the load imbalance for different shares of tracked flows"`
-	Spread    bool    `help:"instead, compare methods of choosing upstreams on an echo fabric"`
-	Silence   bool    `help:"instead, measure how soon a data centre detects upstreams that do not answer"`
-	Overload  bool    `help:"instead, measure what happens to new flows when upstreams are overloaded"`
-	Parallel  int     `default:"4" help:"number of experiments that run at once"`
-	JSON      bool    `arg:"--json" help:"print JSON"`
+	Entries   int           `default:"9" help:"number of entry instances, in three data centres"`
+	Upstreams int           `default:"14" help:"number of upstreams of the service"`
+	Flows     int           `default:"67200" help:"number of open flows in the steady state"`
+	Opens     float64       `default:"3000" help:"new flows a second, over all entries"`
+	Lean      string        `default:"balance" help:"what the customer prefers: flows or balance"`
+	Gain      float64       `help:"weight of load differences; 0 for the engine's default"`
+	Seed      uint64        `default:"1" help:"seed of the random choices"`
+	Only      string        `help:"run only the experiments whose names begin with this, such as 3 or 3a"`
+	Curve     bool          `help:"instead, measure the load imbalance for different shares of tracked flows"`
+	Spread    bool          `help:"instead, compare methods of choosing upstreams on an echo fabric"`
+	Silence   bool          `help:"instead, measure how soon a data centre detects upstreams that do not answer"`
+	Overload  bool          `help:"instead, measure what happens to new flows when upstreams are overloaded"`
+	Uneven    bool          `help:"instead, measure what happens while most callers are in one data centre"`
+	Sizes     []int         `help:"with --uneven, the numbers of entries; without, 9 and 85"`
+	Publish   time.Duration `default:"1s" help:"with --uneven, how often a data centre's load is published"`
+	Plot      string        `help:"with --uneven, write plots to PNG and SVG files whose names begin with this"`
+	Parallel  int           `default:"4" help:"number of experiments that run at once"`
+	JSON      bool          `arg:"--json" help:"print JSON"`
 }
 
 // The parameters of the experiment that --spread selects. Slots and request time are those of the larger
@@ -82,6 +86,9 @@
 	if a.Overload {
 		return stoatmeasure.ReportOverload(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
 	}
+	if a.Uneven {
+		return stoatmeasure.ReportUneven(c.ctx, stoatmeasure.UnevenReport{Sizes: a.Sizes, Seed: a.Seed, Parallel: a.Parallel, JSON: a.JSON, Publish: a.Publish, Plot: a.Plot}, c.out)
+	}
 	plan := stoatmeasure.Plan{NamePrefix: a.Only, Parallel: a.Parallel, Config: stoatmeasure.Config{
 		Entries: a.Entries, Upstreams: a.Upstreams, Flows: a.Flows, OpenRate: a.Opens, Preference: preference, Gain: a.Gain, Seed: a.Seed,
 	}}
--- a/stoatspill/config.go
+++ b/stoatspill/config.go
@@ -7,10 +7,12 @@
 
 // The rules.
 const (
-	RuleBoth  Rule = iota // RuleRoom, except to data centres that reject requests as seen from here
-	RuleRoom              // in proportion to the published room
-	RuleLocal             // to the data centre that rejects the least as seen from here, without any bound
-	RuleNone              // never
+	// RuleBoth is RuleRoom with what is seen from here: nothing goes to data centres that reject requests, and until
+	// the first room arrives that is younger than the overload, trials show which others do not.
+	RuleBoth  Rule = iota
+	RuleRoom       // in proportion to the published room
+	RuleLocal      // to the data centre that rejects the least as seen from here, without any bound
+	RuleNone       // never
 )
 
 // String returns the rule's name.
@@ -39,8 +41,8 @@
 	// defaultStartDelay gives the other data centres time to learn that this one has no room, since a share above
 	// defaultStart means none.
 	defaultStartDelay = 300 * time.Millisecond
-	// defaultHold is longer than the way of a load through the relay tree and between data centres.
-	defaultHold = 2 * time.Second
+	// defaultHold is longer than the way of a load through the relay tree.
+	defaultHold = time.Second
 )
 
 func (c Config) withDefaults() Config {
--- a/stoatspill/decider.go
+++ b/stoatspill/decider.go
@@ -11,19 +11,22 @@
 
 const (
 	// smoothing is the time constant with which the load is averaged, so that an entry that decides by its own few
-	// answers does not follow single rejections.
-	smoothing = 500 * time.Millisecond
+	// answers does not follow single rejections. A load of manyRequests a second needs no average, which would only
+	// delay the start and the end of a spill.
+	smoothing    = 500 * time.Millisecond
+	manyRequests = 50.0
 	// minEvidence is the number of recent rejections or refusals without which no spill starts.
 	minEvidence = 2.0
 	// loopTime is how long a change of the spill takes to show in the load: up and down the relay tree, and the
 	// averages. The share is corrected within this time, as a faster correction would overshoot.
 	loopTime = time.Second
 	// returnShare is the share of the openings that return home in a second while upstreams there reject hardly
-	// any. It is slow, since each return that comes too early costs callers rejections.
+	// any. It is slow, since each return that comes too early costs callers rejections. Openings for which there
+	// is room at home return within loopTime.
 	returnShare = 0.1
-	// fastReturnShare is the same while answers at home come as quickly as without a queue: slots there are idle.
-	fastReturnShare   = 0.5
-	unqueuedFactor    = 1.25
+	// trialPause is the least time from the end of a spill to an overload for which trials are made, so that a trial
+	// that fails does not lead to the next one.
+	trialPause        = 10 * time.Second
 	maxUpdateInterval = time.Second // the longest time between updates that counts
 )
 
@@ -31,6 +34,7 @@
 type Evidence struct {
 	Own     stoatload.GroupLoad // of the own data centre: the shared sum if it is fresh, else of this entry
 	Entries int                 // number of entries in the own data centre; 0: Own.Entries
+	Home    Capacity            // of the own data centre; Spillers and Spilling are not used
 	Rooms   []Room              // of the other data centres
 	// Seen are the loads of the service's groups in the other data centres as seen from here.
 	Seen []stoatload.GroupLoad
@@ -54,9 +58,10 @@
 	covered float64 // entries that the own load covers
 	updated time.Time
 	// The smoothed load at home, a second.
-	answered, rejected, admitted, refused float64
-	idle                                  bool // answers at home come as quickly as without a queue
+	answered, rejected, admitted, refused float64 // refused: beyond homeRoom
+	homeRoom                              float64 // what the data centre could take, openings a second
 	overSince                             time.Time
+	onset                                 time.Time // the beginning of the overload for which trials are made
 	underSince                            time.Time
 	spilling                              bool
 	since                                 time.Time
@@ -80,11 +85,14 @@
 	d.entries = max(d.covered, float64(e.Entries))
 	elapsed := min(max(0, now.Sub(d.updated)), maxUpdateInterval)
 	d.updated = now
+	home := e.Home
+	home.Slots, home.Spillers, home.Spilling = home.Slots*int(d.covered)/int(d.entries), 1, false
+	d.homeRoom = RoomOf(now, e.Own, home).PerSecond
 	d.smooth(elapsed, &e.Own)
 	d.dropBudgets()
 	before := d.spilling
 	d.decide(now)
-	d.correct(elapsed)
+	d.correct(now, elapsed)
 	switch {
 	case d.spilling == before:
 		return Unchanged
@@ -97,13 +105,17 @@
 // smooth averages the load at home.
 func (d *Decider) smooth(elapsed time.Duration, own *stoatload.GroupLoad) {
 	weight := 1 - math.Exp(-float64(elapsed)/float64(smoothing))
+	if own.Answered+own.Rejected >= manyRequests || d.answered+d.rejected >= manyRequests {
+		weight = 1
+	}
 	follow := func(mean *float64, x float64) { *mean += weight * (x - *mean) }
 	arrived, admitted := openings(own)
 	follow(&d.answered, own.Answered)
 	follow(&d.rejected, own.Rejected)
 	follow(&d.admitted, admitted)
-	follow(&d.refused, max(0, arrived-admitted))
-	d.idle = own.Unqueued > 0 && float64(own.AnswerTime) < unqueuedFactor*float64(own.Unqueued)
+	// Openings that admission refuses although there is room at home need no other data centre: they are admitted
+	// when they return.
+	follow(&d.refused, max(0, arrived-admitted-d.homeRoom))
 }
 
 func (d *Decider) rejectedShare() float64 { return share(d.rejected, d.answered) }
@@ -125,6 +137,9 @@
 		d.overSince = time.Time{}
 	} else if d.overSince.IsZero() {
 		d.overSince = now
+		if !d.spilling && now.Sub(d.since) >= trialPause {
+			d.onset = now
+		}
 	}
 	hasRoom := d.hasTarget(now)
 	switch {
@@ -175,18 +190,17 @@
 }
 
 // correct moves the share of the admitted openings that go elsewhere towards what upstreams at home do not reject.
-func (d *Decider) correct(elapsed time.Duration) {
-	if !d.spilling {
+func (d *Decider) correct(now time.Time, elapsed time.Duration) {
+	if !d.spilling || d.admitted <= 0 {
 		return
 	}
-	seconds := elapsed.Seconds()
+	steps := elapsed.Seconds() / loopTime.Seconds()
 	switch tooMuch := d.rejected - d.cfg.Start*(d.answered+d.rejected); {
 	case tooMuch > 0:
-		d.share += seconds / loopTime.Seconds() * tooMuch / (d.answered + d.rejected)
-	case d.rejectedShare() < d.cfg.Stop && d.idle:
-		d.share -= seconds * fastReturnShare
+		d.share += steps * tooMuch / (d.answered + d.rejected)
 	case d.rejectedShare() < d.cfg.Stop:
-		d.share -= seconds * returnShare
+		d.share -= max(elapsed.Seconds()*returnShare, steps*d.homeRoom/d.admitted)
 	}
-	d.share = min(1, max(0, d.share))
+	room := d.usableRoom(now, nil) * d.covered / d.entries
+	d.share = min(admittedPart(room, d.refused, d.admitted), max(0, d.share))
 }
--- a/stoatspill/room.go
+++ b/stoatspill/room.go
@@ -14,12 +14,17 @@
 	// usableShare is the share of the slots that spilled openings may fill. Entries choose upstreams with little
 	// knowledge of each other, so that beyond it some queues are full while other slots are idle.
 	usableShare = 0.8
-	// The room shrinks linearly from the first rejected share to the second, where none is left. The second is
-	// below the one at which a data centre starts to spill.
-	roomRejectedShare, fullRejectedShare = 0.002, 0.01
+	// The room shrinks linearly from the first rejected share to the second, where none is left: the one at which a
+	// data centre starts to spill.
+	roomRejectedShare, fullRejectedShare = 0.005, defaultStart
 	// The room shrinks linearly as the mean answer takes longer than without a queue, from the first factor to the
-	// second.
-	roomQueueFactor, fullQueueFactor = 1.5, 2.0
+	// second. Where usableShare of the slots is busy and openings come at random, requests wait for about as long as
+	// they are worked on.
+	roomQueueFactor, fullQueueFactor = 1.75, 2.5
+	// trialShare is the share of the slots that trials may fill. When demand moves, a data centre loses callers at the
+	// moment at which another one is overloaded, and the room published before does not show it. Where it does not
+	// move, queues take what is too much until the next room arrives.
+	trialShare = usableShare
 	// maxOverheadShare bounds the part of an answer time that is taken for the network, so that a wrong round trip
 	// cannot multiply the room.
 	maxOverheadShare = 0.75
@@ -35,6 +40,7 @@
 	DataCentre stoatpaddle.DataCentreID
 	Service    stoatpaddle.ServiceID
 	PerSecond  float64   // openings a second, for each data centre that may spill there
+	Trial      float64   // the same for a data centre that has just been overloaded and awaits a newer room
 	Spilling   bool      // the data centre spills itself, so that it has no room
 	At         time.Time // when the load was measured
 }
@@ -59,11 +65,14 @@
 	hold, overhead := holdTimes(load.Unqueued, c.RoundTrip)
 	busy := max(load.InProgress-load.Answered*overhead, load.Answered*hold)
 	free := max(0, usableShare*float64(c.Slots)-busy)
-	perSecond := free / hold * openingsPerRequest(&load) * withoutRejections(&load) * withoutQueue(&load)
-	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) {
+	perSlot := openingsPerRequest(&load) / hold / float64(max(1, c.Spillers))
+	if math.IsNaN(perSlot) || math.IsNaN(free) {
 		return room
 	}
-	room.PerSecond = perSecond / float64(max(1, c.Spillers))
+	room.PerSecond = free * perSlot * withoutRejections(&load) * withoutQueue(&load)
+	if load.RejectedShare() < fullRejectedShare {
+		room.Trial = trialShare * float64(c.Slots) * perSlot
+	}
 	return room
 }
 
@@ -111,9 +120,11 @@
 	return arrived, admitted
 }
 
-// Away reports whether the data centre's entries send openings of the service to other data centres.
+// Away reports whether the data centre's entries send openings of the service to other data centres: they have both
+// admitted some and wait for some there. The rate alone would tell long after a spill of short flows has ended, and
+// the requests in progress long after one of long flows.
 func Away(c *stoatload.CentreLoad, s stoatpaddle.ServiceID) bool {
-	home, away := 0.0, 0.0
+	var home, away, homeProgress, awayProgress float64
 	for i := range c.Groups {
 		g := &c.Groups[i]
 		if g.Group.Service != s {
@@ -121,17 +132,17 @@
 		}
 		arrived, admitted := openings(g)
 		if g.Group.DataCentre == c.DataCentre {
-			home += arrived
+			home, homeProgress = home+arrived, homeProgress+g.InProgress
 			continue
 		}
-		away += admitted
+		away, awayProgress = away+admitted, awayProgress+g.InProgress
 	}
-	return away > awayShare*home
+	return away > awayShare*home && awayProgress > awayShare*homeProgress
 }
 
 // RoomsOf returns the rooms for the service in the data centres whose loads are given, for the data centre own. The
-// capacity gives the slots of each data centre and its round trip; Spillers and Spilling are set here: the data
-// centres that may spill are own and those that have no room.
+// capacity gives the slots of each data centre and its round trip; Spillers is set here: the data centres that may
+// spill are own and those that spill, reject requests or refuse openings.
 func RoomsOf(own stoatpaddle.DataCentreID, s stoatpaddle.ServiceID, loads []stoatload.CentreLoad, capacity func(stoatpaddle.DataCentreID) Capacity) []Room {
 	var rooms []Room
 	spillers := 1
@@ -141,25 +152,39 @@
 			continue
 		}
 		r := roomIn(c, s, capacity(c.DataCentre))
-		if r.PerSecond <= 0 {
+		if r.Spilling || inNeed(homeLoad(c, s), r.PerSecond) {
 			spillers++
 		}
 		rooms = append(rooms, r)
 	}
 	for i := range rooms {
 		rooms[i].PerSecond /= float64(spillers)
+		rooms[i].Trial /= float64(spillers)
 	}
 	return rooms
 }
 
-// roomIn returns the undivided room for the service in a data centre.
-func roomIn(c *stoatload.CentreLoad, s stoatpaddle.ServiceID, capacity Capacity) Room {
+// homeLoad returns the load of the service's group in the data centre itself.
+func homeLoad(c *stoatload.CentreLoad, s stoatpaddle.ServiceID) stoatload.GroupLoad {
 	load := stoatload.GroupLoad{Group: stoatload.GroupID{Service: s, DataCentre: c.DataCentre}}
 	for i := range c.Groups {
 		if c.Groups[i].Group == load.Group {
-			load = c.Groups[i]
+			return c.Groups[i]
 		}
 	}
+	return load
+}
+
+// inNeed reports whether the data centre may soon spill: its upstreams reject requests, or its entries refuse openings
+// although it has no room.
+func inNeed(load stoatload.GroupLoad, room float64) bool {
+	arrived, admitted := openings(&load)
+	return load.RejectedShare() >= fullRejectedShare || arrived-admitted > room+fullRejectedShare*arrived
+}
+
+// roomIn returns the undivided room for the service in a data centre.
+func roomIn(c *stoatload.CentreLoad, s stoatpaddle.ServiceID, capacity Capacity) Room {
+	load := homeLoad(c, s)
 	capacity.Spillers, capacity.Spilling = 1, capacity.Spilling || Away(c, s)
 	return RoomOf(c.At, load, capacity)
 }
--- a/stoatspill/target.go
+++ b/stoatspill/target.go
@@ -14,6 +14,10 @@
 	// minOtherShare is the share of rejections there that is no obstacle to RuleBoth, as a spill that suffices
 	// leaves few rejections here to compare it with.
 	minOtherShare = 0.01
+	// aim is the factor on the room with which the probability for refused openings is determined. The budgets keep
+	// to the room; the probability has to make up for the openings that no longer return once others are spilled,
+	// since the rates know of these only later.
+	aim = 2
 	// burstTime is the time whose budget may be spent at once, and minBurst the least number of openings. With one
 	// opening, an entry that gets few of them could not use half of its part of the room.
 	burstTime = 100 * time.Millisecond
@@ -41,7 +45,7 @@
 		return "", false
 	}
 	r := d.pick(now, o, o.X/p*total)
-	if r == nil || !d.budgetOf(r.DataCentre).take(now, r.PerSecond/d.entries) {
+	if r == nil || !d.budgetOf(r.DataCentre).take(now, d.rate(r)/d.entries) {
 		return "", false
 	}
 	return r.DataCentre, true
@@ -55,14 +59,18 @@
 		return 0, 0
 	}
 	refused = 1
-	if d.refused > room {
-		refused = room / d.refused
+	if d.refused > room*aim {
+		refused = room * aim / d.refused
 	}
-	left := room - refused*d.refused
-	if left <= 0 || d.admitted <= 0 {
-		return refused, 0
+	return refused, min(d.share, admittedPart(room, d.refused, d.admitted))
+}
+
+// admittedPart returns the greatest share of the admitted openings that fits into the room beside those refused.
+func admittedPart(room, refused, admitted float64) float64 {
+	if left := room - refused; left > 0 && admitted > 0 {
+		return min(1, left/admitted)
 	}
-	return refused, min(d.share, left/d.admitted)
+	return 0
 }
 
 // usableRoom returns the sum of the rooms that may be used.
@@ -70,7 +78,7 @@
 	sum := 0.0
 	for i := range d.rooms {
 		if r := &d.rooms[i]; d.usable(now, r, allowed) {
-			sum += r.PerSecond
+			sum += d.rate(r)
 		}
 	}
 	return sum
@@ -92,7 +100,7 @@
 // usable reports whether a room may be used.
 func (d *Decider) usable(now time.Time, r *Room, allowed func(stoatpaddle.DataCentreID) bool) bool {
 	switch {
-	case r.Spilling || !(r.PerSecond > 0) || now.Sub(r.At) > MaxRoomAge:
+	case r.Spilling || !(d.rate(r) > 0) || now.Sub(r.At) > MaxRoomAge:
 		return false
 	case allowed != nil && !allowed(r.DataCentre):
 		return false
@@ -100,6 +108,15 @@
 	return d.cfg.Rule != RuleBoth || d.seenShare(r.DataCentre) <= max(minOtherShare, otherShareFactor*d.rejectedShare())
 }
 
+// rate returns the openings a second that may go to a data centre: its room, or until the first room that it measured
+// after the overload here began, its trial.
+func (d *Decider) rate(r *Room) float64 {
+	if d.cfg.Rule == RuleBoth && r.At.Before(d.onset) {
+		return max(r.PerSecond, r.Trial)
+	}
+	return r.PerSecond
+}
+
 // seenShare returns the share of rejections in another data centre as seen from here.
 func (d *Decider) seenShare(dc stoatpaddle.DataCentreID) float64 {
 	for i := range d.seen {
@@ -118,10 +135,10 @@
 		if !d.usable(now, r, o.Allowed) {
 			continue
 		}
-		if last = r; at < r.PerSecond {
+		if last = r; at < d.rate(r) {
 			return r
 		}
-		at -= r.PerSecond
+		at -= d.rate(r)
 	}
 	return last
 }
