--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -49,7 +49,7 @@
 	Lean      string        `default:"balance" help:"what the customer prefers: flows or balance"`
 	Gain      float64       `help:"weight of load differences; 0 for the engine's default"`
 	Seed      uint64        `default:"1" help:"seed of the random choices"`
-	Only      string        `help:"run only the experiments whose names begin with this, such as 3 or 3a"`
+	Only      string        `help:"run only the experiments whose names begin with this, such as 3 or 3a; with --uneven, the loads"`
 	Curve     bool          `help:"instead, measure the load imbalance for different shares of tracked flows"`
 	Spread    bool          `help:"instead, compare methods of choosing upstreams on an echo fabric"`
 	Silence   bool          `help:"instead, measure how soon a data centre detects upstreams that do not answer"`
@@ -87,7 +87,7 @@
 		return stoatmeasure.ReportOverload(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
 	}
 	if a.Uneven {
-		return stoatmeasure.ReportUneven(c.ctx, stoatmeasure.UnevenReport{Sizes: a.Sizes, Seed: a.Seed, Parallel: a.Parallel, JSON: a.JSON, Publish: a.Publish, Plot: a.Plot}, c.out)
+		return stoatmeasure.ReportUneven(c.ctx, stoatmeasure.UnevenReport{Sizes: a.Sizes, Days: a.Only, Seed: a.Seed, Parallel: a.Parallel, JSON: a.JSON, Publish: a.Publish, Plot: a.Plot}, c.out)
 	}
 	plan := stoatmeasure.Plan{NamePrefix: a.Only, Parallel: a.Parallel, Config: stoatmeasure.Config{
 		Entries: a.Entries, Upstreams: a.Upstreams, Flows: a.Flows, OpenRate: a.Opens, Preference: preference, Gain: a.Gain, Seed: a.Seed,
--- a/stoatspill/config.go
+++ b/stoatspill/config.go
@@ -7,18 +7,20 @@
 
 // The rules.
 const (
+	// RuleRoom sends openings in proportion to the published room.
+	RuleRoom Rule = iota
 	// RuleBoth is RuleRoom with what is seen from here: nothing goes to data centres that reject requests, and until
-	// the first room arrives that is younger than the overload, trials show which others do not.
-	RuleBoth  Rule = iota
-	RuleRoom       // in proportion to the published room
-	RuleLocal      // to the data centre that rejects the least as seen from here, without any bound
-	RuleNone       // never
+	// the first room arrives that is younger than the overload, trials show which others do not. It helps sooner when
+	// demand moves, and costs requests when all data centres are overloaded at once.
+	RuleBoth
+	RuleLocal // to the data centre that rejects the least as seen from here, without any bound
+	RuleNone  // never
 )
 
 // String returns the rule's name.
 func (r Rule) String() string { return nameOf(ruleNames[:], int(r)) }
 
-var ruleNames = [...]string{"both", "room", "local", "none"}
+var ruleNames = [...]string{"room", "both", "local", "none"}
 
 // Config configures a Decider; zero values take the defaults.
 type Config struct {
@@ -28,7 +30,7 @@
 	Start, Stop float64
 	// StartDelay is how long the share must stay above Start.
 	StartDelay time.Duration
-	// Hold is how long a spill that no opening needs any more lasts.
+	// Hold is how long a spill lasts that no opening needs any more, or for which there is no room.
 	Hold time.Duration
 }
 
--- a/stoatspill/decider.go
+++ b/stoatspill/decider.go
@@ -26,17 +26,24 @@
 	returnShare = 0.1
 	// trialPause is the least time from the end of a spill to an overload for which trials are made, so that a trial
 	// that fails does not lead to the next one.
-	trialPause        = 10 * time.Second
+	trialPause = 10 * time.Second
+	// earlyShare is the rejected share above which an entry starts a spill on its own evidence: one request in a
+	// thousand fails at it with three tries. It is higher than the usual one, as one entry sees few answers.
+	// entryEvidenceTime is the time over which the entry's load is averaged.
+	earlyShare        = 0.1
+	entryEvidenceTime = 250 * time.Millisecond
 	maxUpdateInterval = time.Second // the longest time between updates that counts
 )
 
 // Evidence is what a Decider knows of the loads.
 type Evidence struct {
 	Own     stoatload.GroupLoad // of the own data centre: the shared sum if it is fresh, else of this entry
+	Entry   stoatload.GroupLoad // of the own data centre as this entry alone sees it; may be zero
 	Entries int                 // number of entries in the own data centre; 0: Own.Entries
 	Home    Capacity            // of the own data centre; Spillers and Spilling are not used
 	Rooms   []Room              // of the other data centres
-	// Seen are the loads of the service's groups in the other data centres as seen from here.
+	// Seen are the loads of the service's groups in the other data centres as this entry alone sees them: a sum
+	// would show too late that a data centre rejects requests.
 	Seen []stoatload.GroupLoad
 }
 
@@ -63,6 +70,7 @@
 	overSince                             time.Time
 	onset                                 time.Time // the beginning of the overload for which trials are made
 	underSince                            time.Time
+	roomSince                             time.Time // when there was last a data centre with room
 	spilling                              bool
 	since                                 time.Time
 	reason                                Reason
@@ -92,6 +100,7 @@
 	d.dropBudgets()
 	before := d.spilling
 	d.decide(now)
+	d.startEarly(now, &e.Entry)
 	d.correct(now, elapsed)
 	switch {
 	case d.spilling == before:
@@ -142,8 +151,11 @@
 		}
 	}
 	hasRoom := d.hasTarget(now)
+	if hasRoom {
+		d.roomSince = now
+	}
 	switch {
-	case d.spilling && !hasRoom:
+	case d.spilling && now.Sub(d.roomSince) >= d.cfg.Hold:
 		d.end(now, ReasonNoRoom)
 	case d.spilling:
 		d.endUnneeded(now, reason)
@@ -152,8 +164,26 @@
 	case !hasRoom:
 		d.reason = ReasonNoRoom
 	case now.Sub(d.overSince) >= d.cfg.StartDelay:
-		d.spilling, d.since, d.reason, d.share, d.underSince = true, now, reason, 0, time.Time{}
+		d.start(now, reason)
+	}
+}
+
+// startEarly starts a spill on the evidence of this entry alone, before the shared sum shows the overload. It can
+// only be one with trials, since the rooms are older.
+func (d *Decider) startEarly(now time.Time, entry *stoatload.GroupLoad) {
+	if d.cfg.Rule != RuleBoth || d.spilling || now.Sub(d.since) < trialPause || entry.RejectedShare() < earlyShare {
+		return
+	}
+	if entry.Rejected < minEvidence/entryEvidenceTime.Seconds() {
+		return
+	}
+	before := d.onset
+	d.onset = now
+	if !d.hasTarget(now) {
+		d.onset = before
+		return
 	}
+	d.start(now, ReasonRejected)
 }
 
 // overload returns why the data centre needs others, or ReasonNone.
@@ -185,6 +215,10 @@
 	}
 }
 
+func (d *Decider) start(now time.Time, reason Reason) {
+	d.spilling, d.since, d.reason, d.share, d.underSince, d.roomSince = true, now, reason, 0, time.Time{}, now
+}
+
 func (d *Decider) end(now time.Time, reason Reason) {
 	d.spilling, d.since, d.reason, d.share, d.overSince = false, now, reason, 0, time.Time{}
 }
@@ -196,11 +230,15 @@
 	}
 	steps := elapsed.Seconds() / loopTime.Seconds()
 	switch tooMuch := d.rejected - d.cfg.Start*(d.answered+d.rejected); {
-	case tooMuch > 0:
+	case tooMuch > 0 && d.roomSince.Equal(now):
 		d.share += steps * tooMuch / (d.answered + d.rejected)
+	case d.homeRoom > 0:
+		d.share -= steps * d.homeRoom / d.admitted
 	case d.rejectedShare() < d.cfg.Stop:
-		d.share -= max(elapsed.Seconds()*returnShare, steps*d.homeRoom/d.admitted)
+		d.share -= elapsed.Seconds() * returnShare
+	}
+	d.share = min(1, max(0, d.share))
+	if room := d.usableRoom(now, nil) * d.covered / d.entries; room > 0 {
+		d.share = min(d.share, admittedPart(room, d.refused, d.admitted))
 	}
-	room := d.usableRoom(now, nil) * d.covered / d.entries
-	d.share = min(admittedPart(room, d.refused, d.admitted), max(0, d.share))
 }
--- a/stoatspill/room.go
+++ b/stoatspill/room.go
@@ -24,7 +24,7 @@
 	// trialShare is the share of the slots that trials may fill. When demand moves, a data centre loses callers at the
 	// moment at which another one is overloaded, and the room published before does not show it. Where it does not
 	// move, queues take what is too much until the next room arrives.
-	trialShare = usableShare
+	trialShare = 0.4
 	// maxOverheadShare bounds the part of an answer time that is taken for the network, so that a wrong round trip
 	// cannot multiply the room.
 	maxOverheadShare = 0.75
--- a/stoatspill/target.go
+++ b/stoatspill/target.go
@@ -13,7 +13,7 @@
 	otherShareFactor = 0.5
 	// minOtherShare is the share of rejections there that is no obstacle to RuleBoth, as a spill that suffices
 	// leaves few rejections here to compare it with.
-	minOtherShare = 0.01
+	minOtherShare = defaultStart
 	// aim is the factor on the room with which the probability for refused openings is determined. The budgets keep
 	// to the room; the probability has to make up for the openings that no longer return once others are spilled,
 	// since the rates know of these only later.
