--- a/stoatcommand/operate.go
+++ b/stoatcommand/operate.go
@@ -227,6 +227,7 @@
 		}
 		_, _ = fmt.Fprintln(w)
 		printLevels(w, st.Levels)
+		printSpills(w, st.Spills)
 	}
 	for _, name := range cs.Silent {
 		_, _ = fmt.Fprintf(w, "%-16s does not answer\n", name)
@@ -247,3 +248,15 @@
 		_, _ = fmt.Fprintln(w)
 	}
 }
+
+// printSpills prints one line for each service that was overloaded, and one for each other data centre.
+func printSpills(w io.Writer, spills []stoatstatus.Spill) {
+	for i := range spills {
+		s := &spills[i]
+		_, _ = fmt.Fprintf(w, "  %s: spilling=%t reason=%q rule=%s turned=%.2f denied=%.2f share=%.2f since=%dms\n", s.Service, s.Spilling, s.Reason, s.Rule, s.RejectedShare, s.RefusedShare, s.Share, s.SinceMS)
+		for j := range s.Targets {
+			t := &s.Targets[j]
+			_, _ = fmt.Fprintf(w, "    room in %s: %.1f/s age=%dms usable=%t spilling=%t spilled=%d\n", t.Centre, t.PerSecond, t.AgeMS, t.Usable, t.Spilling, t.Spilled)
+		}
+	}
+}
--- a/stoatecho/admission.go
+++ b/stoatecho/admission.go
@@ -98,8 +98,7 @@
 		if k.centre != e.cfg.DataCentre {
 			continue
 		}
-		l := g.limiter.Load(now)
-		l.Group, l.InProgress = k.id(), float64(g.inProgress)
+		l := e.loadOf(now, g)
 		if l.InProgress > 0 || len(l.Levels) > 0 || l.Answered+l.Rejected >= minLoadRate {
 			out = append(out, l)
 		}
@@ -108,13 +107,20 @@
 	return out
 }
 
+// loadOf returns what this entry observes of a group.
+func (e *Engine) loadOf(now time.Time, g *group) stoatload.GroupLoad {
+	l := g.limiter.Load(now)
+	l.Group, l.InProgress, l.Spilled = g.key.id(), float64(g.inProgress), g.spilled.PerSecond(now, spilledDecay)
+	return l
+}
+
 // minLoadRate is the rate of requests a second below which a group without openings has no traffic.
 const minLoadRate = 0.1
 
 // SetSharedLoads replaces what is known of the load of the data centre (own; fresh: it is recent enough to decide)
 // and of the others.
 func (e *Engine) SetSharedLoads(_ time.Time, own stoatload.CentreLoad, fresh bool, others []stoatload.CentreLoad) {
-	e.otherLoads = others
+	e.spillover.own, e.spillover.others = stoatload.CentreLoad{}, others
 	for _, g := range e.sharedGroups {
 		g.limiter.SetShared(stoatadmission.Evidence{})
 	}
@@ -122,6 +128,7 @@
 	if !fresh {
 		return
 	}
+	e.spillover.own = own
 	for i := range own.Groups {
 		l := &own.Groups[i]
 		g := e.groups[groupKey{service: l.Group.Service, centre: e.cfg.DataCentre}]
@@ -136,9 +143,6 @@
 	}
 }
 
-// OtherLoads returns what is known of the load of other data centres.
-func (e *Engine) OtherLoads() []stoatload.CentreLoad { return e.otherLoads }
-
 func (k groupKey) id() stoatload.GroupID {
 	return stoatload.GroupID{Service: k.service, DataCentre: k.centre}
 }
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -7,7 +7,6 @@
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatadmission"
 	"github.com/stoatpaddle/stoatpaddle/stoatfilter"
-	"github.com/stoatpaddle/stoatpaddle/stoatload"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -17,6 +16,7 @@
 	DataCentre stoatpaddle.DataCentreID
 	Start      time.Time
 	Regions    stoatfilter.Regions
+	Spill      SpillConfig
 	MaxFlows   int // how many flows are remembered at once
 	Admission  stoatadmission.Config
 	Seed       uint64
@@ -50,6 +50,7 @@
 	Upstream        *stoatroute.Upstream // set for a flow that is reset too, if its upstream is known
 	Reason          stoatpacket.DropReason
 	Opened          bool // a new flow was placed
+	Spilled         bool // it went to another data centre, since this one is overloaded
 	Moved           bool // its opening went to another upstream before and was not answered
 	Retransmissions int  // retransmissions of the flow's packet, where known
 	// AnswerTime is how long the answer took that the packet acknowledges; Late reports that this exceeds the
@@ -97,6 +98,7 @@
 // Stats counts what the engine did since it was created.
 type Stats struct {
 	Opened, Moved, Ejected, Refused int64
+	Spilled                         int64 // openings that went to another data centre, since this one was overloaded
 	EjectedJointly                  int64 // ejections that follow from the reports of all entries of the data centre
 	Answered, Late                  int64 // requests; late: longer than the latency objective of the route
 	Rejected                        int64 // answered requests that the upstream rejected, as far as can be inferred
@@ -138,7 +140,7 @@
 	groups           map[groupKey]*group
 	limited          map[groupKey]*group // groups with a level that is limited, or with changes to report
 	sharedGroups     []*group            // groups with evidence of the data centre
-	otherLoads       []stoatload.CentreLoad
+	spillover        spillover
 	answerSizes      answerSizes
 	endedUpTo        uint64    // the table's change counter at the last TakeOrphanedFlows
 	queueEmptied     time.Time // when this entry had last handled all packets received; zero: it is never behind
@@ -150,7 +152,7 @@
 		cfg.MaxFlows = defaultMaxFlows
 	}
 	return &Engine{
-		cfg: cfg, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, recheck: map[stoatpaddle.UpstreamKey]bool{}, groups: map[groupKey]*group{}, limited: map[groupKey]*group{}, answerSizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
+		cfg: cfg, spillover: spillover{cfg: cfg.Spill}, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, recheck: map[stoatpaddle.UpstreamKey]bool{}, groups: map[groupKey]*group{}, limited: map[groupKey]*group{}, answerSizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
 		unknownCookies: map[stoatpaddle.UpstreamKey]time.Time{}, lastOpenings: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), lastSweep: cfg.Start,
 	}
--- a/stoatecho/group.go
+++ b/stoatecho/group.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatadmission"
+	"github.com/stoatpaddle/stoatpaddle/stoatload"
 )
 
 const (
@@ -41,6 +42,7 @@
 	rejectionSizes  rejectionSizes
 	limiter         *stoatadmission.Limiter
 	requestsPerFlow flowLoad
+	spilled         stoatload.Rate // openings that went to other data centres
 	silence         groupSilence
 	nextTrial       time.Time // when a suspected upstream may get the next flow
 	unseen          health    // stands in for each upstream that this entry has not seen recently
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -209,4 +209,14 @@
 		Title: "priority level is no longer limited",
 		Text:  "All openings of this priority are admitted again. Lasted is for how long the level was limited. Refused counts the openings of the level that this entry has refused for more urgent ones since its start.",
 	})
+	EventSpillStarted = stoatevent.Register(stoatevent.Definition{
+		Number: 1442, Severity: stoatevent.Warning, Since: "0.9",
+		Title: "openings go to other data centres",
+		Text:  "The upstreams of the service in this data centre (centre) reject requests or its entries refuse openings (reason, turned and refused are the shares), and other data centres have room: targets names the openings a second that each can take from this one. Flows that open there stay there. Logged once for each period, by each entry. The data centre needs more upstreams, or callers have moved.",
+	})
+	EventSpillEnded = stoatevent.Register(stoatevent.Definition{
+		Number: 1443, Severity: stoatevent.Info, Since: "0.9",
+		Title: "openings stay in this data centre again",
+		Text:  "The upstreams of the service here serve their callers again (reason none), or no other data centre has room for more (reason no room).",
+	})
 )
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -79,7 +79,7 @@
 		current: cfg.Settings, group: group, ctx: ctx, cancel: cancel,
 		log:        newEventLog(cfg.Log, cfg.Settings),
 		store:      platform.NewStore(cfg.Settings.PlatformAddr),
-		engine:     stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Start: now, Seed: seed}),
+		engine:     stoatecho.New(stoatecho.Config{DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Start: now, Seed: seed, Spill: spillConfig(cfg.Settings)}),
 		callerPort: cfg.Settings.TunnelAddr.Port(),
 		ownAddr:    cfg.Settings.TunnelAddr.Addr(),
 		events:     newEventQueue(),
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -59,6 +59,7 @@
 	}
 	stat("stoatpaddle_flow_opened_total", func(s *stoatecho.Stats) int64 { return s.Opened })
 	stat("stoatpaddle_flow_moved_total", func(s *stoatecho.Stats) int64 { return s.Moved })
+	stat("stoatpaddle_flow_spilled_total", func(s *stoatecho.Stats) int64 { return s.Spilled })
 	stat("stoatpaddle_flow_refused_total", func(s *stoatecho.Stats) int64 { return s.Refused })
 	stat("stoatpaddle_request_answered_total", func(s *stoatecho.Stats) int64 { return s.Answered })
 	stat("stoatpaddle_request_late_total", func(s *stoatecho.Stats) int64 { return s.Late })
@@ -103,6 +104,7 @@
 	e.metrics.WritePrometheus(w)
 	e.writeInProgress(w)
 	e.writeLevels(w)
+	e.writeSpill(w)
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/stoatedge/reload.go
+++ b/stoatedge/reload.go
@@ -26,6 +26,7 @@
 	e.log.setLevel(next.LogLevel)
 	e.engineMu.Lock()
 	e.engine.SetRegions(next.Regions)
+	e.engine.SetSpill(spillConfig(next))
 	e.engineMu.Unlock()
 	e.post(settingsChanged{maxDelay: next.MaxDelay(), gracePeriod: next.GracePeriod, flowLifetime: next.FlowLifetime, seeds: seedRoleOf(next)})
 	e.log.emit(now, EventSettingsReloaded, stoatevent.F("applied", strings.Join(applied, ",")), stoatevent.F("kept", strings.Join(kept, ",")))
--- a/stoatedge/run_admin.go
+++ b/stoatedge/run_admin.go
@@ -55,7 +55,7 @@
 			Leaving: n[stoatroute.Leaving], Missing: n[stoatroute.Missing], Gone: n[stoatroute.Gone],
 		},
 	}
-	s.Levels = e.levelStatuses(clock())
+	s.Levels, s.Spills = e.levelStatuses(clock()), e.spillStatuses(clock())
 	named := false
 	for _, seed := range set.Seeds {
 		named = named || seed == set.AdminAddr
--- a/stoatedge/run_load.go
+++ b/stoatedge/run_load.go
@@ -63,6 +63,7 @@
 	e.engineMu.Lock()
 	e.loads.engine.SetSharedLoads(now, sum, fresh, centres)
 	e.engineMu.Unlock()
+	e.updateSpill(now)
 	if forChildren, ok := agg.SumForChildren(now); ok && pacer.Next(now, agg.Pace(now), forChildren.At) {
 		e.loads.children.notify()
 		pacer.Charge(int(e.loads.headBytes.Load()))
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -129,7 +129,7 @@
 		_, _ = e.conn.WriteToUDPAddrPort(buf, a.Upstream.Addr)
 		if a.Opened {
 			e.logFlow(now, EventFlowPlaced, t, a, p, append(loadFields(a),
-				stoatevent.F("copies", strconv.Itoa(p.Retransmits)), stoatevent.F("moved", strconv.FormatBool(a.Moved)))...)
+				stoatevent.F("copies", strconv.Itoa(p.Retransmits)), stoatevent.F("moved", strconv.FormatBool(a.Moved)), stoatevent.F("spilled", strconv.FormatBool(a.Spilled)))...)
 		}
 	case stoatecho.Reset:
 		e.sendReset(bufs, p)
--- a/stoatini/reader.go
+++ b/stoatini/reader.go
@@ -250,6 +250,24 @@
 	return out
 }
 
+// Words returns a comma-separated list of names. The default is none.
+func (s *Section) Words(key string) []string {
+	v, ok := s.value(key)
+	if !ok {
+		return nil
+	}
+	var out []string
+	for _, part := range strings.Split(v, ",") {
+		name := strings.TrimSpace(part)
+		if !isWord(name) {
+			s.AddFault(key, v, "names of letters, digits, '.', '-' and '_', separated by commas")
+			return nil
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
 // AddrPorts returns a comma-separated list of IP addresses and ports. The default is none.
 func (s *Section) AddrPorts(key string) []netip.AddrPort {
 	v, ok := s.value(key)
--- a/stoatload/codec.go
+++ b/stoatload/codec.go
@@ -55,9 +55,10 @@
 	AnswerUS   int64
 	UnqueuedUS int64
 	Levels     []wireLevel
-	// FirstAnswered and FirstRejected are in thousandths a second.
+	// The figures below are in thousandths a second.
 	FirstAnswered int64
 	FirstRejected int64
+	Spilled       int64
 }
 
 // wireLevel is the wire form of a LevelLoad.
@@ -160,7 +161,7 @@
 		w := wireGroup{
 			Service: string(g.Group.Service), Entries: int64(min(max(0, g.Entries), maxEntries)), Answered: thousandths(g.Answered), Rejected: thousandths(g.Rejected),
 			InProgress: thousandths(g.InProgress), AnswerUS: microseconds(g.AnswerTime), UnqueuedUS: microseconds(g.Unqueued),
-			FirstAnswered: thousandths(g.FirstAnswered), FirstRejected: thousandths(g.FirstRejected),
+			FirstAnswered: thousandths(g.FirstAnswered), FirstRejected: thousandths(g.FirstRejected), Spilled: thousandths(g.Spilled),
 		}
 		for _, l := range g.Levels[:min(len(g.Levels), MaxLevels)] {
 			if int64(l.Priority) == int64(int32(l.Priority)) {
@@ -247,7 +248,7 @@
 			Group: GroupID{Service: stoatpaddle.ServiceID(w.Service), DataCentre: dc}, Entries: int(w.Entries),
 			Answered: figure(w.Answered), Rejected: figure(w.Rejected), InProgress: figure(w.InProgress),
 			AnswerTime: time.Duration(w.AnswerUS) * time.Microsecond, Unqueued: time.Duration(w.UnqueuedUS) * time.Microsecond,
-			FirstAnswered: figure(w.FirstAnswered), FirstRejected: figure(w.FirstRejected),
+			FirstAnswered: figure(w.FirstAnswered), FirstRejected: figure(w.FirstRejected), Spilled: figure(w.Spilled),
 		}
 		for _, l := range w.Levels {
 			g.addLevel(LevelLoad{Priority: int(l.Priority), Arrived: figure(l.Arrived), Admitted: figure(l.Admitted)})
--- a/stoatload/codec_test.go
+++ b/stoatload/codec_test.go
@@ -231,7 +231,7 @@
 // later release adds are skipped.
 func TestReportsOfOtherReleases(t *testing.T) {
 	earlier := []any{"app", 3, 10, 10, 10, 10, 10, []any{[]any{1, 5, 5, "new"}}}
-	later := append(slices.Clone(earlier), 10, 10, map[string]int{"new": 1})
+	later := append(slices.Clone(earlier), 10, 10, 10, map[string]int{"new": 1})
 	for name, message := range map[string]any{
 		"later":   []any{[]any{later}, []any{[]any{[]byte{}, []any{"there", 5, []any{later}, 1}, 2}}, "new", []any{1, 2}},
 		"earlier": []any{[]any{earlier}},
--- a/stoatload/decode.go
+++ b/stoatload/decode.go
@@ -138,7 +138,7 @@
 	return decodeFields(dec, nameField("a service", &w.Service), intField("entries", 0, maxEntries, &w.Entries), figureField("answered", &w.Answered),
 		figureField("rejected", &w.Rejected), figureField("in progress", &w.InProgress), durationField("answer time", &w.AnswerUS),
 		durationField("answer time without a queue", &w.UnqueuedUS), listField("number of levels", MaxLevels, &w.Levels),
-		figureField("first requests answered", &w.FirstAnswered), figureField("first requests rejected", &w.FirstRejected))
+		figureField("first requests answered", &w.FirstAnswered), figureField("first requests rejected", &w.FirstRejected), figureField("spilled", &w.Spilled))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/stoatload/load.go
+++ b/stoatload/load.go
@@ -38,6 +38,7 @@
 	// not.
 	FirstAnswered, FirstRejected float64
 	InProgress                   float64       // pending requests and openings
+	Spilled                      float64       // openings a second that went to other data centres
 	AnswerTime                   time.Duration // mean answer time, weighted by Answered
 	Unqueued                     time.Duration // answer time without a queue, weighted by Answered; 0: not known
 	Levels                       []LevelLoad   // ascending by priority
@@ -56,7 +57,7 @@
 	out := GroupLoad{
 		Group: g.Group, Entries: g.Entries + o.Entries, Answered: g.Answered + o.Answered, Rejected: g.Rejected + o.Rejected,
 		FirstAnswered: g.FirstAnswered + o.FirstAnswered, FirstRejected: g.FirstRejected + o.FirstRejected,
-		InProgress: g.InProgress + o.InProgress,
+		InProgress: g.InProgress + o.InProgress, Spilled: g.Spilled + o.Spilled,
 		AnswerTime: weightedMean(g.AnswerTime, g.Answered, o.AnswerTime, o.Answered),
 		Unqueued:   weightedMean(g.Unqueued, g.Answered, o.Unqueued, o.Answered),
 		Levels:     slices.Clone(g.Levels),
--- a/stoatload/pacer.go
+++ b/stoatload/pacer.go
@@ -157,7 +157,7 @@
 
 func similarGroups(a, b GroupLoad) bool {
 	return a.Group == b.Group && similar(a.Answered, b.Answered) && similar(a.Rejected, b.Rejected) && similar(a.InProgress, b.InProgress) &&
-		similar(a.FirstAnswered, b.FirstAnswered) && similar(a.FirstRejected, b.FirstRejected) &&
+		similar(a.FirstAnswered, b.FirstAnswered) && similar(a.FirstRejected, b.FirstRejected) && similar(a.Spilled, b.Spilled) &&
 		similar(a.AnswerTime.Seconds()*a.Answered, b.AnswerTime.Seconds()*b.Answered) &&
 		slices.EqualFunc(a.Levels, b.Levels, func(x, y LevelLoad) bool {
 			return x.Priority == y.Priority && similar(x.Arrived, y.Arrived) && similar(x.Admitted, y.Admitted)
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -29,15 +29,19 @@
 	MaxLeaveDelay    time.Duration    // maximum delay until a leaving upstream gets no new flows; echo fabric only; 0: as MaxApplyDelay
 	MaxEvacuateDelay time.Duration    // maximum delay until an evacuation is in force; echo fabric only; 0: evacuations are not read
 	// Regions are the regions of data centres, for routes that allow only some regions; echo fabric only.
-	Regions      map[stoatpaddle.DataCentreID]stoatpaddle.RegionID
-	MemoryMB     float64       // the machine's memory, MB; echo fabric only; 0: not known
-	CPUShare     float64       // the part of a core that the instance has; echo fabric only; 0: not known
-	FlowLifetime time.Duration // maximum lifetime of a flow; echo fabric only
-	GracePeriod  time.Duration // how long a lapsed registration has to come back after an outage; echo fabric only
-	PeerTimeout  time.Duration // a peer that is silent for this long counts as dead
-	LogLevel     string        // minimum level of log lines
-	StopDeadline time.Duration // maximum duration of a planned stop
-	SettleTime   time.Duration // how long after a change other entries are queried about unknown flows
+	Regions map[stoatpaddle.DataCentreID]stoatpaddle.RegionID
+	// SpillRule says by which rule openings go to other data centres; SpillExcluded are data centres that never get
+	// openings from here; echo fabric only.
+	SpillRule     SpillRule
+	SpillExcluded []stoatpaddle.DataCentreID
+	MemoryMB      float64       // the machine's memory, MB; echo fabric only; 0: not known
+	CPUShare      float64       // the part of a core that the instance has; echo fabric only; 0: not known
+	FlowLifetime  time.Duration // maximum lifetime of a flow; echo fabric only
+	GracePeriod   time.Duration // how long a lapsed registration has to come back after an outage; echo fabric only
+	PeerTimeout   time.Duration // a peer that is silent for this long counts as dead
+	LogLevel      string        // minimum level of log lines
+	StopDeadline  time.Duration // maximum duration of a planned stop
+	SettleTime    time.Duration // how long after a change other entries are queried about unknown flows
 }
 
 // FabricKind is the kind of fabric, which decides how an entry finds the upstream of an open flow.
@@ -52,6 +56,17 @@
 	FabricEcho FabricKind = "echo"
 )
 
+// SpillRule is the rule by which openings go to other data centres.
+type SpillRule string
+
+// The rules.
+const (
+	SpillByRoom SpillRule = "room"  // as much as other data centres publish that they can take
+	SpillByBoth SpillRule = "both"  // the same, and trials before the first room is known
+	SpillLocal  SpillRule = "local" // by what this entry sees alone
+	SpillNever  SpillRule = "none"
+)
+
 // The default and maximum values. testdata/entry.ini documents the defaults.
 const (
 	defaultCluster      = "main"
@@ -112,6 +127,8 @@
 		MaxLeaveDelay:    r.Section("platform").Duration("leave", 0),
 		MaxEvacuateDelay: r.Section("platform").Duration("evacuate", 0),
 		Regions:          parseRegions(r.Section("regions")),
+		SpillRule:        SpillRule(r.Section("spill").Choice("rule", string(SpillByRoom), string(SpillByBoth), string(SpillLocal), string(SpillNever))),
+		SpillExcluded:    parseExcluded(r.Section("spill")),
 		CPUShare:         instance.Number("share", 0, 0, maxShare),
 		LinkMbps:         instance.Number("link", 0, 0, maxLink),
 		MemoryMB:         instance.Number("memory", 0, 0, maxMemory),
@@ -143,6 +160,15 @@
 	return out
 }
 
+// parseExcluded returns the data centres that never get openings from here.
+func parseExcluded(sec *stoatini.Section) []stoatpaddle.DataCentreID {
+	var out []stoatpaddle.DataCentreID
+	for _, name := range sec.Words("exclude") {
+		out = append(out, stoatpaddle.DataCentreID(name))
+	}
+	return out
+}
+
 // checkDistinct adds a fault for each listener that has the address and transport of another one.
 func checkDistinct(sec *stoatini.Section, s Settings) {
 	type listener struct {
--- a/stoatspill/room.go
+++ b/stoatspill/room.go
@@ -121,10 +121,10 @@
 }
 
 // Away reports whether the data centre's entries send openings of the service to other data centres: they have both
-// admitted some and wait for some there. The rate alone would tell long after a spill of short flows has ended, and
-// the requests in progress long after one of long flows.
+// admitted some and wait for some there, or report that they spill some. The rate alone would tell long after a spill
+// of short flows has ended, and the requests in progress long after one of long flows.
 func Away(c *stoatload.CentreLoad, s stoatpaddle.ServiceID) bool {
-	var home, away, homeProgress, awayProgress float64
+	var home, away, homeProgress, awayProgress, spilled float64
 	for i := range c.Groups {
 		g := &c.Groups[i]
 		if g.Group.Service != s {
@@ -132,12 +132,12 @@
 		}
 		arrived, admitted := openings(g)
 		if g.Group.DataCentre == c.DataCentre {
-			home, homeProgress = home+arrived, homeProgress+g.InProgress
+			home, homeProgress, spilled = home+arrived, homeProgress+g.InProgress, spilled+g.Spilled
 			continue
 		}
 		away, awayProgress = away+admitted, awayProgress+g.InProgress
 	}
-	return away > awayShare*home && awayProgress > awayShare*homeProgress
+	return spilled > awayShare*home || away > awayShare*home && awayProgress > awayShare*homeProgress
 }
 
 // RoomsOf returns the rooms for the service in the data centres whose loads are given, for the data centre own. The
--- a/stoatstatus/status.go
+++ b/stoatstatus/status.go
@@ -38,6 +38,7 @@
 	Evacuated         []string          `json:"evacuated,omitempty"` // data centres; only on a tunnel fabric
 	View              *RoutingSummary   `json:"view,omitempty"`      // only on an echo fabric
 	Levels            []Level           `json:"levels,omitempty"`    // of services with two or more priorities; only on an echo fabric
+	Spills            []Spill           `json:"spills,omitempty"`    // of services that were overloaded here; only on an echo fabric
 }
 
 // RoutingSummary summarizes the routes and upstreams known to an entry on an echo fabric.
@@ -65,6 +66,29 @@
 	Refused       map[string]int64 `json:"refused"`  // openings since the start of the entry, by reason
 }
 
+// Spill says whether openings of a service go to other data centres, since this one is overloaded.
+type Spill struct {
+	Service       string  `json:"service"`
+	Spilling      bool    `json:"spilling"`
+	Reason        string  `json:"reason"`
+	Rule          string  `json:"rule"`
+	RejectedShare float64 `json:"turned"` // share of the requests that the upstreams here reject
+	RefusedShare  float64 `json:"denied"` // share of the openings that are refused here beyond what upstreams here could take
+	Share         float64 `json:"share"`  // of the openings here that may go elsewhere
+	SinceMS       int64   `json:"since"`  // ms since the spill began or ended; 0: there was none
+	Targets       []Room  `json:"rooms"`
+}
+
+// Room is what the upstreams of a service in another data centre can take.
+type Room struct {
+	Centre    string  `json:"centre"`
+	PerSecond float64 `json:"room"`     // openings a second, from this data centre
+	AgeMS     int64   `json:"age"`      // ms since the load was measured
+	Usable    bool    `json:"usable"`   // whether openings may go there
+	Spilling  bool    `json:"spilling"` // the data centre spills itself
+	Spilled   int64   `json:"spilled"`  // openings that this entry sent there
+}
+
 // Instance is the state of one instance as an entry sees it.
 type Instance struct {
 	Name      string `json:"name"`
