--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -54,6 +54,7 @@
 	Spread    bool    `help:"instead, compare methods of choosing upstreams on an echo fabric"`
 	Silence   bool    `help:"instead, measure how soon a data centre detects upstreams that do not answer"`
 	Overload  bool    `help:"instead, measure what happens to new flows when upstreams are overloaded"`
+	Large     bool    `help:"with --overload: all loads at all sizes, which takes some minutes"`
 	Parallel  int     `default:"4" help:"number of experiments that run at once"`
 	JSON      bool    `arg:"--json" help:"print JSON"`
 }
@@ -80,7 +81,7 @@
 		return stoatmeasure.ReportSilence(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
 	}
 	if a.Overload {
-		return stoatmeasure.ReportOverload(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
+		return stoatmeasure.ReportOverload(c.ctx, a.Seed, a.Parallel, a.Large, a.JSON, c.out)
 	}
 	plan := stoatmeasure.Plan{NamePrefix: a.Only, Parallel: a.Parallel, Config: stoatmeasure.Config{
 		Entries: a.Entries, Upstreams: a.Upstreams, Flows: a.Flows, OpenRate: a.Opens, Preference: preference, Gain: a.Gain, Seed: a.Seed,
