--- a/stoatmeasure/overload.go
+++ b/stoatmeasure/overload.go
@@ -129,9 +129,9 @@
 	m.routes.ApplyDeclaration(stoatpaddle.Declaration{Version: 1, Routes: cfg.routes()}, 1)
 	m.addUpstreams()
 	for i := range cfg.Entries {
-		m.entries = append(m.entries, stoatecho.New(cfg.Way.engineConfig(stoatecho.Config{
-			DataCentre: "here", Start: overloadEpoch.Add(-time.Minute), Seed: cfg.Seed + uint64(i),
-		})))
+		m.entries = append(m.entries, stoatecho.New(stoatecho.Config{
+			DataCentre: "here", Start: overloadEpoch.Add(-time.Minute), Seed: cfg.Seed + uint64(i), Admission: cfg.Way.admission(),
+		}))
 	}
 	m.result.Stages = make([][]Outcomes, len(cfg.Stages))
 	for i := range m.result.Stages {
--- a/stoatmeasure/overload_level.go
+++ b/stoatmeasure/overload_level.go
@@ -56,7 +56,7 @@
 			Listen: levelListen(i), Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}},
 			Idempotent: l.Idempotent, TargetLatency: c.Objective, Priority: l.Priority,
 		}
-		if c.Way == WayEqual || c.Way == WayAll {
+		if c.Way != "" && !c.Way.hasLevels() {
 			r.Priority = 1
 		}
 		out = append(out, r)
--- a/stoatmeasure/overload_report.go
+++ b/stoatmeasure/overload_report.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -94,7 +95,7 @@
 			if i > 0 && p.small && !large {
 				continue
 			}
-			for _, way := range overloadWays {
+			for _, way := range waysOf(p, large) {
 				cfg := fleet
 				cfg.Stages, cfg.Seed = p.stages, seed
 				if p.with != nil {
@@ -108,6 +109,14 @@
 	return runs, rows
 }
 
+// waysOf returns the ways that are compared under a load.
+func waysOf(p loadPattern, large bool) []Way {
+	if p.small && !large {
+		return overloadWays
+	}
+	return slices.Concat(overloadWays, failureWays)
+}
+
 // fill sets the figures of a row.
 func (r *overloadRow) fill(o OverloadResult) {
 	r.Goodput, r.Bound, r.Usual, r.Urgent, r.Levels = o.Goodput(), o.Bound, o.Usual, o.Urgent, o.Levels
