--- a/stoatadmission/law.go
+++ b/stoatadmission/law.go
@@ -30,6 +30,7 @@
 // moveBudget moves the budget for the time that passed.
 func (l *Limiter) moveBudget(passed time.Duration) {
 	o := &l.observed
+	excess := o.excess()
 	switch {
 	case !l.limiting:
 		// What is admitted now is too much. At an entry that starts in an overload, it is what the others admit.
@@ -39,14 +40,11 @@
 	}
 	l.evidenceAll = o.shared
 	dt := passed.Seconds()
-	excess := o.rejected - rejectedTarget*o.total()
 	if excess > 0 {
 		l.budget -= budgetGain * excess * dt
 	} else {
 		growth := budgetGrowth * o.total() * (1 - o.rejectedShare()/rejectedTarget)
-		if o.queued() {
-			growth *= queuedGrowth
-		}
+		growth *= o.idleShare() * max(0, 1-l.lateShare()/lateTarget)
 		l.budget += (growth - excess) * dt
 	}
 	if o.shared && l.budget < o.arrived {
@@ -59,6 +57,15 @@
 	}
 }
 
+// lateShare returns the share of the openings admitted by level whose answers would be late.
+func (l *Limiter) lateShare() float64 {
+	passed := l.passed.PerSecond(l.updated, evidenceDecay)
+	if passed == 0 {
+		return 0
+	}
+	return l.late.PerSecond(l.updated, evidenceDecay) / passed
+}
+
 // rescaled returns the budget in the scale of the present evidence when it changes between an entry and its data
 // centre: the same share of the openings stays admitted.
 func (l *Limiter) rescaled() float64 { return l.admittedShare() * l.observed.arrived }
@@ -110,7 +117,7 @@
 
 // allocate sets the admitted share of each level.
 func (l *Limiter) allocate(now time.Time) {
-	rest, rank := l.budget, 0
+	rest, rank := l.budget-promptGain*max(0, l.observed.excess()), 0
 	for i := range l.levels {
 		v := &l.levels[i]
 		share := 1.0
--- a/stoatadmission/limiter.go
+++ b/stoatadmission/limiter.go
@@ -12,6 +12,7 @@
 	cfg          Config
 	rnd          *rand.Rand // created when it is first needed
 	answers      answerRate
+	passed, late stoatload.Rate // openings that the levels admit, and those of them whose answers would be late
 	rejected     stoatload.Rate
 	shared       Evidence
 	levels       []level // ascending by priority
@@ -60,12 +61,24 @@
 // judge returns the reason for the decision about an opening of the level; r is its route, nil if the route is not
 // tracked.
 func (l *Limiter) judge(now time.Time, o Opening, v *level, r *route) Reason {
-	switch {
-	case o.Late:
-		return RefusedLate
-	case !l.limiting:
+	reason := Admitted
+	if l.limiting {
+		reason = l.judgeByLevel(now, o, v, r)
+	}
+	if reason != Admitted {
+		return reason
+	}
+	l.passed.Add(now, evidenceDecay)
+	if !o.Late {
 		return Admitted
-	case o.Away:
+	}
+	l.late.Add(now, evidenceDecay)
+	return RefusedLate
+}
+
+// judgeByLevel returns the reason for the decision while openings are limited.
+func (l *Limiter) judgeByLevel(now time.Time, o Opening, v *level, r *route) Reason {
+	if o.Away {
 		return RefusedAway
 	}
 	share := v.share
