--- a/stoatmeasure/overload_way.go
+++ b/stoatmeasure/overload_way.go
@@ -1,10 +1,10 @@
 package stoatmeasure
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/stoatpaddle/stoatpaddle/stoatadmission"
-	"github.com/stoatpaddle/stoatpaddle/stoatload"
 )
 
 // Way is how entries decide about openings in an overload.
@@ -69,13 +69,11 @@
 
 // shareEvidence makes the entries add up what they observe until the given time.
 func (m *overloadModel) shareEvidence(until time.Duration) {
-	t := &loadTree{cfg: *m.cfg.Tree, q: &m.q, epoch: overloadEpoch}
-	t.observe = func(now time.Time, entry int) []stoatload.GroupLoad { return m.entries[entry].Loads(now) }
-	t.receive = func(now time.Time, entry int, sum stoatload.CentreLoad) {
-		m.entries[entry].SetSharedLoads(now, sum, now.Sub(sum.At) <= maxSumAge, nil)
+	engines := make([]loadEngine, len(m.entries))
+	for i, e := range m.entries {
+		engines[i] = e
 	}
-	t.start(len(m.entries), until, m.rnd)
+	t := newLoadTree(*m.cfg.Tree, engines)
+	t.q, t.epoch, t.until = &m.q, overloadEpoch, until
+	t.start(rand.New(rand.NewPCG(m.cfg.Seed, treeStream)))
 }
-
-// maxSumAge is the age up to which a sum decides.
-const maxSumAge = time.Second
