--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -49,12 +49,12 @@
 	Lean      string  `default:"balance" help:"what the customer prefers: flows or balance"`
 	Gain      float64 `help:"weight of load differences; 0 for the engine's default"`
 	Seed      uint64  `default:"1" help:"seed of the random choices"`
-	Only      string  `help:"run only the experiments whose names begin with this, such as 3 or 3a"`
+	Only      string  `help:"run only the experiments whose names begin with this, such as 3 or 3a; with --overload: the loads"`
 	Curve     bool    `help:"instead, measure the load imbalance for different shares of tracked flows"`
 	Spread    bool    `help:"instead, compare methods of choosing upstreams on an echo fabric"`
 	Silence   bool    `help:"instead, measure how soon a data centre detects upstreams that do not answer"`
 	Overload  bool    `help:"instead, measure what happens to new flows when upstreams are overloaded"`
-	Large     bool    `help:"with --overload: all loads at all sizes, which takes some minutes"`
+	Large     bool    `help:"with --overload: larger deployments, which takes several minutes"`
 	Parallel  int     `default:"4" help:"number of experiments that run at once"`
 	JSON      bool    `arg:"--json" help:"print JSON"`
 }
@@ -81,7 +81,7 @@
 		return stoatmeasure.ReportSilence(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
 	}
 	if a.Overload {
-		return stoatmeasure.ReportOverload(c.ctx, a.Seed, a.Parallel, a.Large, a.JSON, c.out)
+		return stoatmeasure.ReportOverload(c.ctx, stoatmeasure.OverloadPlan{Seed: a.Seed, Parallel: a.Parallel, NamePrefix: a.Only, Large: a.Large}, a.JSON, c.out)
 	}
 	plan := stoatmeasure.Plan{NamePrefix: a.Only, Parallel: a.Parallel, Config: stoatmeasure.Config{
 		Entries: a.Entries, Upstreams: a.Upstreams, Flows: a.Flows, OpenRate: a.Opens, Preference: preference, Gain: a.Gain, Seed: a.Seed,
--- a/stoatmeasure/overload_report.go
+++ b/stoatmeasure/overload_report.go
@@ -5,47 +5,65 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 )
 
-// The sizes with which ReportOverload measures. Those of largeFleets take minutes.
-var (
-	overloadFleets = []OverloadConfig{{Entries: 9, Upstreams: 14}, {Entries: 85, Upstreams: 120}}
-	largeFleets    = []OverloadConfig{{Entries: 9, Upstreams: 14}, {Entries: 85, Upstreams: 120}, {Entries: 300, Upstreams: 400}}
-)
+// overloadFleet is a size with which ReportOverload measures.
+type overloadFleet struct {
+	entries, upstreams int
+	ways               []Way
+	large              bool // one run takes a minute, so that it is only measured if asked for
+}
+
+var overloadFleets = []overloadFleet{
+	{entries: 9, upstreams: 14, ways: overloadWays},
+	{entries: 85, upstreams: 120, ways: []Way{WayEqual, WayOwn, WayShared}},
+	{entries: 85, upstreams: 120, ways: slices.Concat([]Way{WayEqual, WayOwn, WayShared}, failureWays), large: true},
+	{entries: 300, upstreams: 400, ways: []Way{WayEqual, WayOwn, WayShared}, large: true},
+}
 
 // loadPattern is a named load with the conditions under which it is offered.
 type loadPattern struct {
 	name   string
 	stages []Stage
 	with   func(*OverloadConfig) // nil: the usual conditions
-	small  bool                  // only measured with the smallest fleet, unless all sizes are asked for
+	size   patternSize
 }
 
+// patternSize says with which fleets a load is measured.
+type patternSize uint8
+
+const (
+	smallPattern patternSize = iota // with the smallest fleet
+	largePattern                    // with large ones too, if these are asked for
+	anyPattern                      // with all
+)
+
 // burst returns a burst between two periods of the usual load.
 func burst(load float64, d time.Duration) []Stage {
 	return []Stage{{0.6, time.Second}, {load, d}, {0.6, 2 * time.Second}}
 }
 
 var loadPatterns = []loadPattern{
-	{name: "usual", stages: []Stage{{0.6, 4 * time.Second}}, small: true},
-	{name: "nearly full", stages: []Stage{{0.9, 4 * time.Second}}, small: true},
-	{name: "x 1.3", stages: burst(1.3, 4*time.Second), small: true},
-	{name: "x 1.5", stages: burst(1.5, 3*time.Second)},
-	{name: "x 2", stages: burst(2, 3*time.Second)},
-	{name: "x 4", stages: burst(4, 2*time.Second)},
-	{name: "x 9", stages: burst(9, time.Second)},
-	{name: "steps", stages: []Stage{{0.6, time.Second}, {1.3, 2 * time.Second}, {4, 2 * time.Second}, {0.6, time.Second}, {2, 2 * time.Second}, {0.6, 2 * time.Second}}, small: true},
-	{name: "five levels", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.Levels = fiveLevels }, small: true},
-	{name: "one level", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.Levels = oneLevel }, small: true},
-	{name: "unused level", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.Levels = unusedLevel }, small: true},
-	{name: "slow quarter", stages: burst(2, 3*time.Second), with: func(c *OverloadConfig) { c.SlowShare = 0.25 }, small: true},
-	{name: "hanging", stages: burst(2, 3*time.Second), with: func(c *OverloadConfig) { c.HangingShare = 0.2 }, small: true},
-	{name: "half long", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.LongShare = 0.5 }, small: true},
-	{name: "resets", stages: burst(9, 2*time.Second), with: func(c *OverloadConfig) { c.MaxOutstanding = overloadMaxOutstanding }, small: true},
-	{name: "metastable", stages: metastableStages, with: metastable, small: true},
+	{name: "usual", stages: []Stage{{0.6, 4 * time.Second}}},
+	{name: "nearly full", stages: []Stage{{0.9, 4 * time.Second}}},
+	{name: "x 1.3", stages: burst(1.3, 4*time.Second)},
+	{name: "x 1.5", stages: burst(1.5, 3*time.Second), size: largePattern},
+	{name: "x 2", stages: burst(2, 2*time.Second), size: anyPattern},
+	{name: "x 4", stages: burst(4, 2*time.Second), size: largePattern},
+	{name: "x 9", stages: burst(9, time.Second), size: largePattern},
+	{name: "steps", stages: []Stage{{0.6, time.Second}, {1.3, 2 * time.Second}, {4, 2 * time.Second}, {0.6, time.Second}, {2, 2 * time.Second}, {0.6, 2 * time.Second}}},
+	{name: "five levels", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.Levels = fiveLevels }},
+	{name: "one level", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.Levels = oneLevel }},
+	{name: "unused level", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.Levels = unusedLevel }},
+	{name: "slow quarter", stages: burst(2, 3*time.Second), with: func(c *OverloadConfig) { c.SlowShare = 0.25 }},
+	{name: "hanging", stages: burst(2, 3*time.Second), with: func(c *OverloadConfig) { c.HangingShare = 0.2 }},
+	{name: "half long", stages: burst(4, 3*time.Second), with: func(c *OverloadConfig) { c.LongShare = 0.5 }},
+	{name: "resets", stages: burst(9, 2*time.Second), with: func(c *OverloadConfig) { c.MaxOutstanding = overloadMaxOutstanding }},
+	{name: "metastable", stages: metastableStages, with: metastable},
 }
 
 // overloadMaxOutstanding is the number of requests outstanding at which upstreams reset connections.
@@ -82,39 +100,39 @@
 	Starved    int        `json:"starved"`     // callers without any answer
 }
 
-// overloadRuns returns the runs of a report and the rows that they fill.
-func overloadRuns(seed uint64, large bool) ([]OverloadConfig, []overloadRow) {
-	fleets := overloadFleets
-	if large {
-		fleets = largeFleets
-	}
+// OverloadPlan says what ReportOverload measures.
+type OverloadPlan struct {
+	Seed       uint64
+	Parallel   int    // runs at once
+	NamePrefix string // of the loads; empty: all
+	Large      bool   // the larger fleets instead of the usual ones
+}
+
+// runs returns the runs of a report and the rows that they fill.
+func (p OverloadPlan) runs() ([]OverloadConfig, []overloadRow) {
 	var runs []OverloadConfig
 	var rows []overloadRow
-	for i, fleet := range fleets {
-		for _, p := range loadPatterns {
-			if i > 0 && p.small && !large {
+	for i, fleet := range overloadFleets {
+		for _, load := range loadPatterns {
+			if fleet.large != p.Large || !strings.HasPrefix(load.name, p.NamePrefix) || i > 0 && !load.measuredWith(fleet) {
 				continue
 			}
-			for _, way := range waysOf(p, large) {
-				cfg := fleet
-				cfg.Stages, cfg.Seed = p.stages, seed
-				if p.with != nil {
-					p.with(&cfg)
+			for _, way := range fleet.ways {
+				cfg := OverloadConfig{Entries: fleet.entries, Upstreams: fleet.upstreams, Stages: load.stages, Seed: p.Seed}
+				if load.with != nil {
+					load.with(&cfg)
 				}
 				runs = append(runs, way.apply(cfg))
-				rows = append(rows, overloadRow{Load: p.name, Way: way, Admission: way != WayAll, Entries: fleet.Entries, Upstreams: fleet.Upstreams})
+				rows = append(rows, overloadRow{Load: load.name, Way: way, Admission: way != WayAll, Entries: fleet.entries, Upstreams: fleet.upstreams})
 			}
 		}
 	}
 	return runs, rows
 }
 
-// waysOf returns the ways that are compared under a load.
-func waysOf(p loadPattern, large bool) []Way {
-	if p.small && !large {
-		return overloadWays
-	}
-	return slices.Concat(overloadWays, failureWays)
+// measuredWith reports whether the load is measured with a fleet other than the smallest.
+func (l *loadPattern) measuredWith(f overloadFleet) bool {
+	return l.size == anyPattern || l.size == largePattern && f.large
 }
 
 // fill sets the figures of a row.
@@ -131,11 +149,11 @@
 }
 
 // ReportOverload simulates each load at each size and with each way of deciding about openings, and writes a table
-// or JSON. With large, it includes the largest size, and all loads at each size.
-func ReportOverload(ctx context.Context, seed uint64, parallel int, large, asJSON bool, w io.Writer) error {
-	runs, rows := overloadRuns(seed, large)
+// or JSON.
+func ReportOverload(ctx context.Context, plan OverloadPlan, asJSON bool, w io.Writer) error {
+	runs, rows := plan.runs()
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(max(1, parallel))
+	group.SetLimit(max(1, plan.Parallel))
 	for i := range rows {
 		group.Go(func() error {
 			o, err := RunOverload(ctx, runs[i])
--- a/stoatmeasure/overload_test.go
+++ b/stoatmeasure/overload_test.go
@@ -48,6 +48,9 @@
 	if float64(inTime) < 1.7*float64(before) {
 		t.Errorf("%d in time, %d without a limit", inTime, before)
 	}
+	if most := 10 * 4 * smallFleet.capacity(); float64(inTime) < 0.9*most {
+		t.Errorf("%d in time, the capacity is %.0f", inTime, most)
+	}
 	answered := inTime + limited.Usual.Late + limited.Urgent.Late
 	if most := before + plain.Usual.Late + plain.Urgent.Late; float64(answered) < 0.9*float64(most) {
 		t.Errorf("%d answered, %d without a limit: upstreams stood idle", answered, most)
--- a/stoatmeasure/overload_way.go
+++ b/stoatmeasure/overload_way.go
@@ -23,7 +23,6 @@
 )
 
 var (
-	// overloadWays are the ways that ReportOverload compares.
 	overloadWays = []Way{WayAll, WayEqual, WayOwn, WayShared, WayRandom, WayThreshold}
 	// failureWays show what follows when evidence is not shared as it should be.
 	failureWays = []Way{WayCut, WayStale}
