--- a/stoatcommand/run_entry.go
+++ b/stoatcommand/run_entry.go
@@ -49,11 +49,12 @@
 	Lean      string        `default:"balance" help:"what the customer prefers: flows or balance"`
 	Gain      float64       `help:"weight of load differences; 0 for the engine's default"`
 	Seed      uint64        `default:"1" help:"seed of the random choices"`
-	Only      string        `help:"run only the experiments whose names begin with this, such as 3 or 3a; with --uneven, the loads"`
+	Only      string        `help:"run only the experiments whose names begin with this, such as 3 or 3a; with --uneven or --overload, the loads"`
 	Curve     bool          `help:"instead, measure the load imbalance for different shares of tracked flows"`
 	Spread    bool          `help:"instead, compare methods of choosing upstreams on an echo fabric"`
 	Silence   bool          `help:"instead, measure how soon a data centre detects upstreams that do not answer"`
 	Overload  bool          `help:"instead, measure what happens to new flows when upstreams are overloaded"`
+	Large     bool          `help:"with --overload: larger deployments, which takes several minutes"`
 	Uneven    bool          `help:"instead, measure what happens while most callers are in one data centre"`
 	Sizes     []int         `help:"with --uneven, the numbers of entries; without, 9 and 85"`
 	Publish   time.Duration `default:"1s" help:"with --uneven, how often a data centre's load is published"`
@@ -84,7 +85,7 @@
 		return stoatmeasure.ReportSilence(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
 	}
 	if a.Overload {
-		return stoatmeasure.ReportOverload(c.ctx, a.Seed, a.Parallel, a.JSON, c.out)
+		return stoatmeasure.ReportOverload(c.ctx, stoatmeasure.OverloadPlan{Seed: a.Seed, Parallel: a.Parallel, NamePrefix: a.Only, Large: a.Large}, a.JSON, c.out)
 	}
 	if a.Uneven {
 		return stoatmeasure.ReportUneven(c.ctx, stoatmeasure.UnevenReport{Sizes: a.Sizes, Days: a.Only, Seed: a.Seed, Parallel: a.Parallel, JSON: a.JSON, Publish: a.Publish, Plot: a.Plot}, c.out)
