--- a/stoatmeasure/uneven.go
+++ b/stoatmeasure/uneven.go
@@ -164,6 +164,12 @@
 	return m
 }
 
+// The addresses of the usual and the urgent route.
+var (
+	usualListen  = netip.MustParseAddrPort("198.18.0.1:8443")
+	urgentListen = netip.MustParseAddrPort("198.18.0.1:8080")
+)
+
 // declareUneven declares a usual and an urgent route.
 func declareUneven(b *stoatroute.Builder) {
 	to := []stoatpaddle.Backend{{Service: "app", Weight: 1}}
