stoatadmission: an entry's own evidence decides where it suffices; the most urgent level loses its looser bound when nothing else is left to refuse

Sums of the data centre are some tenths of a second old.

Tried without effect on what fails in TestLevelsInOverload: growth 3 and 4, target 0.35, gain 1.5, promptGain 0.5.

--- a/stoatadmission/config.go
+++ b/stoatadmission/config.go
@@ -39,9 +39,6 @@
 	// below which it ends. Fewer say little.
 	beginEvidence = 6
 	keepEvidence  = 3
-	// sufficientEvidence is the number of answers and rejections with which an entry knows the share of rejections of
-	// its data centre to about a tenth.
-	sufficientEvidence = 30
 )
 
 const (
@@ -83,7 +80,7 @@
 
 // The sources of evidence.
 const (
-	SharedEvidence Source = iota // of the data centre while it is fresh, else of this entry
+	SharedEvidence Source = iota // of this entry where it suffices, else of the data centre while that is fresh
 	OwnEvidence                  // of this entry only
 )
 
--- a/stoatadmission/evidence.go
+++ b/stoatadmission/evidence.go
@@ -43,9 +43,6 @@
 	answered, rejected   float64 // requests a second
 	answerTime, unqueued time.Duration
 	arrived, admitted    float64 // openings of all levels a second
-	// prompt is the rejections a second above the target by the latest evidence: this entry's own if that suffices,
-	// since sums of the data centre are some tenths of a second old.
-	prompt float64
 }
 
 // total returns the requests a second.
@@ -89,17 +86,13 @@
 	}
 	here.useFirst(l.first.answered.PerSecond(now, evidenceDecay), l.first.rejected.PerSecond(now, evidenceDecay))
 	o := here
-	if e := &l.shared; l.cfg.Source == SharedEvidence && !e.At.IsZero() && now.Sub(e.At) < maxSharedAge {
+	if e := &l.shared; l.usesShared(now, &here) {
 		o = e.observation()
 		for _, x := range e.Levels {
 			l.levelOf(now, x.Priority)
 		}
 	}
-	own := l.observeLevels(now, &o)
-	o.prompt = o.excess()
-	if o.shared && own > 0 {
-		o.preferOwn(&here, o.arrived/own)
-	}
+	l.observeLevels(now, &o)
 	l.observed = o
 	l.countActive(now)
 }
@@ -111,8 +104,8 @@
 	return o
 }
 
-// observeLevels sets the arrivals of each level by the evidence in use, adds them up, and returns the arrivals here.
-func (l *Limiter) observeLevels(now time.Time, o *observation) float64 {
+// observeLevels sets the arrivals of each level by the evidence in use, and adds them up.
+func (l *Limiter) observeLevels(now time.Time, o *observation) {
 	own := l.ownArrivals(now)
 	changed := 1.0 // of the arrivals since the sum of the data centre, by those here
 	if l.ownAtShared >= minArrivals {
@@ -131,7 +124,6 @@
 		o.arrived += arrived
 		o.admitted += admitted
 	}
-	return own
 }
 
 // minArrivals is the rate of openings a second here from which a fall of the arrivals can be told from chance.
@@ -146,17 +138,11 @@
 	return own
 }
 
-// preferOwn uses what this entry sees itself for what it has sufficient evidence of: sums of the data centre are some
-// tenths of a second old. Scale is the ratio of the rates in the data centre to those here.
-func (o *observation) preferOwn(here *observation, scale float64) {
-	if here.count() >= beginEvidence {
-		o.prompt = here.excess() * scale
-	}
-	if here.count() >= sufficientEvidence {
-		share, total := here.rejectedShare(), o.total()
-		o.answered, o.rejected = (1-share)*total, share*total
-		o.answerTime, o.unqueued = here.answerTime, here.unqueued
-	}
+// usesShared reports whether the evidence of the data centre decides. What this entry sees itself decides where it
+// suffices, since sums of the data centre are some tenths of a second old.
+func (l *Limiter) usesShared(now time.Time, here *observation) bool {
+	e := &l.shared
+	return l.cfg.Source == SharedEvidence && here.count() < beginEvidence && !e.At.IsZero() && now.Sub(e.At) < maxSharedAge
 }
 
 // sharedLevel returns the load of a level in the data centre.
--- a/stoatadmission/law.go
+++ b/stoatadmission/law.go
@@ -15,7 +15,7 @@
 		l.end()
 	case l.limiting && l.observed.count() < keepEvidence:
 		l.end()
-	case !l.limiting && (l.observed.count() < beginEvidence || l.observed.prompt <= 0):
+	case !l.limiting && (l.observed.count() < beginEvidence || l.observed.excess() <= 0):
 	case l.cfg.Method == ByThreshold:
 		l.moveThreshold(min(passed, maxStep))
 	default:
@@ -139,7 +139,7 @@
 }
 
 // promptCut returns what is taken off the budget for the present rejections.
-func (l *Limiter) promptCut() float64 { return promptGain * max(0, l.observed.prompt) }
+func (l *Limiter) promptCut() float64 { return promptGain * max(0, l.observed.excess()) }
 
 // bounded returns the share of a level that is not the most urgent one.
 func bounded(share float64) float64 { return min(1, max(guaranteedShare, share)) }
--- a/stoatadmission/limiter.go
+++ b/stoatadmission/limiter.go
@@ -114,9 +114,15 @@
 	return RefusedByLevel
 }
 
-// HasPrecedence reports whether a less urgent level than the given one had recent traffic at the latest update.
+// HasPrecedence reports whether a less urgent level than the given one had recent traffic at the latest update, and has
+// openings left that can be refused in its favour.
 func (l *Limiter) HasPrecedence(priority int) bool {
-	return l.activeLevels > 0 && l.leastUrgent > priority
+	return l.activeLevels > 0 && l.leastUrgent > priority && !l.exhausted()
+}
+
+// exhausted reports whether upstreams reject too much although only the most urgent level is admitted.
+func (l *Limiter) exhausted() bool {
+	return l.limiting && l.budget <= l.mostUrgentRate() && l.observed.excess() > 0
 }
 
 // Limiting reports whether any level is limited, or has changes that are not taken.
