stoatspill: start a spill sooner; the most urgent level keeps its bound on answer times

A burst's refused openings are refused for good within milliseconds, so that a spill that waits for the sum of the data centre comes too late for them.

--- a/stoatadmission/limiter.go
+++ b/stoatadmission/limiter.go
@@ -114,15 +114,9 @@
 	return RefusedByLevel
 }
 
-// HasPrecedence reports whether a less urgent level than the given one had recent traffic at the latest update, and has
-// openings left that can be refused in its favour.
+// HasPrecedence reports whether a less urgent level than the given one had recent traffic at the latest update.
 func (l *Limiter) HasPrecedence(priority int) bool {
-	return l.activeLevels > 0 && l.leastUrgent > priority && !l.exhausted()
-}
-
-// exhausted reports whether upstreams reject too much although only the most urgent level is admitted.
-func (l *Limiter) exhausted() bool {
-	return l.limiting && l.budget <= l.mostUrgentRate() && l.observed.excess() > 0
+	return l.activeLevels > 0 && l.leastUrgent > priority
 }
 
 // Limiting reports whether any level is limited, or has changes that are not taken.
--- a/stoatsetting/setting.go
+++ b/stoatsetting/setting.go
@@ -127,7 +127,7 @@
 		MaxLeaveDelay:    r.Section("platform").Duration("leave", 0),
 		MaxEvacuateDelay: r.Section("platform").Duration("evacuate", 0),
 		Regions:          parseRegions(r.Section("regions")),
-		SpillRule:        SpillRule(r.Section("spill").Choice("rule", string(SpillByRoom), string(SpillByBoth), string(SpillLocal), string(SpillNever))),
+		SpillRule:        SpillRule(r.Section("spill").Choice("rule", string(SpillByBoth), string(SpillByRoom), string(SpillLocal), string(SpillNever))),
 		SpillExcluded:    parseExcluded(r.Section("spill")),
 		CPUShare:         instance.Number("share", 0, 0, maxShare),
 		LinkMbps:         instance.Number("link", 0, 0, maxLink),
--- a/stoatspill/config.go
+++ b/stoatspill/config.go
@@ -42,7 +42,7 @@
 	defaultStop = 0.01
 	// defaultStartDelay gives the other data centres time to learn that this one has no room, since a share above
 	// defaultStart means none.
-	defaultStartDelay = 300 * time.Millisecond
+	defaultStartDelay = 100 * time.Millisecond
 	// defaultHold is longer than the way of a load through the relay tree.
 	defaultHold = time.Second
 )
--- a/stoatspill/decider.go
+++ b/stoatspill/decider.go
@@ -27,10 +27,10 @@
 	// trialPause is the least time from the end of a spill to an overload for which trials are made, so that a trial
 	// that fails does not lead to the next one.
 	trialPause = 10 * time.Second
-	// earlyShare is the rejected share above which an entry starts a spill on its own evidence: one request in a
-	// thousand fails at it with three tries. It is higher than the usual one, as one entry sees few answers.
-	// entryEvidenceTime is the time over which the entry's load is averaged.
-	earlyShare        = 0.1
+	// earlyShare is the rejected share above which an entry starts a spill on its own evidence. It is the usual one: the
+	// openings that a burst has refused by the time at which the sum shows it are refused for good, as a caller's three
+	// tries pass within milliseconds. entryEvidenceTime is the time over which the entry's load is averaged.
+	earlyShare        = defaultStart
 	entryEvidenceTime = 250 * time.Millisecond
 	maxUpdateInterval = time.Second // the longest time between updates that counts
 )
