stoatadmission: all openings are admitted within 1 s after a burst

The tests allowed 1.5 s where the target is 1 s. Two causes: the arrivals of a burst outlast it in a rate with a time constant of 500 ms, and so do its rejections. Arrivals are bounded now by what the latest ones leave likely, and the budget grows in full while answers take as long as without a queue.

--- a/stoatadmission/evidence.go
+++ b/stoatadmission/evidence.go
@@ -81,6 +81,15 @@
 	return min(1, max(queuedGrowth, (queuedAnswer-float64(o.answerTime)/float64(o.unqueued))/(queuedAnswer-promptAnswer)))
 }
 
+// unqueuedShare returns 1 while answers are known to take about as long as without a queue, so that rejections in the
+// decaying rates are from before the queue emptied, 0 while slots have a queue, and a value between in between.
+func (o *observation) unqueuedShare() float64 {
+	if o.unqueued == 0 {
+		return 0
+	}
+	return (o.idleShare() - queuedGrowth) / (1 - queuedGrowth)
+}
+
 // observe collects the evidence in use, and sets the arrivals of each level by it.
 func (l *Limiter) observe(now time.Time) {
 	here := observation{
@@ -120,7 +129,7 @@
 	}
 	for i := range l.levels {
 		v := &l.levels[i]
-		arrived, admitted := v.arrivals.PerSecond(now, arrivalDecay), v.admissions.PerSecond(now, arrivalDecay)
+		arrived, admitted := v.arrived(now), v.admissions.PerSecond(now, arrivalDecay)
 		v.activeElsewhere = false
 		if o.shared {
 			x := l.sharedLevel(v.priority)
@@ -141,7 +150,7 @@
 func (l *Limiter) ownArrivals(now time.Time) float64 {
 	own := 0.0
 	for i := range l.levels {
-		own += l.levels[i].arrivals.PerSecond(now, arrivalDecay)
+		own += l.levels[i].arrived(now)
 	}
 	return own
 }
--- a/stoatadmission/failures_test.go
+++ b/stoatadmission/failures_test.go
@@ -30,7 +30,7 @@
 	if got := s.served(0, 2500*ms, 4*time.Second); got < 0.9 {
 		t.Errorf("%.3f of the urgent requests are served without the sums", got)
 	}
-	if n := s.sum(1, 5500*ms, cfg.duration).refused; n > 0 {
+	if n := s.sum(1, 5*time.Second, cfg.duration).refused; n > 0 {
 		t.Errorf("%d openings are refused after the burst", n)
 	}
 }
--- a/stoatadmission/law.go
+++ b/stoatadmission/law.go
@@ -43,7 +43,7 @@
 	if excess > 0 {
 		l.budget -= budgetGain * excess * dt
 	} else {
-		growth := budgetGrowth * o.total() * (1 - o.rejectedShare()/rejectedTarget)
+		growth := budgetGrowth * o.total() * (1 - (1-o.unqueuedShare())*o.rejectedShare()/rejectedTarget)
 		growth *= o.idleShare() * max(0, 1-l.lateShare()/lateTarget)
 		l.budget += (growth - excess) * dt
 	}
--- a/stoatadmission/level.go
+++ b/stoatadmission/level.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 type level struct {
 	priority        int
 	arrivals        stoatload.Rate
+	recentArrivals  stoatload.Rate // with evidenceDecay
 	admissions      stoatload.Rate
 	lastArrival     time.Time
 	sharedRate      float64 // arrivals a second in the data centre, by the evidence in use
@@ -71,9 +73,24 @@
 	}
 }
 
+// arrived returns the openings a second. It is the rate with arrivalDecay, or the highest one that the latest arrivals
+// leave likely if that is lower: after a burst, the slower rate would have openings refused while slots are idle.
+func (v *level) arrived(now time.Time) float64 {
+	return min(v.arrivals.PerSecond(now, arrivalDecay), highestRate(v.recentArrivals.PerSecond(now, evidenceDecay), evidenceDecay))
+}
+
+// highestRate returns the rate that independent events at a measured decaying rate stay below with a likelihood of about
+// 0.98: two standard deviations above it.
+func highestRate(rate float64, decay time.Duration) float64 {
+	const deviations = 2
+	oneEvent := 1 / decay.Seconds() // so that a pause between single events is no fall
+	return rate + deviations*math.Sqrt((rate+oneEvent)*oneEvent/2)
+}
+
 // arrive counts an opening and returns its route, or nil if there are too many routes.
 func (v *level) arrive(now time.Time, listen netip.AddrPort) *route {
 	v.arrivals.Add(now, arrivalDecay)
+	v.recentArrivals.Add(now, evidenceDecay)
 	v.lastArrival = now
 	r := v.route(now, listen)
 	if r != nil {
--- a/stoatadmission/patterns_test.go
+++ b/stoatadmission/patterns_test.go
@@ -100,7 +100,7 @@
 		if share := float64(in.refused) / float64(in.openings); share < 0.9 {
 			t.Errorf("%.3f of the less urgent openings are refused", share)
 		}
-		if after := s.sum(1, 5500*ms, cfg.duration); after.refused > 0 {
+		if after := s.sum(1, 5*time.Second, cfg.duration); after.refused > 0 {
 			t.Errorf("afterwards %d of %d openings are refused", after.refused, after.openings)
 		}
 	})
--- a/stoatadmission/properties_test.go
+++ b/stoatadmission/properties_test.go
@@ -99,8 +99,8 @@
 		cfg := simConfig{entries: rapid.IntRange(1, 8).Draw(t, "entries"), slots: 20, queue: 80, duration: 3500 * ms, streams: streams}
 		cfg.shared = rapid.Bool().Draw(t, "shared")
 		s := runSim(cfg)
-		used := s.used(1500*ms, cfg.duration) // by then the limit is found
-		const idle = 0.1                      // a tenth of the load may be missed
+		used := s.used(time.Second, cfg.duration) // by then the limit is found
+		const idle = 0.1                          // a tenth of the load may be missed
 		if want := (1 - idle) * min(1, total); used < want-idle/2 {
 			t.Fatalf("%.3f of the slots are in use, the load is %.2f of the capacity", used, total)
 		}
--- a/stoatadmission/state.go
+++ b/stoatadmission/state.go
@@ -99,7 +99,7 @@
 	}
 	for i := range l.levels {
 		if v := &l.levels[i]; now.Sub(v.lastArrival) <= levelIdle {
-			g.Levels = append(g.Levels, stoatload.LevelLoad{Priority: v.priority, Arrived: v.arrivals.PerSecond(now, arrivalDecay), Admitted: v.admissions.PerSecond(now, arrivalDecay)})
+			g.Levels = append(g.Levels, stoatload.LevelLoad{Priority: v.priority, Arrived: v.arrived(now), Admitted: v.admissions.PerSecond(now, arrivalDecay)})
 		}
 	}
 	return g
