stoatdemo: keeps the log of a run that fails

The entries' lines, the begin of each phase and each broken flow go to a file, which is removed unless a guarantee was violated or a step timed out.

--- a/stoatdemo/run.go
+++ b/stoatdemo/run.go
@@ -63,7 +63,17 @@
 
 // Run runs the demo. It returns *GuaranteeError if a guarantee was violated.
 func Run(ctx context.Context, cfg Config) error {
-	env, err := newEnvironment(ctx, cfg)
+	log, err := openRunLog(cfg.Log)
+	if err != nil {
+		return err
+	}
+	err = runPhases(ctx, cfg, log)
+	log.close(cfg.Out, err)
+	return err
+}
+
+func runPhases(ctx context.Context, cfg Config, log *runLog) error {
+	env, err := newEnvironment(ctx, cfg, log)
 	defer env.close()
 	if err != nil {
 		return err
@@ -75,6 +85,7 @@
 	t.printHeader()
 	var violations []string
 	for _, p := range phases {
+		log.beginPhase(p.name)
 		before := env.measure()
 		note, err := p.change(env)
 		if err != nil {
--- a/stoatdemo/run_environment.go
+++ b/stoatdemo/run_environment.go
@@ -33,6 +33,7 @@
 // environment is everything that runs in the demo.
 type environment struct {
 	cfg           Config
+	log           *runLog
 	ctx           context.Context
 	cancel        context.CancelFunc
 	group         *errgroup.Group
@@ -63,11 +64,11 @@
 )
 
 // newEnvironment starts everything but the traffic. The result has to be closed after an error too.
-func newEnvironment(ctx context.Context, cfg Config) (*environment, error) {
+func newEnvironment(ctx context.Context, cfg Config, log *runLog) (*environment, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
 	env := &environment{
-		cfg: cfg, ctx: ctx, cancel: cancel, group: group, platform: stoatfake.NewPlatform(),
+		cfg: cfg, log: log, ctx: ctx, cancel: cancel, group: group, platform: stoatfake.NewPlatform(),
 		upstreams: map[stoatpaddle.UpstreamID]*stoatfake.Upstream{},
 		contracts: map[stoatpaddle.CustomerID]stoatpaddle.Contract{},
 	}
@@ -115,6 +116,7 @@
 	}
 	env.callers, err = stoatfake.NewCallers(env.group, env.fabric, stoatfake.CallersConfig{
 		Services: services, Flows: env.cfg.Flows, SegmentInterval: segmentInterval, ChurnRate: churnRate, Seed: env.cfg.Seed,
+		OnBroken: env.log.addBrokenFlow,
 	})
 	return err
 }
@@ -167,7 +169,7 @@
 		}
 		*a = addr
 	}
-	e, err := stoatentry.Start(env.ctx, stoatentry.Config{Settings: set, Log: env.cfg.Log})
+	e, err := stoatentry.Start(env.ctx, stoatentry.Config{Settings: set, Log: env.log})
 	if err != nil {
 		return err
 	}
--- a/stoatfake/caller.go
+++ b/stoatfake/caller.go
@@ -21,6 +21,9 @@
 	SegmentInterval time.Duration    // between segments of a flow
 	ChurnRate       float64          // share of the flows that is closed and replaced per second
 	Seed            uint64
+	// OnBroken is called for each open flow that is reset, with the time when its last segment was first sent; nil
+	// means no call. It must not call the Callers.
+	OnBroken func(flow stoatpacket.Tuple, sent time.Time)
 }
 
 // FlowCounts is what the callers observed.
@@ -239,6 +242,9 @@
 		c.counts.Closed++
 	case f.open:
 		c.counts.Broken++
+		if c.cfg.OnBroken != nil {
+			c.cfg.OnBroken(f.tuple, f.firstSent)
+		}
 	default:
 		c.counts.Refused++
 	}
