--- a/contract.go
+++ b/contract.go
@@ -65,11 +65,16 @@
 	Protocol      Protocol          // flow services only
 	Ports         []uint16          // flow services only, ascending
 	Host          string            // call services only: the authority in callers' requests
+	Priority      int               // call services only: how urgent its calls are; 0 is the most urgent
+	HasPriority   bool              // the contract declares Priority, so that upstream addresses may be shared
 	Upstreams     []Upstream        // ascending by ID
 	Retired       []RetiredUpstream // removed by an amendment, but may still have open flows
 	CentreWeights []CentreWeight
 }
 
+// MaxPriority is the priority of the least urgent calls.
+const MaxPriority = 15
+
 // RetiredUpstream is an upstream that an amendment removed from a contract. The contract keeps it for a
 // while, because entries that start later would otherwise not know where its open flows go.
 type RetiredUpstream struct {
--- a/stoatcall/handler.go
+++ b/stoatcall/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
+	"github.com/stoatpaddle/stoatpaddle/stoatload"
 	"github.com/stoatpaddle/stoatpaddle/stoatview"
 )
 
@@ -26,8 +27,6 @@
 	// maxAttempts is the maximum number of upstreams that one call tries.
 	maxAttempts    = 3
 	copyBufferSize = 64 << 10 // bytes
-	// retryAfterSeconds is the Retry-After value of a refusal.
-	retryAfterSeconds = 1
 )
 
 // Clock returns the current time.
@@ -35,19 +34,25 @@
 
 // Config configures a Handler.
 type Config struct {
-	View  func() *stoatview.View
-	Clock Clock
-	Seed  uint64
+	View     func() *stoatview.View
+	Clock    Clock
+	Seed     uint64
+	Instance stoatpaddle.InstanceID // begins the ids of refused calls
+	Events   stoatevent.Sink        // receives the log lines; nil: none are written
 }
 
 // Handler is the http.Handler for callers' requests.
 type Handler struct {
 	cfg            Config
 	transport      *http.Transport
-	mu             sync.Mutex // guards rnd, openByUpstream and customers
+	mu             sync.Mutex // guards rnd, openByUpstream, customers, services and groups
 	rnd            *rand.Rand
-	openByUpstream map[stoatpaddle.UpstreamKey]int // calls in progress
+	openByUpstream map[slot]int // calls in progress
 	customers      map[stoatpaddle.CustomerID]*customerUsage
+	services       map[stoatpaddle.ServiceRef]*serviceUsage
+	groups         map[stoatpaddle.ServiceRef]*group
+	ids            atomic.Uint64 // of refused calls
+	sampler        *stoatevent.Sampler
 	stopping       atomic.Bool
 	openCalls      atomic.Int64
 	stats          Stats
@@ -59,6 +64,15 @@
 	calls      int       // in progress
 	tokens     float64   // of the token bucket that limits calls a second
 	refilledAt time.Time // when tokens was last refilled
+	ended      stoatload.Rate
+	byRate     turns // of calls refused by the limit on calls a second
+	byCalls    turns // of calls refused by the limit on calls in progress
+}
+
+// serviceUsage is what the handler knows of the calls of one service.
+type serviceUsage struct {
+	answered stoatload.Rate
+	refused  turns // of calls that found no upstream with room
 }
 
 // Stats are the counters of a Handler.
@@ -68,11 +82,15 @@
 	UnknownOutcome atomic.Int64 // calls that may have run but got no answer
 	Truncated      atomic.Int64 // answers that ended early
 	Attempts       atomic.Int64 // upstreams tried
+	RefusedBy      [RuleCount]atomic.Int64
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	return &Handler{
+	if cfg.Events == nil {
+		cfg.Events = stoatevent.Discard{}
+	}
+	h := &Handler{
 		cfg: cfg,
 		transport: &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -81,10 +99,16 @@
 			DisableCompression:    true,
 		},
 		rnd:            rand.New(rand.NewPCG(cfg.Seed, 2)),
-		openByUpstream: map[stoatpaddle.UpstreamKey]int{},
+		openByUpstream: map[slot]int{},
 		customers:      map[stoatpaddle.CustomerID]*customerUsage{},
+		services:       map[stoatpaddle.ServiceRef]*serviceUsage{},
+		groups:         map[stoatpaddle.ServiceRef]*group{},
+		sampler:        stoatevent.NewSampler(map[stoatevent.Number]int{EventCallRefused.Number: maxRefusalLines}),
 		buffers:        sync.Pool{New: func() any { b := make([]byte, copyBufferSize); return &b }},
 	}
+	// The ids of a later run continue after those of this one, unless it refuses more than a thousand calls a second.
+	h.ids.Store(uint64(cfg.Clock().UnixMilli()))
+	return h
 }
 
 // Drain makes the handler refuse new calls. Calls in progress continue.
@@ -102,33 +126,27 @@
 	defer h.openCalls.Add(-1)
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
-		h.refuseRetryable(w, ProblemStopping, http.StatusServiceUnavailable, "")
+		h.refuse(w, refusal{rule: RuleStopping, retryAfter: minRetryAfter})
 		return
 	}
 	v := h.cfg.View()
 	if v == nil {
-		h.refuseRetryable(w, ProblemNotReady, http.StatusServiceUnavailable, "")
+		h.refuse(w, refusal{rule: RuleNotReady, retryAfter: minRetryAfter})
 		return
 	}
 	svc := v.CallService(authorityOf(r))
 	if svc == nil {
-		h.stats.Refused.Add(1)
-		writeProblem(w, ProblemNoService, http.StatusMisdirectedRequest, 0, r.Host)
+		h.refuse(w, refusal{rule: RuleHost, detail: r.Host})
 		return
 	}
-	if !h.admitCall(v, svc) {
-		h.refuseRetryable(w, ProblemOverLimit, http.StatusTooManyRequests, svc.Ref.String())
+	if rule, seconds := h.admitCall(v, svc); rule != ruleNone {
+		h.refuse(w, refusal{rule: rule, retryAfter: seconds, detail: svc.Ref.String(), service: svc})
 		return
 	}
 	defer h.releaseCall(svc)
 	h.tryUpstreams(w, r, svc)
 }
 
-func (h *Handler) refuseRetryable(w http.ResponseWriter, e *stoatevent.Definition, status int, detail string) {
-	h.stats.Refused.Add(1)
-	writeProblem(w, e, status, retryAfterSeconds, detail)
-}
-
 func authorityOf(r *http.Request) string {
 	host := r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -138,8 +156,8 @@
 }
 
 // admitCall counts the call against the customer's limits, of which each entry enforces an equal part. It
-// returns false if the call exceeds one of them.
-func (h *Handler) admitCall(v *stoatview.View, svc *stoatview.Service) bool {
+// returns the rule and the Retry-After in seconds if the call exceeds one of them.
+func (h *Handler) admitCall(v *stoatview.View, svc *stoatview.Service) (Rule, int) {
 	now := h.cfg.Clock()
 	entries := max(1, len(v.Entries.Members))
 	h.mu.Lock()
@@ -152,41 +170,49 @@
 	}
 	c.tokens = min(rate, c.tokens+rate*now.Sub(c.refilledAt).Seconds())
 	c.refilledAt = now
-	if c.calls >= max(1, svc.Limits.Calls/entries) || c.tokens < 1 {
-		return false
+	switch {
+	case c.calls >= max(1, svc.Limits.Calls/entries):
+		return RuleCalls, c.byCalls.take(now, 0, c.ended.PerSecond(now, returnDecay))
+	case c.tokens < 1:
+		untilToken := time.Duration((1 - c.tokens) / rate * float64(time.Second))
+		return RuleRate, c.byRate.take(now, untilToken, rate)
 	}
 	c.tokens--
 	c.calls++
-	return true
+	return ruleNone, 0
 }
 
 func (h *Handler) releaseCall(svc *stoatview.Service) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.customers[svc.Ref.Customer].calls--
+	c := h.customers[svc.Ref.Customer]
+	c.calls--
+	c.ended.Add(h.cfg.Clock(), returnDecay)
 }
 
 // tryUpstreams tries upstreams until one runs the request. It does not try another one if the request may have
 // run and is not idempotent.
 func (h *Handler) tryUpstreams(w http.ResponseWriter, r *http.Request, svc *stoatview.Service) {
 	body := &trackedBody{body: r.Body}
-	tried := map[stoatpaddle.UpstreamKey]bool{}
+	t := h.begin(svc)
 	for range maxAttempts {
-		u := h.acquireUpstream(svc, tried)
+		u := h.acquireUpstream(t)
 		if u == nil {
+			h.recordNoSlot(t)
 			break
 		}
-		tried[u.Key] = true
+		t.tried[u.Key] = true
 		h.stats.Attempts.Add(1)
 		res, err := h.send(r, u, body)
+		h.recordAttempt(svc, u, res, err)
 		if err == nil && !refusedByUpstream(res) {
-			h.forwardAnswer(w, res, u)
+			h.forwardAnswer(w, res, slotOf(svc, u))
 			return
 		}
-		h.releaseUpstream(u)
+		h.releaseUpstream(slotOf(svc, u))
 		if err != nil && !dialFailed(err) && !idempotent(r.Method) {
 			h.stats.UnknownOutcome.Add(1)
-			writeProblem(w, ProblemUnknownOutcome, http.StatusBadGateway, 0, "")
+			writeProblem(w, ProblemUnknownOutcome, http.StatusBadGateway, 0, "", "")
 			return
 		}
 		if r.Context().Err() != nil {
@@ -197,28 +223,30 @@
 		}
 		// A partly read body cannot be sent to another upstream.
 		if body.started.Load() {
-			h.refuseAfterBodyRead(w, err)
+			h.refuseAfterBodyRead(w, t, err)
 			return
 		}
 	}
-	h.refuseRetryable(w, ProblemNoCapacity, http.StatusServiceUnavailable, svc.Ref.String())
+	h.refuse(w, h.refusalOf(t))
 }
 
 // forwardAnswer copies the answer to the caller. The upstream is released in a deferred call because copyAnswer
 // panics if the answer ends early.
-func (h *Handler) forwardAnswer(w http.ResponseWriter, res *http.Response, u *stoatview.Upstream) {
-	defer h.releaseUpstream(u)
+func (h *Handler) forwardAnswer(w http.ResponseWriter, res *http.Response, s slot) {
+	defer h.releaseUpstream(s)
 	h.copyAnswer(w, res)
 }
 
 // refuseAfterBodyRead answers a call that cannot be tried again because part of its body was read.
-func (h *Handler) refuseAfterBodyRead(w http.ResponseWriter, err error) {
+func (h *Handler) refuseAfterBodyRead(w http.ResponseWriter, t *attempts, err error) {
 	if err == nil || dialFailed(err) {
-		h.refuseRetryable(w, ProblemNoCapacity, http.StatusServiceUnavailable, "")
+		r := h.refusalOf(t)
+		r.detail = ""
+		h.refuse(w, r)
 		return
 	}
 	h.stats.UnknownOutcome.Add(1)
-	writeProblem(w, ProblemUnknownOutcome, http.StatusBadGateway, 0, "")
+	writeProblem(w, ProblemUnknownOutcome, http.StatusBadGateway, 0, "", "")
 }
 
 func refusedByUpstream(res *http.Response) bool {
@@ -243,10 +271,10 @@
 // acquireUpstream takes a slot of an upstream that was not tried yet, or returns nil if none has a free slot.
 // It chooses the upstream with the fewest calls of this entry in proportion to its weight, at random among
 // equals.
-func (h *Handler) acquireUpstream(svc *stoatview.Service, tried map[stoatpaddle.UpstreamKey]bool) *stoatview.Upstream {
+func (h *Handler) acquireUpstream(t *attempts) *stoatview.Upstream {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	ups := svc.Set.Upstreams
+	ups := t.service.Set.Upstreams
 	if len(ups) == 0 {
 		return nil
 	}
@@ -254,24 +282,24 @@
 	start := h.rnd.IntN(len(ups))
 	for i := range ups {
 		u := ups[(start+i)%len(ups)]
-		if tried[u.Key] || h.openByUpstream[u.Key] >= u.Slots {
+		if t.tried[u.Key] || t.mustSpare(u) || h.open(t.service, u) >= u.Slots {
 			continue
 		}
-		if best == nil || h.openByUpstream[u.Key]*int(best.Weight) < h.openByUpstream[best.Key]*int(u.Weight) {
+		if best == nil || h.open(t.service, u)*int(best.Weight) < h.open(t.service, best)*int(u.Weight) {
 			best = u
 		}
 	}
 	if best != nil {
-		h.openByUpstream[best.Key]++
+		h.openByUpstream[slotOf(t.service, best)]++
 	}
 	return best
 }
 
-func (h *Handler) releaseUpstream(u *stoatview.Upstream) {
+func (h *Handler) releaseUpstream(s slot) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.openByUpstream[u.Key]--; h.openByUpstream[u.Key] == 0 {
-		delete(h.openByUpstream, u.Key)
+	if h.openByUpstream[s]--; h.openByUpstream[s] == 0 {
+		delete(h.openByUpstream, s)
 	}
 }
 
--- /dev/null
+++ b/stoatcall/limiter_test.go
@@ -0,0 +1,319 @@
+package stoatcall
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stoatpaddle/stoatpaddle"
+)
+
+// Random traffic must never make the limiter refuse the most urgent level with recent traffic, favour a less urgent
+// level over a more urgent one, or keep more levels than there are priorities.
+func TestLimiterProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l limiter
+		now := time.Unix(1, 0)
+		last := map[int]time.Time{}
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 1, 5, 50, 700, 3000}).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				l.Answered(now)
+			case 1:
+				l.Rejected(now)
+			case 2:
+				l.NoSlot(now)
+			default:
+				p := rapid.IntRange(0, stoatpaddle.MaxPriority).Draw(t, "priority")
+				last[p] = now
+				if d := l.Decide(now, Opening{Priority: p}); !d.Admitted && p == mostUrgent(now, last) {
+					t.Fatalf("the most urgent level %d was refused: %+v", p, l.State(now))
+				}
+			}
+			checkLevels(t, now, l.State(now))
+		}
+	})
+}
+
+func mostUrgent(now time.Time, last map[int]time.Time) int {
+	for p := range stoatpaddle.MaxPriority + 1 {
+		if at, ok := last[p]; ok && now.Sub(at) < levelMemory {
+			return p
+		}
+	}
+	return -1
+}
+
+func checkLevels(t *rapid.T, now time.Time, s State) {
+	if len(s.Levels) > stoatpaddle.MaxPriority+1 {
+		t.Fatal(len(s.Levels), "levels")
+	}
+	share := 1.0
+	for _, v := range s.Levels {
+		if v.Arrived < 0.05 {
+			continue // no recent traffic: its last call has decayed for more than levelMemory
+		}
+		if v.Share > share || v.Share < minShare {
+			t.Fatalf("level %d has share %g after %g: %+v", v.Priority, v.Share, share, s)
+		}
+		share = v.Share
+	}
+	if s.Shedding && !(s.Budget >= 1) {
+		t.Fatal("budget", s.Budget)
+	}
+}
+
+// Without a rejection no call is refused, however many arrive: a slot must not idle while a call is refused.
+func TestLimiterAdmitsAllWithoutRejections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l limiter
+		now := time.Unix(1, 0)
+		for range rapid.IntRange(1, 300).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			if d := l.Decide(now, Opening{Priority: rapid.IntRange(0, 4).Draw(t, "priority")}); !d.Admitted {
+				t.Fatal(d)
+			}
+			if rapid.Bool().Draw(t, "answered") {
+				l.Answered(now)
+			}
+		}
+	})
+}
+
+// model replays calls at upstreams that reject what exceeds their slots, without a network.
+type model struct {
+	rnd     *rand.Rand
+	limiter *limiter      // nil: every call is admitted
+	free    [][]time.Time // when each slot of an upstream is free
+	hang    bool          // upstreams neither answer nor reject
+	ends    []time.Time
+	returns map[time.Time][]modelCall // refused callers, by when they return
+	turns   map[int]*turns
+	served  map[int]int // calls
+	arrived map[int]int // calls, of up to maxTries tries each
+	refused map[int]int // by the limiter
+	begins  int
+}
+
+type modelCall struct{ priority, tries int }
+
+const (
+	maxTries     = 3
+	modelStep    = time.Millisecond
+	modelService = 10 * time.Millisecond
+	modelQueue   = 8 // requests that wait at an upstream
+)
+
+func newModel(limited bool) *model {
+	m := &model{rnd: rand.New(rand.NewPCG(1, 2)), returns: map[time.Time][]modelCall{}, turns: map[int]*turns{}, served: map[int]int{}, arrived: map[int]int{}, refused: map[int]int{}}
+	if limited {
+		m.limiter = &limiter{}
+	}
+	for range 6 { // upstreams of 3 slots and 10 ms: 1800 calls a second
+		m.free = append(m.free, make([]time.Time, 3))
+	}
+	return m
+}
+
+// run replays calls at the given rates a second by level.
+func (m *model) run(from time.Time, d time.Duration, rates map[int]float64) time.Time {
+	for now := from; ; now = now.Add(modelStep) {
+		if now.Sub(from) >= d {
+			return now
+		}
+		m.endCalls(now)
+		for _, c := range m.returns[now] {
+			m.call(now, c)
+		}
+		delete(m.returns, now)
+		for p := range stoatpaddle.MaxPriority + 1 {
+			for n := rates[p] * modelStep.Seconds(); n > 0; n-- {
+				if m.rnd.Float64() < n {
+					m.arrived[p]++
+					m.call(now, modelCall{priority: p})
+				}
+			}
+		}
+	}
+}
+
+func (m *model) endCalls(now time.Time) {
+	for len(m.ends) > 0 && !m.ends[0].After(now) {
+		m.ends = m.ends[1:]
+		if m.limiter != nil {
+			m.limiter.Answered(now)
+		}
+	}
+}
+
+func (m *model) call(now time.Time, c modelCall) {
+	priority := c.priority
+	c.tries++
+	if m.limiter != nil {
+		was := m.limiter.shedding
+		d := m.limiter.Decide(now, Opening{Priority: priority})
+		if !was && m.limiter.shedding {
+			m.begins++
+		}
+		if !d.Admitted {
+			m.refused[priority]++
+			m.comeBack(now, c, d.Share)
+			return
+		}
+	}
+	for _, u := range m.rnd.Perm(len(m.free))[:maxAttempts] {
+		if m.hang || m.start(now, u) {
+			m.served[priority]++
+			return
+		}
+		if m.limiter != nil {
+			was := m.limiter.shedding
+			m.limiter.Rejected(now)
+			if !was && m.limiter.shedding {
+				m.begins++
+			}
+		}
+	}
+	m.comeBack(now, c, 1)
+}
+
+// comeBack lets a refused caller return after its Retry-After if it has tries left.
+func (m *model) comeBack(now time.Time, c modelCall, share float64) {
+	if c.tries == maxTries {
+		return
+	}
+	seconds := minRetryAfter
+	if share < 1 {
+		if m.turns[c.priority] == nil {
+			m.turns[c.priority] = &turns{}
+		}
+		seconds = m.turns[c.priority].take(now, 0, share*m.limiter.level(c.priority).arrived.PerSecond(now, arrivalDecay))
+	}
+	at := now.Add(time.Duration(seconds) * time.Second)
+	m.returns[at] = append(m.returns[at], c)
+}
+
+// start starts a call at an upstream, or lets it wait there for the slot that is free first.
+func (m *model) start(now time.Time, upstream int) bool {
+	slots := m.free[upstream]
+	first := 0
+	for i := range slots {
+		if slots[i].Before(slots[first]) {
+			first = i
+		}
+	}
+	// A queue of modelQueue at all slots together is full when the slot that is free first has its part of it.
+	if slots[first].Sub(now) > modelQueue*modelService/time.Duration(len(slots)) {
+		return false
+	}
+	end := now
+	if slots[first].After(now) {
+		end = slots[first]
+	}
+	slots[first] = end.Add(modelService)
+	m.ends = append(m.ends, slots[first])
+	slices.SortFunc(m.ends, time.Time.Compare)
+	return true
+}
+
+func (m *model) share(priority int) float64 {
+	return float64(m.served[priority]) / float64(max(1, m.arrived[priority]))
+}
+
+// A burst of several times the capacity: each level must be served no worse than the next less urgent one, the number
+// served must stay above 0.98 of that without a limiter, and within a second after the burst nobody is refused.
+func TestBurst(t *testing.T) {
+	for name, rates := range map[string]map[int]float64{
+		"two levels":          {0: 600, 1: 6000},
+		"five levels":         {0: 300, 1: 900, 2: 1200, 3: 2000, 4: 4000},
+		"urgent over the top": {0: 4000, 1: 2000},
+		"sparse numbers":      {3: 500, 9: 5000},
+		"slightly too much":   {0: 900, 1: 1200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			calm := map[int]float64{}
+			for p := range rates {
+				calm[p] = 800 / float64(len(rates))
+			}
+			m, before := newModel(true), newModel(false)
+			total := func(m *model) (n int) {
+				for _, served := range m.served {
+					n += served
+				}
+				return n
+			}
+			start := time.Unix(1, 0)
+			before.run(before.run(start, time.Second, calm), 4*time.Second, rates)
+			now := m.run(m.run(start, time.Second, calm), 4*time.Second, rates)
+			share := 2.0
+			for p := range stoatpaddle.MaxPriority + 1 {
+				if rates[p] == 0 {
+					continue
+				}
+				t.Logf("level %d: served %.3f, before %.3f", p, m.share(p), before.share(p))
+				if m.share(p) > share {
+					t.Errorf("level %d is served better than a more urgent one", p)
+				}
+				share = m.share(p)
+			}
+			t.Logf("served %d, before %d; shedding began %d times", total(m), total(before), m.begins)
+			if float64(total(m)) < 0.98*float64(total(before)) {
+				t.Error("too few are served")
+			}
+			if m.begins != 1 {
+				t.Error("shedding began", m.begins, "times")
+			}
+			clear(m.returns) // the refused callers of a burst return after it, which is another one
+			now = m.run(now, time.Second, calm)
+			m.refused = map[int]int{}
+			m.run(now, 3*time.Second, calm)
+			if len(m.refused) > 0 || m.limiter.shedding {
+				t.Error("refused after the burst:", m.refused)
+			}
+		})
+	}
+}
+
+// A level without traffic must not make another one give way, and neither may upstreams that hang, which reject
+// nothing.
+func TestNoLevelGivesWay(t *testing.T) {
+	start := time.Unix(1, 0)
+	for name, c := range map[string]struct {
+		prepare func(m *model)
+		rates   map[int]float64
+	}{
+		"one level only":               {func(*model) {}, map[int]float64{4: 6000}},
+		"urgent level without traffic": {func(m *model) { m.call(start.Add(-levelMemory), modelCall{}) }, map[int]float64{1: 6000}},
+		"upstreams hang":               {func(m *model) { m.hang = true }, map[int]float64{0: 600, 1: 6000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newModel(true)
+			c.prepare(m)
+			m.run(start, 2*time.Second, c.rates)
+			if len(m.refused) > 0 {
+				t.Error("refused:", m.refused)
+			}
+		})
+	}
+}
+
+// The urgent level falls silent during the overload. The other one is the most urgent from then on and must not be
+// refused any more.
+func TestLevelAgesOut(t *testing.T) {
+	m := newModel(true)
+	now := m.run(time.Unix(1, 0), 2*time.Second, map[int]float64{0: 600, 1: 6000})
+	if m.refused[1] == 0 || m.refused[0] > 0 {
+		t.Fatal("refused:", m.refused)
+	}
+	// Urgent callers without room return twice, each time after minRetryAfter.
+	now = m.run(now, levelMemory+2*minRetryAfter*time.Second, map[int]float64{1: 6000})
+	m.refused = map[int]int{}
+	m.run(now, time.Second, map[int]float64{1: 6000})
+	if len(m.refused) > 0 {
+		t.Error("refused:", m.refused)
+	}
+}
--- a/stoatcall/problem.go
+++ b/stoatcall/problem.go
@@ -40,6 +40,30 @@
 		Title: "not run: entry is leaving",
 		Text:  "The entry is stopping as planned. The call was not run and may be sent again at once; another entry will accept it.",
 	})
+	ProblemGivesWay = stoatevent.Register(stoatevent.Definition{
+		Number: 1307, Severity: stoatevent.Info, Since: "0.2",
+		Title: "not run: more urgent calls need the room",
+		Text:  "The upstreams that the call's service shares with others are short of room, and calls of a service with a lower priority number take it. The call was not run; Retry-After says when to retry. Add upstreams, or change the priority in the contract.",
+	})
+)
+
+// The numbered events of refused calls.
+var (
+	EventCallRefused = stoatevent.Register(stoatevent.Definition{
+		Number: 1308, Severity: stoatevent.Info, Since: "0.2",
+		Title: "call refused",
+		Text:  "The entry refused a call without running it. The field call has the id that the caller got in the problem's field instance, rule the rule that decided, and retry the seconds of Retry-After. At most 40 lines a second are written; omitted has the number of those left out since the last line.",
+	})
+	EventSheddingBegan = stoatevent.Register(stoatevent.Definition{
+		Number: 1309, Severity: stoatevent.Warning, Since: "0.2",
+		Title: "less urgent calls give way",
+		Text:  "The upstreams that the services of the group share reject calls, or have no free slot. Calls of the least urgent services are refused first (SP1307), in proportion to what exceeds the room. The metrics stoatpaddle_call_level_share show the share of each priority that is admitted.",
+	})
+	EventSheddingEnded = stoatevent.Register(stoatevent.Definition{
+		Number: 1310, Severity: stoatevent.Info, Since: "0.2",
+		Title: "all calls are admitted again",
+		Text:  "The shared upstreams of the group have room for the calls of every priority again, or only one priority still has calls. The field lasted has the time since SP1309.",
+	})
 )
 
 // wireProblem is a problem details object (RFC 9457).
@@ -48,12 +72,19 @@
 	Title  string `json:"title"`
 	Status int    `json:"status"`
 	Detail string `json:"detail,omitempty"`
+	Call   string `json:"instance,omitempty"` // the id of a refused call
 }
 
-// writeProblem answers with a problem. retryAfter is in seconds; 0 sends no Retry-After.
-func writeProblem(w http.ResponseWriter, e *stoatevent.Definition, status, retryAfter int, detail string) {
+// callURN begins the URN of a refused call.
+const callURN = "urn:stoatpaddle:call:"
+
+// writeProblem answers with a problem. retryAfter is in seconds; 0 sends no Retry-After. An empty id names no call.
+func writeProblem(w http.ResponseWriter, e *stoatevent.Definition, status, retryAfter int, detail, id string) {
+	if id != "" {
+		id = callURN + id
+	}
 	body, err := json.Marshal(wireProblem{
-		Type: "urn:stoatpaddle:" + e.Number.String(), Title: e.Title, Status: status, Detail: detail,
+		Type: "urn:stoatpaddle:" + e.Number.String(), Title: e.Title, Status: status, Detail: detail, Call: id,
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/stoatcontract/codec.go
+++ b/stoatcontract/codec.go
@@ -29,6 +29,7 @@
 		Proto     uint8          `json:"proto,omitempty"`
 		Ports     []uint16       `json:"ports,omitempty"`
 		Host      string         `json:"host,omitempty"`
+		Priority  *int           `json:"priority,omitempty"` // absent if not declared
 		Upstreams []wireUpstream `json:"upstreams"`
 		Shares    []wireShare    `json:"shares,omitempty"`
 		Retired   []wireRetired  `json:"retired,omitempty"`
@@ -78,6 +79,9 @@
 	w := wireService{
 		Name: string(s.ID), Kind: string(s.Kind), Proto: uint8(s.Protocol), Ports: s.Ports, Host: s.Host,
 	}
+	if s.HasPriority {
+		w.Priority = &s.Priority
+	}
 	if s.Addr.IsValid() {
 		w.Address = s.Addr.String()
 	}
@@ -122,6 +126,9 @@
 		ID: stoatpaddle.ServiceID(w.Name), Kind: stoatpaddle.ServiceKind(w.Kind),
 		Protocol: stoatpaddle.Protocol(w.Proto), Ports: w.Ports, Host: w.Host,
 	}
+	if w.Priority != nil {
+		s.Priority, s.HasPriority = *w.Priority, true
+	}
 	if w.Address != "" {
 		addr, err := netip.ParseAddr(w.Address)
 		if err != nil {
--- a/stoatcontract/format.go
+++ b/stoatcontract/format.go
@@ -27,6 +27,9 @@
 	fmt.Fprintf(b, "\n[service %s]\nkind = %s\n", s.ID, s.Kind)
 	if s.Kind == stoatpaddle.KindCall {
 		fmt.Fprintf(b, "host = %s\n", s.Host)
+		if s.HasPriority {
+			fmt.Fprintf(b, "priority = %d\n", s.Priority)
+		}
 	} else {
 		fmt.Fprintf(b, "address = %s\nproto = %s\nports = %s\n", s.Addr, s.Protocol, joinPorts(s.Ports))
 	}
--- a/stoatcontract/parse.go
+++ b/stoatcontract/parse.go
@@ -66,6 +66,9 @@
 	}
 	if s.Kind == stoatpaddle.KindCall {
 		s.Host = sec.Word("host", "")
+		if s.HasPriority = sec.Has("priority"); s.HasPriority {
+			s.Priority = sec.Int("priority", 0, 0, stoatpaddle.MaxPriority)
+		}
 		return s
 	}
 	s.Addr = sec.Addr("address")
--- a/stoatcontract/validate.go
+++ b/stoatcontract/validate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"strings"
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatview"
@@ -32,6 +33,7 @@
 		if len(s.Upstreams) == 0 {
 			k.addFault("service "+string(s.ID), "", "", "at least one [upstream NAME] section with service = "+string(s.ID))
 		}
+		k.checkPriority(s)
 		for _, u := range s.Upstreams {
 			k.checkUpstreamKey(c, s, u, owners)
 		}
@@ -51,6 +53,16 @@
 	}
 }
 
+func (k *checker) checkPriority(s *stoatpaddle.Service) {
+	switch section := "service " + string(s.ID); {
+	case !s.HasPriority:
+	case s.Kind != stoatpaddle.KindCall:
+		k.addFault(section, "priority", fmt.Sprint(s.Priority), "no priority, which only call services have")
+	case s.Priority < 0 || s.Priority > stoatpaddle.MaxPriority:
+		k.addFault(section, "priority", fmt.Sprint(s.Priority), fmt.Sprintf("a whole number from 0 to %d", stoatpaddle.MaxPriority))
+	}
+}
+
 func (k *checker) checkUpstreamKey(
 	c stoatpaddle.Contract, s *stoatpaddle.Service, u stoatpaddle.Upstream,
 	owners map[stoatpaddle.UpstreamKey]stoatpaddle.UpstreamID,
@@ -67,30 +79,37 @@
 
 // Claims records which service owns which addresses, hosts and upstreams.
 type Claims struct {
-	owners map[string]stoatpaddle.ServiceRef
+	owners map[string]owner
+}
+
+// owner is the service that has a claim.
+type owner struct {
+	ref    stoatpaddle.ServiceRef
+	shares bool // it shares the claim with services that share it too
 }
 
 // NewClaims returns an empty Claims.
-func NewClaims() *Claims { return &Claims{owners: map[string]stoatpaddle.ServiceRef{}} }
+func NewClaims() *Claims { return &Claims{owners: map[string]owner{}} }
 
 // Add adds the claims of the contract's services. If another service owns any of them, Add returns a fault for
 // each such claim and adds nothing.
 func (c *Claims) Add(file string, contract stoatpaddle.Contract) []*stoatpaddle.Fault {
 	k := &checker{file: file}
-	added := map[string]stoatpaddle.ServiceRef{}
+	added := map[string]owner{}
 	for i := range contract.Services {
 		s := &contract.Services[i]
 		ref := stoatpaddle.ServiceRef{Customer: contract.Customer, Service: s.ID}
 		for _, claim := range claimsOf(s) {
-			owner, taken := c.owners[claim]
+			claimant := owner{ref: ref, shares: sharesClaim(s, claim)}
+			other, taken := c.owners[claim]
 			if !taken {
-				owner, taken = added[claim]
+				other, taken = added[claim]
 			}
-			if taken && owner != ref {
-				k.addFault("service "+string(ref.Service), "", claim, "what no other service has; "+owner.String()+" has it")
+			if taken && other.ref != ref && !(other.shares && claimant.shares) {
+				k.addFault("service "+string(ref.Service), "", claim, "what no other service has; "+other.ref.String()+" has it")
 				continue
 			}
-			added[claim] = ref
+			added[claim] = claimant
 		}
 	}
 	if len(k.faults) == 0 {
@@ -111,6 +130,16 @@
 	return claimed.Add(file, c)
 }
 
+// sharesClaim reports whether other services may have the claim too: the upstream address of a call service that
+// declares a priority. Each of the services has to declare one, so that no contract reaches another customer's
+// server by mistake.
+func sharesClaim(s *stoatpaddle.Service, claim string) bool {
+	return s.Kind == stoatpaddle.KindCall && s.HasPriority && strings.HasPrefix(claim, claimUpstreamAddr)
+}
+
+// claimUpstreamAddr begins the claim of an upstream's address.
+const claimUpstreamAddr = "upstream address "
+
 // claimsOf returns the names and addresses that no other service may have.
 func claimsOf(s *stoatpaddle.Service) []string {
 	var out []string
@@ -122,10 +151,10 @@
 	}
 	// With one server address in two services, one customer's packets could reach the other customer's server.
 	for _, r := range s.Retired {
-		out = append(out, "upstream address "+r.Upstream.Addr.String(), "upstream name "+string(r.Upstream.ID))
+		out = append(out, claimUpstreamAddr+r.Upstream.Addr.String(), "upstream name "+string(r.Upstream.ID))
 	}
 	for _, u := range s.Upstreams {
-		out = append(out, "upstream address "+u.Addr.String())
+		out = append(out, claimUpstreamAddr+u.Addr.String())
 		// Operators mark an upstream as joining or leaving by its id alone.
 		out = append(out, "upstream name "+string(u.ID))
 	}
--- a/stoatentry/entry.go
+++ b/stoatentry/entry.go
@@ -85,7 +85,9 @@
 		self:     newInstance(cfg.Settings, now),
 	}
 	e.engine = stoatflow.New(stoatflow.Config{Self: e.self.ID, Start: now, Settle: e.settings.SettleTime, Seed: seed})
-	e.calls = stoatcall.New(stoatcall.Config{View: e.view.Load, Clock: clock, Seed: seed})
+	e.calls = stoatcall.New(stoatcall.Config{
+		View: e.view.Load, Clock: clock, Seed: seed, Instance: e.self.ID, Events: e.log,
+	})
 	e.metrics = e.newMetrics()
 	if err := e.openSockets(); err != nil {
 		e.Kill()
--- a/stoatentry/metrics.go
+++ b/stoatentry/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/stoatpaddle/stoatpaddle/stoatcall"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatstatus"
 )
@@ -33,6 +34,9 @@
 	calls := e.calls.Stats()
 	gauge("stoatpaddle_call_answered_total", calls.Answered.Load)
 	gauge("stoatpaddle_call_refused_total", calls.Refused.Load)
+	for r := range stoatcall.RuleCount {
+		gauge(fmt.Sprintf("stoatpaddle_call_refused_by_total{rule=%q}", r), calls.RefusedBy[r].Load)
+	}
 	gauge("stoatpaddle_call_unknown_total", calls.UnknownOutcome.Load)
 	gauge("stoatpaddle_call_cut_total", calls.Truncated.Load)
 	gauge("stoatpaddle_call_attempts_total", calls.Attempts.Load)
@@ -58,5 +62,6 @@
 
 func (e *Entry) writeMetrics(w io.Writer) {
 	e.metrics.WritePrometheus(w)
+	e.calls.WriteMetrics(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/stoatini/reader.go
+++ b/stoatini/reader.go
@@ -120,6 +120,9 @@
 	return s.sec.KeyStrings()
 }
 
+// Has reports whether the section has the key.
+func (s *Section) Has(key string) bool { return s.sec != nil && s.sec.HasKey(key) }
+
 // value returns the key's value and whether the key exists.
 func (s *Section) value(key string) (string, bool) {
 	s.known[key] = true
--- a/stoatview/next.go
+++ b/stoatview/next.go
@@ -52,6 +52,7 @@
 			v.addService(prev, now, in, c, &c.Services[i])
 		}
 	}
+	groupServices(v.Services)
 	if prev == nil || prev.Entries != v.Entries {
 		v.ChangedAt = now
 	}
@@ -164,6 +165,7 @@
 	ref := stoatpaddle.ServiceRef{Customer: c.Customer, Service: svc.ID}
 	s := &Service{
 		Ref: ref, Kind: svc.Kind, Preference: c.Preference, Limits: c.Limits, Host: svc.Host, Protocol: svc.Protocol,
+		Priority: svc.Priority, hasPriority: svc.HasPriority,
 		byKey: map[stoatpaddle.UpstreamKey]*Upstream{},
 	}
 	for i := range svc.Upstreams {
--- a/stoatview/view.go
+++ b/stoatview/view.go
@@ -30,10 +30,16 @@
 	Limits      stoatpaddle.Limits
 	Protocol    stoatpaddle.Protocol
 	Host        string
-	Set         *UpstreamSet      // the upstreams that take new flows
-	FullSet     *UpstreamSet      // Set and the upstreams in partitioned data centres
-	PastSets    []PastUpstreamSet // newest first
-	Active      []*Upstream       // declared, not leaving and not partitioned; also those of weight 0
+	Priority    int // call services: 0 is the most urgent
+	hasPriority bool
+	// Group names the services that share upstream addresses with this one, directly or through others; it is the
+	// zero value if none does.
+	Group       stoatpaddle.ServiceRef
+	SharedAddrs map[netip.AddrPort]bool // the upstream addresses that another service has too
+	Set         *UpstreamSet            // the upstreams that take new flows
+	FullSet     *UpstreamSet            // Set and the upstreams in partitioned data centres
+	PastSets    []PastUpstreamSet       // newest first
+	Active      []*Upstream             // declared, not leaving and not partitioned; also those of weight 0
 	byKey       map[stoatpaddle.UpstreamKey]*Upstream
 	partitioned []*Upstream // declared and not leaving, but in a partitioned data centre
 }
