--- a/stoatcall/group.go
+++ b/stoatcall/group.go
@@ -98,10 +98,12 @@
 	})
 }
 
-// recordNoSlot records that a call that did not give way found no free slot at any upstream.
-func (h *Handler) recordNoSlot(t *attempts) {
-	if t.service.SharedAddrs != nil && !t.givesWay && len(t.tried) == 0 {
-		h.withLimiter(t.service, func(now time.Time, l *limiter) { l.NoSlot(now) })
+// recordNoRoom records that a call that did not give way found no upstream with room.
+func (h *Handler) recordNoRoom(t *attempts) {
+	if t.service.SharedAddrs != nil && !t.givesWay {
+		h.withLimiter(t.service, func(now time.Time, l *limiter) {
+			l.NoRoom(now, Opening{Priority: t.service.Priority}, len(t.tried))
+		})
 	}
 }
 
@@ -112,7 +114,11 @@
 	l := &h.group(now, svc).limiter
 	before := l.shedding
 	f(now, l)
-	after, since, s := l.shedding, l.since, l.State(now)
+	after, since := l.shedding, l.since
+	var s State
+	if after != before {
+		s = l.State(now)
+	}
 	h.mu.Unlock()
 	group := stoatevent.F("group", svc.Group.String())
 	switch {
--- a/stoatcall/group_test.go
+++ b/stoatcall/group_test.go
@@ -171,9 +171,11 @@
 	return answered / max(1, answered+float64(w.failed.Load()))
 }
 
-// Two customers share upstreams that are full. Urgent calls must be served and never give way, less urgent ones are
-// refused at once with a spread Retry-After, and within a second after the burst all are admitted.
-func TestUrgentCallsAreServedWhenUpstreamsAreFull(t *testing.T) {
+// burstTime is how long more calls arrive than upstreams take.
+const burstTime = 2500 * time.Millisecond
+
+// runBurst sends few calls of one customer and many of another, which share full upstreams.
+func runBurst(t *testing.T, otherPriority int) (h *stoatcall.Handler, events *eventList, url string, urgent, other *workers) {
 	var group errgroup.Group
 	var addrs []netip.AddrPort
 	for range 2 { // 4 slots of 20 ms each: 400 calls a second
@@ -185,16 +187,31 @@
 		addrs = append(addrs, s.Addr())
 	}
 	// The entry may send more than the upstreams take, as if other entries used them too.
-	h, events, url := startGroup(t, callContract("sawt", 0, 100, addrs...), callContract("barrilete", 1, 100, addrs...))
-	urgent := startWorkers(8, 3, 60*time.Millisecond, url, "sawt.example")
-	burst := startWorkers(40, 1, 20*time.Millisecond, url, "barrilete.example")
-	time.Sleep(2500 * time.Millisecond)
-	burst.end(t)
+	h, events, url = startGroup(t, callContract("sawt", 0, 100, addrs...), callContract("barrilete", otherPriority, 100, addrs...))
+	urgent = startWorkers(8, 3, 60*time.Millisecond, url, "sawt.example")
+	other = startWorkers(40, 1, 20*time.Millisecond, url, "barrilete.example")
+	time.Sleep(burstTime)
+	other.end(t)
 	urgent.end(t)
-	t.Logf("urgent: %d answered, %d failed; less urgent: %d answered, %d failed, seconds %v",
-		urgent.answered.Load(), urgent.failed.Load(), burst.answered.Load(), burst.failed.Load(), burst.seconds)
-	if urgent.share() <= burst.share() || len(urgent.seconds) > 0 {
-		t.Errorf("urgent calls: %.3f served, others %.3f; gave way: %v", urgent.share(), burst.share(), urgent.seconds)
+	t.Logf("other priority %d: urgent %d answered, %d failed; other %d answered, %d failed, seconds %v",
+		otherPriority, urgent.answered.Load(), urgent.failed.Load(), other.answered.Load(), other.failed.Load(), other.seconds)
+	return h, events, url, urgent, other
+}
+
+// minGain is by how much more of the urgent calls have to be served than without levels.
+const minGain = 0.06
+
+// Two customers share upstreams that are full. Urgent calls must never give way, must be served better than the less
+// urgent ones and better than without levels. Less urgent ones are refused at once with a spread Retry-After, and
+// within a second after the burst all are admitted.
+func TestUrgentCallsAreServedWhenUpstreamsAreFull(t *testing.T) {
+	_, events, _, before, _ := runBurst(t, 0)
+	if events.number(stoatcall.EventSheddingBegan) > 0 {
+		t.Error("calls of one level gave way")
+	}
+	h, events, url, urgent, burst := runBurst(t, 1)
+	if urgent.share() < before.share()+minGain || urgent.share() <= burst.share() || len(urgent.seconds) > 0 {
+		t.Errorf("urgent calls: %.3f served, before %.3f, others %.3f; gave way: %v", urgent.share(), before.share(), burst.share(), urgent.seconds)
 	}
 	checkSpread(t, burst.seconds)
 	if h.Stats().RefusedBy[stoatcall.RuleLevel].Load() == 0 || events.number(stoatcall.EventSheddingBegan) != 1 {
--- a/stoatcall/handler.go
+++ b/stoatcall/handler.go
@@ -198,7 +198,6 @@
 	for range maxAttempts {
 		u := h.acquireUpstream(t)
 		if u == nil {
-			h.recordNoSlot(t)
 			break
 		}
 		t.tried[u.Key] = true
@@ -227,6 +226,7 @@
 			return
 		}
 	}
+	h.recordNoRoom(t)
 	h.refuse(w, h.refusalOf(t))
 }
 
--- a/stoatcall/limiter.go
+++ b/stoatcall/limiter.go
@@ -64,9 +64,9 @@
 	// with each variation of the demand.
 	calmTime = 500 * time.Millisecond
 	// Earlier rejections do not count any more after quietTime without one, if quietRejections of them were due in that
-	// time: the chance to see none is then below one in a hundred.
+	// time: the chance to see none is then below one in ten thousand.
 	quietTime       = 50 * time.Millisecond
-	quietRejections = 5
+	quietRejections = 10
 	// minEvidence is the number of rejections a second below which no level gives way: one rejection within evidenceDecay
 	// counts as four a second, so that single ones have no effect.
 	minEvidence = 8
@@ -110,9 +110,15 @@
 	l.update(now)
 }
 
-// NoSlot records that a call found all slots in use. It stands for the attempts that the call could have made.
-func (l *limiter) NoSlot(now time.Time) {
-	for range maxAttempts {
+// NoRoom records that an admitted call found no upstream with room, after the given number of attempts. The attempts
+// that were not made for lack of a free slot count as rejected. A call of the most urgent level counts once more, so
+// that the others give way sooner where upstreams have no queue and a moderate share of rejections already loses calls.
+func (l *limiter) NoRoom(now time.Time, o Opening, attempts int) {
+	n := max(0, maxAttempts-attempts)
+	if o.Priority == l.mostUrgent(now) {
+		n += maxAttempts
+	}
+	for range n {
 		l.rejected.Add(now, evidenceDecay)
 	}
 	l.rejectedAt = now
@@ -228,6 +234,16 @@
 	return max(0, 1-rejected/(answered+rejected)/targetRejected)
 }
 
+// mostUrgent returns the priority of the most urgent level with recent traffic, or -1.
+func (l *limiter) mostUrgent(now time.Time) int {
+	for _, v := range l.levels {
+		if v.recent(now) {
+			return v.priority
+		}
+	}
+	return -1
+}
+
 // demand returns the rate of all calls, and the number of levels with recent traffic.
 func (l *limiter) demand(now time.Time) (perSecond float64, levels int) {
 	for _, v := range l.levels {
--- a/stoatcall/limiter_test.go
+++ b/stoatcall/limiter_test.go
@@ -26,7 +26,7 @@
 			case 1:
 				l.Rejected(now)
 			case 2:
-				l.NoSlot(now)
+				l.NoRoom(now, Opening{Priority: rapid.IntRange(0, stoatpaddle.MaxPriority).Draw(t, "failed")}, rapid.IntRange(0, maxAttempts).Draw(t, "attempts"))
 			default:
 				p := rapid.IntRange(0, stoatpaddle.MaxPriority).Draw(t, "priority")
 				last[p] = now
@@ -34,7 +34,7 @@
 					t.Fatalf("the most urgent level %d was refused: %+v", p, l.State(now))
 				}
 			}
-			checkLevels(t, now, l.State(now))
+			checkLevels(t, l.State(now))
 		}
 	})
 }
@@ -48,7 +48,7 @@
 	return -1
 }
 
-func checkLevels(t *rapid.T, now time.Time, s State) {
+func checkLevels(t *rapid.T, s State) {
 	if len(s.Levels) > stoatpaddle.MaxPriority+1 {
 		t.Fatal(len(s.Levels), "levels")
 	}
@@ -178,6 +178,9 @@
 			}
 		}
 	}
+	if m.limiter != nil {
+		m.limiter.NoRoom(now, Opening{Priority: priority}, maxAttempts)
+	}
 	m.comeBack(now, c, 1)
 }
 
--- a/stoatcall/refusal.go
+++ b/stoatcall/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -127,12 +128,12 @@
 // otherwise the upstream.
 type slot struct {
 	key  stoatpaddle.UpstreamKey
-	addr string
+	addr netip.AddrPort
 }
 
 func slotOf(svc *stoatview.Service, u *stoatview.Upstream) slot {
 	if svc.SharedAddrs[u.Addr] {
-		return slot{addr: u.Addr.String()}
+		return slot{addr: u.Addr}
 	}
 	return slot{key: u.Key}
 }
