--- a/stoatcall/group_test.go
+++ b/stoatcall/group_test.go
@@ -224,6 +224,13 @@
 	} else {
 		t.Error("a refused call has no id:", burst.call)
 	}
+	var metrics strings.Builder
+	h.WriteMetrics(&metrics)
+	for _, name := range []string{`level_refused_total{group="barrilete/s-barrilete",priority="0"} 0` + "\n", `level_share{group="barrilete/s-barrilete",priority="1"}`, `group_budget{`} {
+		if !strings.Contains(metrics.String(), "stoatpaddle_call_"+name) {
+			t.Errorf("%q is not in the metrics: %s", name, metrics.String())
+		}
+	}
 	checkRecovery(t, events, url)
 }
 
