--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -87,7 +87,7 @@
 	EventFlowReset = stoatevent.Register(stoatevent.Definition{
 		Number: 1411, Severity: stoatevent.Info, Since: "0.2",
 		Title: "flow reset",
-		Text:  "The caller was told at once that its flow cannot continue, or cannot open. Reason says why. Route: no route has the address. Upstream: no upstream can take the flow; evacuated, outside and cold count those that were excluded because their data centre is evacuated, because they are in no region that the route allows, or because they are cold and can take no more. Gone: the platform reports that the flow's upstream has ended; waited means that the caller waited for an answer, and was told without sending a packet. Overload: the mean answer time of the best upstream is over bound, so that the answer would be late; or, if turned is given, a more urgent route shares the service, and the service's upstreams recently rejected that fraction of their requests. Young: this entry has no configuration yet.",
+		Text:  "The caller was told at once that its flow cannot continue, or cannot open. Reason says why. Route: no route has the address. Upstream: no upstream can take the flow; evacuated, outside and cold count those that were excluded because their data centre is evacuated, because they are in no region that the route allows, or because they are cold and can take no more. Gone: the platform reports that the flow's upstream has ended; waited means that the caller waited for an answer, and was told without sending a packet. Overload: the mean answer time of the best upstream is over bound, so that the answer would be late. Level: the upstreams reject requests (turned is the share), and a more urgent level needs the room; share is what is admitted of this level. Fairness: other routes of the level need the room. Away: the flow would have gone to another data centre whose own callers leave no room. Shared says whether all entries' observations decided, or only this entry's. Young: this entry has no configuration yet.",
 	})
 	EventPacketDropped = stoatevent.Register(stoatevent.Definition{
 		Number: 1412, Severity: stoatevent.Info, Since: "0.2",
@@ -199,4 +199,14 @@
 		Title: "child left",
 		Text:  "The child closed the connection, could not be written to, or this entry stops; cause says which.",
 	})
+	EventLevelLimited = stoatevent.Register(stoatevent.Definition{
+		Number: 1440, Severity: stoatevent.Warning, Since: "0.9",
+		Title: "priority level is limited",
+		Text:  "The upstreams of the service in the data centre (centre) reject requests (turned is the share), and openings of this priority are refused so that more urgent ones get the room. Share is what is admitted of them. Shared says whether all entries' observations decided, or only this entry's. Logged once for each period; SP1411 tells of single openings. The service needs more upstreams if this happens at usual load.",
+	})
+	EventLevelUnlimited = stoatevent.Register(stoatevent.Definition{
+		Number: 1441, Severity: stoatevent.Info, Since: "0.9",
+		Title: "priority level is no longer limited",
+		Text:  "All openings of this priority are admitted again. Lasted is for how long the level was limited. Refused counts the openings of the level that this entry has refused for more urgent ones since its start.",
+	})
 )
