stoatcontract: services of two customers never share an upstream address

A declared priority lets only the services of one customer share an address. Groups and the calls in progress are kept by customer as well, so that neither depends on the check of addresses.

--- a/contract.go
+++ b/contract.go
@@ -66,7 +66,7 @@
 	Ports         []uint16          // flow services only, ascending
 	Host          string            // call services only: the authority in callers' requests
 	Priority      int               // call services only: how urgent its calls are; 0 is the most urgent
-	HasPriority   bool              // the contract declares Priority, so that upstream addresses may be shared
+	HasPriority   bool              // Priority is declared; the customer's services that declare one may share upstream addresses
 	Upstreams     []Upstream        // ascending by ID
 	Retired       []RetiredUpstream // removed by an amendment, but may still have open flows
 	CentreWeights []CentreWeight
--- a/stoatcall/group_test.go
+++ b/stoatcall/group_test.go
@@ -60,20 +60,22 @@
 	return ""
 }
 
-// callContract declares a call service with upstreams at the addresses; a negative priority declares none.
-func callContract(customer stoatpaddle.CustomerID, priority, slots int, addrs ...netip.AddrPort) stoatpaddle.Contract {
+// callService declares a call service with upstreams at the addresses; a negative priority declares none.
+func callService(id stoatpaddle.ServiceID, priority, slots int, addrs ...netip.AddrPort) stoatpaddle.Service {
 	s := stoatpaddle.Service{
-		ID: "s-" + stoatpaddle.ServiceID(customer), Kind: stoatpaddle.KindCall, Host: string(customer) + ".example",
-		Priority: max(0, priority), HasPriority: priority >= 0,
+		ID: id, Kind: stoatpaddle.KindCall, Host: string(id) + ".example", Priority: max(0, priority), HasPriority: priority >= 0,
 	}
 	for i, addr := range addrs {
 		s.Upstreams = append(s.Upstreams, stoatpaddle.Upstream{
-			ID: stoatpaddle.UpstreamID(string(customer) + strconv.Itoa(i)), DataCentre: "ruwi", Addr: addr, Weight: 1, Slots: slots,
+			ID: stoatpaddle.UpstreamID(string(id) + strconv.Itoa(i)), DataCentre: "ruwi", Addr: addr, Weight: 1, Slots: slots,
 		})
 	}
+	return s
+}
+
+func callContract(customer stoatpaddle.CustomerID, services ...stoatpaddle.Service) stoatpaddle.Contract {
 	return stoatpaddle.Contract{
-		Customer: customer, Limits: stoatpaddle.Limits{Flows: 1, OpenRate: 1, Calls: 1000, CallRate: 100_000},
-		Services: []stoatpaddle.Service{s},
+		Customer: customer, Limits: stoatpaddle.Limits{Flows: 1, OpenRate: 1, Calls: 1000, CallRate: 100_000}, Services: services,
 	}
 }
 
@@ -174,7 +176,7 @@
 // burstTime is how long more calls arrive than upstreams take.
 const burstTime = 3 * time.Second
 
-// runBurst sends few calls of one customer and many of another, which share full upstreams.
+// runBurst sends few calls to one service and many to another, which share full upstreams.
 func runBurst(t *testing.T, otherPriority int) (h *stoatcall.Handler, events *eventList, url string, urgent, other *workers) {
 	var group errgroup.Group
 	var addrs []netip.AddrPort
@@ -187,9 +189,9 @@
 		addrs = append(addrs, s.Addr())
 	}
 	// The entry may send more than the upstreams take, as if other entries used them too.
-	h, events, url = startGroup(t, callContract("sawt", 0, 100, addrs...), callContract("barrilete", otherPriority, 100, addrs...))
-	urgent = startWorkers(8, 3, 100*time.Millisecond, url, "sawt.example")
-	other = startWorkers(24, 1, 20*time.Millisecond, url, "barrilete.example")
+	h, events, url = startGroup(t, callContract("sawt", callService("app", 0, 100, addrs...), callService("batch", otherPriority, 100, addrs...)))
+	urgent = startWorkers(8, 3, 100*time.Millisecond, url, "app.example")
+	other = startWorkers(24, 1, 20*time.Millisecond, url, "batch.example")
 	time.Sleep(burstTime)
 	other.end(t)
 	urgent.end(t)
@@ -201,7 +203,7 @@
 // minGain is by how much more of the urgent calls have to be served than without levels.
 const minGain = 0.06
 
-// Two customers share upstreams that are full. Urgent calls must never give way, must be served better than the less
+// Two services of a customer share upstreams that are full. Urgent calls must never give way, must be served better than the less
 // urgent ones and better than without levels. Less urgent ones are refused at once with a spread Retry-After, and
 // within a second after the burst all are admitted.
 func TestUrgentCallsAreServedWhenUpstreamsAreFull(t *testing.T) {
@@ -218,7 +220,7 @@
 		t.Error("shedding began", events.number(stoatcall.EventSheddingBegan), "times")
 	}
 	if strings.HasPrefix(burst.call, "urn:stoatpaddle:call:ruwi-1-") {
-		if line := events.find("rule=level"); !strings.Contains(line, "priority=1") || !strings.Contains(line, "service=barrilete/") {
+		if line := events.find("rule=level"); !strings.Contains(line, "priority=1") || !strings.Contains(line, "service=sawt/batch") {
 			t.Error("the log does not name the rule:", line)
 		}
 	} else {
@@ -226,7 +228,7 @@
 	}
 	var metrics strings.Builder
 	h.WriteMetrics(&metrics)
-	for _, name := range []string{`level_refused_total{group="barrilete/s-barrilete",priority="0"} 0` + "\n", `level_share{group="barrilete/s-barrilete",priority="1"}`, `group_budget{`} {
+	for _, name := range []string{`level_refused_total{group="sawt/app",priority="0"} 0` + "\n", `level_share{group="sawt/app",priority="1"}`, `group_budget{`} {
 		if !strings.Contains(metrics.String(), "stoatpaddle_call_"+name) {
 			t.Errorf("%q is not in the metrics: %s", name, metrics.String())
 		}
@@ -253,7 +255,7 @@
 
 func checkRecovery(t *testing.T, events *eventList, url string) {
 	time.Sleep(200 * time.Millisecond)
-	both := []*workers{startWorkers(1, 1, 20*time.Millisecond, url, "sawt.example"), startWorkers(1, 1, 20*time.Millisecond, url, "barrilete.example")}
+	both := []*workers{startWorkers(1, 1, 20*time.Millisecond, url, "app.example"), startWorkers(1, 1, 20*time.Millisecond, url, "batch.example")}
 	time.Sleep(800 * time.Millisecond)
 	failed := both[1].failed.Load()
 	time.Sleep(500 * time.Millisecond)
@@ -282,9 +284,9 @@
 	}
 	t.Cleanup(full.Close)
 	t.Cleanup(own.Close)
-	h, events, url := startGroup(t, callContract("sawt", 0, 100, full.Addr()), callContract("barrilete", 1, 100, full.Addr(), own.Addr()))
-	urgent := startWorkers(4, 1, 5*time.Millisecond, url, "sawt.example")
-	other := startWorkers(4, 1, 5*time.Millisecond, url, "barrilete.example")
+	h, events, url := startGroup(t, callContract("sawt", callService("app", 0, 100, full.Addr()), callService("batch", 1, 100, full.Addr(), own.Addr())))
+	urgent := startWorkers(4, 1, 5*time.Millisecond, url, "app.example")
+	other := startWorkers(4, 1, 5*time.Millisecond, url, "batch.example")
 	time.Sleep(time.Second)
 	urgent.end(t)
 	other.end(t)
@@ -304,12 +306,12 @@
 	}
 	closed := ln.Addr().(*net.TCPAddr).AddrPort()
 	_ = ln.Close()
-	c := callContract("sawt", -1, 3, closed)
-	limited := callContract("barrilete", -1, 3, closed)
+	c := callContract("sawt", callService("app", -1, 3, closed))
+	limited := callContract("barrilete", callService("batch", -1, 3, closed))
 	limited.Limits.CallRate = 1
 	h, events, url := startGroup(t, c, limited)
 	for _, step := range []struct{ host, rule string }{
-		{"unknown.example", "host"}, {"sawt.example", "room"}, {"barrilete.example", "room"}, {"barrilete.example", "rate"},
+		{"unknown.example", "host"}, {"app.example", "room"}, {"batch.example", "room"}, {"batch.example", "rate"},
 	} {
 		req, _ := http.NewRequest(http.MethodGet, url, nil)
 		req.Host = step.host
--- a/stoatcall/refusal.go
+++ b/stoatcall/refusal.go
@@ -124,16 +124,17 @@
 	return u
 }
 
-// slot names what the calls in progress are counted for: the address of an upstream that several services share, and
-// otherwise the upstream.
+// slot names what the calls in progress are counted for: the address of an upstream that several services of a
+// customer share, and otherwise the upstream.
 type slot struct {
-	key  stoatpaddle.UpstreamKey
-	addr netip.AddrPort
+	key      stoatpaddle.UpstreamKey
+	customer stoatpaddle.CustomerID
+	addr     netip.AddrPort
 }
 
 func slotOf(svc *stoatview.Service, u *stoatview.Upstream) slot {
 	if svc.SharedAddrs[u.Addr] {
-		return slot{addr: u.Addr}
+		return slot{customer: svc.Ref.Customer, addr: u.Addr}
 	}
 	return slot{key: u.Key}
 }
--- a/stoatcontract/priority_test.go
+++ b/stoatcontract/priority_test.go
@@ -37,8 +37,8 @@
 	return Parse("sawt.ini", []byte(strings.NewReplacer("PRIORITY-A", a, "PRIORITY-B", b).Replace(sharedContract)))
 }
 
-// Only call services that both declare a priority may share an upstream address. Otherwise a mistake in one contract
-// would send its calls to the server of another customer.
+// Only call services that both declare a priority may share an upstream address; a service without one must never
+// get the calls of another.
 func TestSharedUpstreamsNeedPriorities(t *testing.T) {
 	const taken = `got "upstream address 192.0.2.1:6080"`
 	for name, c := range map[string]struct{ a, b, fault string }{
@@ -61,34 +61,55 @@
 	}
 }
 
-// Contracts of two customers are checked like services of one.
-func TestConflictsOfSharedUpstreams(t *testing.T) {
-	contract := func(customer stoatpaddle.CustomerID, hasPriority bool) stoatpaddle.Contract {
-		d, err := parseShared("priority = 0", "priority = 1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := d.Contract
-		c.Customer = customer
-		c.Services = c.Services[:1]
-		c.Services[0].Host = string(customer)
-		c.Services[0].Upstreams[0].ID = stoatpaddle.UpstreamID(customer)
-		c.Services[0].HasPriority = hasPriority
-		return c
-	}
-	for _, c := range []struct {
-		a, b   bool
-		faults int
-	}{{true, true, 0}, {true, false, 1}, {false, true, 1}, {false, false, 1}} {
-		if got := Conflicts("b", contract("b", c.b), []stoatpaddle.Contract{contract("a", c.a)}); len(got) != c.faults {
-			t.Errorf("%+v: %v", c, got)
+// A request of one customer must never reach a server of another, so that contracts of two customers that name one
+// upstream address conflict whatever priorities they declare.
+func TestCustomersNeverShareUpstreams(t *testing.T) {
+	for _, retired := range []bool{false, true} {
+		for _, c := range []struct{ a, b bool }{{true, true}, {true, false}, {false, true}, {false, false}} {
+			others := []stoatpaddle.Contract{contractOf(t, "a", c.a, retired)}
+			if got := Conflicts("b", contractOf(t, "b", c.b, false), others); len(got) != 1 {
+				t.Errorf("priorities %+v, retired %v: %v", c, retired, got)
+			}
 		}
 	}
-	// A third contract without a priority conflicts although two others share the address.
-	others := []stoatpaddle.Contract{contract("a", true), contract("b", true)}
-	if got := Conflicts("c", contract("c", false), others); len(got) != 1 {
+}
+
+// A customer whose own services share an address must keep it from others, also when the claims of its services are
+// added one by one.
+func TestSharedUpstreamStaysWithItsCustomer(t *testing.T) {
+	both, err := parseShared("priority = 0", "priority = 1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	claims := NewClaims()
+	if got := claims.Add("sawt", both.Contract); len(got) != 0 {
 		t.Error(got)
 	}
+	for _, hasPriority := range []bool{true, false} {
+		if got := claims.Add("b", contractOf(t, "b", hasPriority, false)); len(got) != 1 {
+			t.Errorf("priority %v: %v", hasPriority, got)
+		}
+	}
+}
+
+// contractOf returns a contract with the first service of sharedContract. Its upstream may be a retired one.
+func contractOf(t *testing.T, customer stoatpaddle.CustomerID, hasPriority, retired bool) stoatpaddle.Contract {
+	d, err := parseShared("priority = 0", "priority = 1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := d.Contract
+	c.Customer = customer
+	c.Services = c.Services[:1]
+	s := &c.Services[0]
+	s.Host = string(customer)
+	s.HasPriority = hasPriority
+	s.Upstreams[0].ID = stoatpaddle.UpstreamID(customer)
+	if retired {
+		s.Retired = []stoatpaddle.RetiredUpstream{{Upstream: s.Upstreams[0]}}
+		s.Upstreams = nil
+	}
+	return c
 }
 
 // A priority keeps its value in INI and JSON. A contract without one is stored as before, and a release that does
--- a/stoatcontract/validate.go
+++ b/stoatcontract/validate.go
@@ -85,7 +85,15 @@
 // owner is the service that has a claim.
 type owner struct {
 	ref    stoatpaddle.ServiceRef
-	shares bool // it shares the claim with services that share it too
+	shares bool // other services of its customer that share the claim too may have it
+}
+
+// mayJoin reports whether o may have a claim that the other owner has. Services of different customers never share one.
+func (o owner) mayJoin(other owner) bool {
+	if o.ref == other.ref {
+		return true
+	}
+	return o.ref.Customer == other.ref.Customer && o.shares && other.shares
 }
 
 // NewClaims returns an empty Claims.
@@ -105,7 +113,7 @@
 			if !taken {
 				other, taken = added[claim]
 			}
-			if taken && other.ref != ref && !(other.shares && claimant.shares) {
+			if taken && !claimant.mayJoin(other) {
 				k.addFault("service "+string(ref.Service), "", claim, "what no other service has; "+other.ref.String()+" has it")
 				continue
 			}
@@ -130,9 +138,8 @@
 	return claimed.Add(file, c)
 }
 
-// sharesClaim reports whether other services may have the claim too: the upstream address of a call service that
-// declares a priority. Each of the services has to declare one, so that no contract reaches another customer's
-// server by mistake.
+// sharesClaim reports whether other services of the customer may have the claim too: the upstream address of a call
+// service that declares a priority.
 func sharesClaim(s *stoatpaddle.Service, claim string) bool {
 	return s.Kind == stoatpaddle.KindCall && s.HasPriority && strings.HasPrefix(claim, claimUpstreamAddr)
 }
--- a/stoatview/group.go
+++ b/stoatview/group.go
@@ -6,27 +6,34 @@
 	"github.com/stoatpaddle/stoatpaddle"
 )
 
-// groupServices sets Group and SharedAddrs of the call services that share upstream addresses. Only services with
-// a priority may share them.
+// customerAddr is an upstream address of one customer. Groups never span customers.
+type customerAddr struct {
+	customer stoatpaddle.CustomerID
+	addr     netip.AddrPort
+}
+
+// groupServices sets Group and SharedAddrs of the call services that share upstream addresses. Only services of one
+// customer that declare a priority may share them.
 func groupServices(services []*Service) {
-	byAddr := map[netip.AddrPort][]*Service{}
+	byAddr := map[customerAddr][]*Service{}
 	for _, s := range services {
 		if s.Kind != stoatpaddle.KindCall || !s.hasPriority {
 			continue
 		}
 		for _, u := range s.Set.Upstreams {
-			if sharing := byAddr[u.Addr]; len(sharing) == 0 || sharing[len(sharing)-1] != s {
-				byAddr[u.Addr] = append(sharing, s)
+			at := customerAddr{customer: s.Ref.Customer, addr: u.Addr}
+			if sharing := byAddr[at]; len(sharing) == 0 || sharing[len(sharing)-1] != s {
+				byAddr[at] = append(sharing, s)
 			}
 		}
 	}
 	g := grouping{}
-	for addr, sharing := range byAddr {
+	for at, sharing := range byAddr {
 		if len(sharing) < 2 {
 			continue
 		}
 		for _, s := range sharing {
-			s.addSharedAddr(addr)
+			s.addSharedAddr(at.addr)
 			g.join(sharing[0], s)
 		}
 	}
--- a/stoatview/view.go
+++ b/stoatview/view.go
@@ -32,10 +32,10 @@
 	Host        string
 	Priority    int // call services: 0 is the most urgent
 	hasPriority bool
-	// Group names the services that share upstream addresses with this one, directly or through others; it is the
-	// zero value if none does.
+	// Group names the services of the customer that share upstream addresses with this one, directly or through
+	// others; it is the zero value if none does.
 	Group       stoatpaddle.ServiceRef
-	SharedAddrs map[netip.AddrPort]bool // the upstream addresses that another service has too
+	SharedAddrs map[netip.AddrPort]bool // the upstream addresses that another service of the customer has too
 	Set         *UpstreamSet            // the upstreams that take new flows
 	FullSet     *UpstreamSet            // Set and the upstreams in partitioned data centres
 	PastSets    []PastUpstreamSet       // newest first
