--- a/stoatcall/handler.go
+++ b/stoatcall/handler.go
@@ -203,7 +203,7 @@
 		t.tried[u.Key] = true
 		h.stats.Attempts.Add(1)
 		res, err := h.send(r, u, body)
-		h.recordAttempt(svc, u, res, err)
+		h.recordAttempt(t, u, res, err)
 		if err == nil && !refusedByUpstream(res) {
 			h.forwardAnswer(w, res, slotOf(svc, u))
 			return
@@ -239,6 +239,9 @@
 
 // refuseAfterBodyRead answers a call that cannot be tried again because part of its body was read.
 func (h *Handler) refuseAfterBodyRead(w http.ResponseWriter, t *attempts, err error) {
+	if t.rejected > 0 {
+		h.recordRejection(t)
+	}
 	if err == nil || dialFailed(err) {
 		r := h.refusalOf(t)
 		r.detail = ""
