--- a/stoatcall/group.go
+++ b/stoatcall/group.go
@@ -44,6 +44,12 @@
 	return g.limiter.Decide(now, stoatadmission.Opening{Priority: priority})
 }
 
+// recordAnswer records that an upstream ran a call. Times of answers depend on the calls and show no queue.
+func (g *group) recordAnswer(now time.Time) {
+	g.limiter.Answered(now, 0, 0)
+	g.limiter.KeepAnswered(now)
+}
+
 // takeTurn returns the Retry-After of a call that gave way: when the refused calls of its level that are due before
 // it have been admitted, at the rate at which the level is admitted now.
 func (g *group) takeTurn(now time.Time, priority int, share float64) int {
@@ -104,14 +110,14 @@
 	rejected := refusedByUpstream(res)
 	if !rejected {
 		h.mu.Lock()
-		h.service(t.service).answered.Add(h.cfg.Clock(), returnDecay)
+		h.usageOf(t.service).answered.Add(h.cfg.Clock(), returnDecay)
 		h.mu.Unlock()
 	}
 	if !t.service.SharedAddrs[u.Addr] {
 		return
 	}
 	if !rejected {
-		h.withGroup(t.service, func(now time.Time, g *group) { g.limiter.Answered(now, 0, 0) })
+		h.withGroup(t.service, func(now time.Time, g *group) { g.recordAnswer(now) })
 		return
 	}
 	if t.rejected++; t.rejected >= rejectedAttempts {
--- a/stoatcall/handler.go
+++ b/stoatcall/handler.go
@@ -285,10 +285,10 @@
 	start := h.rnd.IntN(len(ups))
 	for i := range ups {
 		u := ups[(start+i)%len(ups)]
-		if t.tried[u.Key] || t.mustSpare(u) || h.open(t.service, u) >= u.Slots {
+		if t.tried[u.Key] || t.mustSpare(u) || h.openAt(t.service, u) >= u.Slots {
 			continue
 		}
-		if best == nil || h.open(t.service, u)*int(best.Weight) < h.open(t.service, best)*int(u.Weight) {
+		if best == nil || h.openAt(t.service, u)*int(best.Weight) < h.openAt(t.service, best)*int(u.Weight) {
 			best = u
 		}
 	}
--- a/stoatcall/refusal.go
+++ b/stoatcall/refusal.go
@@ -109,13 +109,13 @@
 		out.retryAfter = h.group(now, t.service).takeTurn(now, t.service.Priority, t.share)
 		return out
 	}
-	u := h.service(t.service)
+	u := h.usageOf(t.service)
 	out.retryAfter = u.refused.take(now, 0, u.answered.PerSecond(now, returnDecay))
 	return out
 }
 
-// service returns what is known of the service's calls. h.mu must be held.
-func (h *Handler) service(svc *stoatview.Service) *serviceUsage {
+// usageOf returns what is known of the service's calls. h.mu must be held.
+func (h *Handler) usageOf(svc *stoatview.Service) *serviceUsage {
 	u := h.services[svc.Ref]
 	if u == nil {
 		u = &serviceUsage{}
@@ -139,7 +139,7 @@
 	return slot{key: u.Key}
 }
 
-// open returns the calls of this entry that are in progress at the upstream. h.mu must be held.
-func (h *Handler) open(svc *stoatview.Service, u *stoatview.Upstream) int {
+// openAt returns the calls of this entry that are in progress at the upstream. h.mu must be held.
+func (h *Handler) openAt(svc *stoatview.Service, u *stoatview.Upstream) int {
 	return h.openByUpstream[slotOf(svc, u)]
 }
