--- a/stoatcall/group.go
+++ b/stoatcall/group.go
@@ -67,7 +67,7 @@
 	tried    map[stoatpaddle.UpstreamKey]bool
 	givesWay bool    // the call may not use upstreams that other services share
 	share    float64 // of the level's calls that is admitted
-	rejected int     // attempts that shared upstreams rejected
+	rejected int     // number of attempts that shared upstreams rejected
 	counted  bool    // the call is recorded as rejected
 }
 
@@ -193,7 +193,7 @@
 // groupState is the state of a group, for operators.
 type groupState struct {
 	stoatadmission.State
-	answered, rejected float64 // attempts a second
+	answered, rejected float64 // calls a second
 }
 
 // states returns the states of the groups, in ascending order of their names, and the names.
