--- a/stoatcall/problem.go
+++ b/stoatcall/problem.go
@@ -40,6 +40,11 @@
 		Title: "not run: entry is leaving",
 		Text:  "The entry is stopping as planned. The call was not run and may be sent again at once; another entry will accept it.",
 	})
+	ProblemGivesWay = stoatevent.Register(stoatevent.Definition{
+		Number: 1307, Severity: stoatevent.Info, Since: "0.2",
+		Title: "not run: more urgent calls need the room",
+		Text:  "The upstreams that the call's service shares with others are short of room, and calls of a service with a lower priority number take it. The call was not run; Retry-After says when to retry. Add upstreams, or change the priority in the contract.",
+	})
 )
 
 // wireProblem is a problem details object (RFC 9457).
@@ -48,12 +53,19 @@
 	Title  string `json:"title"`
 	Status int    `json:"status"`
 	Detail string `json:"detail,omitempty"`
+	Call   string `json:"instance,omitempty"` // the id of a refused call
 }
 
-// writeProblem answers with a problem. retryAfter is in seconds; 0 sends no Retry-After.
-func writeProblem(w http.ResponseWriter, e *stoatevent.Definition, status, retryAfter int, detail string) {
+// callURN begins the URN of a refused call.
+const callURN = "urn:stoatpaddle:call:"
+
+// writeProblem answers with a problem. retryAfter is in seconds; 0 sends no Retry-After. An empty id names no call.
+func writeProblem(w http.ResponseWriter, e *stoatevent.Definition, status, retryAfter int, detail, id string) {
+	if id != "" {
+		id = callURN + id
+	}
 	body, err := json.Marshal(wireProblem{
-		Type: "urn:stoatpaddle:" + e.Number.String(), Title: e.Title, Status: status, Detail: detail,
+		Type: "urn:stoatpaddle:" + e.Number.String(), Title: e.Title, Status: status, Detail: detail, Call: id,
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/stoatedge/edge_test.go
+++ b/stoatedge/edge_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -101,12 +103,25 @@
 	return strings.Contains(l.buf.String(), s)
 }
 
-// start starts an entry that listens on the host address and has the given seeds.
+// maxStartTries bounds how often start takes other addresses.
+const maxStartTries = 5
+
+// start starts an entry that listens on the host address and has the given seeds. Another process can take an
+// address between FreeAddr and the start; the entry is then started on other ones.
 func (r *rig) start(host string, seeds ...netip.AddrPort) (*stoatedge.Edge, stoatsetting.Settings, *logBuffer) {
 	r.t.Helper()
-	set := r.settings(host, seeds...)
-	e, l := r.startConfigured(stoatedge.Config{Settings: set})
-	return e, set, l
+	for try := 1; ; try++ {
+		set := r.settings(host, seeds...)
+		e, l, err := r.tryStart(stoatedge.Config{Settings: set})
+		if errors.Is(err, syscall.EADDRINUSE) && try < maxStartTries {
+			r.t.Log("another process has taken an address; trying other ones:", err)
+			continue
+		}
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		return e, set, l
+	}
 }
 
 // settings returns the settings of an entry that listens on the host address and has the given seeds.
@@ -130,16 +145,25 @@
 // startConfigured starts an entry, whose log it returns.
 func (r *rig) startConfigured(cfg stoatedge.Config) (*stoatedge.Edge, *logBuffer) {
 	r.t.Helper()
-	l := &logBuffer{}
-	cfg.Log = l
-	e, err := stoatedge.Start(context.Background(), cfg)
+	e, l, err := r.tryStart(cfg)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.t.Cleanup(e.Kill)
 	return e, l
 }
 
+// tryStart starts an entry, and returns its log.
+func (r *rig) tryStart(cfg stoatedge.Config) (*stoatedge.Edge, *logBuffer, error) {
+	r.t.Helper()
+	l := &logBuffer{}
+	cfg.Log = l
+	e, err := stoatedge.Start(context.Background(), cfg)
+	if err == nil {
+		r.t.Cleanup(e.Kill)
+	}
+	return e, l, err
+}
+
 func (r *rig) wait(what string, ok func() bool) {
 	r.t.Helper()
 	for end := time.Now().Add(waitTimeout); !ok(); time.Sleep(5 * time.Millisecond) {
@@ -286,9 +310,8 @@
 	r.store.SetFaults(stoatfake.Faults{Down: true})
 	b, setB, l := r.start("127.0.0.12", setA.AdminAddr)
 	r.wait("the second is ready", func() bool { return isReady(setB) })
-	if !l.has(`"event":"SP1417"`) {
-		t.Error("the parent's state is not logged")
-	}
+	// The log is written asynchronously, so the entry may be ready before the line is written.
+	r.wait("the parent's state is logged", func() bool { return l.has(`"event":"SP1417"`) })
 	r.send(setB, packet(flagSYN, 40001, 443, 0))
 	r.receiveAtUpstream()
 	r.store.SetFaults(stoatfake.Faults{})
