stoatecho: urgent openings up to 0.85 and 0.80 of their objective

Rejections that are recognised now keep the expected answers long, so that more urgent openings were refused as late than before.

--- a/stoatecho/admit.go
+++ b/stoatecho/admit.go
@@ -29,10 +29,12 @@
 	// of them are.
 	overloadAdmitShare   = 0.3
 	overloadRefusedShare = 0.25
-	// urgentShare and overloadUrgentShare are the same for a route that is more urgent than another one with
-	// recent traffic to the same group. They are higher, so that in an overload mostly openings of the less urgent route are refused.
-	urgentShare         = 0.75
-	overloadUrgentShare = 0.65
+	// urgentShare and overloadUrgentShare are the same for a route that is more urgent than another one with recent
+	// traffic to the same group. They are higher, so that in an overload mostly openings of the less urgent route are
+	// refused. Both are near the objective, since an answer within it is in time, and urgent openings are refused in
+	// favour of nobody.
+	urgentShare         = 0.85
+	overloadUrgentShare = 0.80
 	// admitFloorFactor is the factor on the answer time without a queue up to which flows are admitted whatever
 	// the objective. It keeps requests whose work alone takes most of the objective from being refused, and
 	// upstreams from idling. It covers kinds of requests that take three fifths longer than others.
