--- a/stoatload/rate.go
+++ b/stoatload/rate.go
@@ -13,11 +13,8 @@
 }
 
 // Add records an event; decay is the time in which its weight falls to 1/e.
-func (r *Rate) Add(now time.Time, decay time.Duration) { r.addAmount(now, decay, 1) }
-
-// addAmount records an event that counts as often as amount says.
-func (r *Rate) addAmount(now time.Time, decay time.Duration, amount float64) {
-	r.perSecond, r.at = r.PerSecond(now, decay)+amount/decay.Seconds(), now
+func (r *Rate) Add(now time.Time, decay time.Duration) {
+	r.perSecond, r.at = r.PerSecond(now, decay)+1/decay.Seconds(), now
 }
 
 // PerSecond returns the rate in events a second.
