--- a/stoatecho/bench_test.go
+++ b/stoatecho/bench_test.go
@@ -8,11 +8,14 @@
 
 	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatload"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
-func benchTable(n int) *stoatroute.Table {
+func benchTable(n int) *stoatroute.Table { return benchBuilder(n).Table() }
+
+func benchBuilder(n int) *stoatroute.Builder {
 	b := stoatroute.NewBuilder(stoatroute.Config{})
 	b.ApplyDeclaration(stoatpaddle.Declaration{Version: 1, Routes: []stoatpaddle.Route{{Listen: idempotentAddr, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}}}}}, 1)
 	names := map[stoatpaddle.UpstreamID]bool{}
@@ -22,7 +25,7 @@
 		b.Register(start, stoatpaddle.Registration{ID: id, Target: stoatpaddle.TargetID(i + 1), Service: "app", DataCentre: "here", Slots: 3, CreateRevision: stoatpaddle.Version(i + 2)}, stoatpaddle.Version(i+2))
 	}
 	b.ApplyList(start, names, false)
-	return b.Table()
+	return b
 }
 
 func benchTuple(i int) stoatpacket.Tuple {
@@ -64,6 +67,55 @@
 	}
 }
 
+// BenchmarkOpenWhileLimited handles an opening of the less urgent of two levels, which is limited, by the number of
+// upstreams of the service.
+func BenchmarkOpenWhileLimited(b *testing.B) {
+	for _, n := range []int{120, 8000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := benchLevelsTable(n)
+			e := stoatecho.New(stoatecho.Config{DataCentre: "here", Start: start, Seed: 1})
+			now := start.Add(time.Minute)
+			overloaded := []stoatload.GroupLoad{{
+				Group: stoatload.GroupID{Service: "app", DataCentre: "here"}, Entries: 10, Answered: 1000, Rejected: 3000, AnswerTime: 400 * ms, Unqueued: 40 * ms,
+				Levels: []stoatload.LevelLoad{{Priority: 1, Arrived: 500, Admitted: 500}, {Priority: 2, Arrived: 4000, Admitted: 3000}},
+			}}
+			open := func(i int, to netip.AddrPort) stoatecho.Action {
+				tuple := benchTuple(i * 7919)
+				tuple.Dst = to
+				return e.Handle(now, t, &stoatpacket.Packet{Tuple: tuple, Opens: true})
+			}
+			open(0, nonIdempotentAddr)
+			refused := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				if i%100 == 0 {
+					e.SetSharedLoads(now, stoatload.CentreLoad{DataCentre: "here", At: now, Groups: overloaded}, true, nil)
+				}
+				if open(i, idempotentAddr).Reason == stoatpacket.DropLevel {
+					refused++
+				}
+			}
+			if b.N > 1000 && refused < b.N/2 {
+				b.Errorf("%d of %d openings are refused by level", refused, b.N)
+			}
+		})
+	}
+}
+
+// benchLevelsTable returns a table of a service with two routes of different priorities.
+func benchLevelsTable(n int) *stoatroute.Table {
+	b := benchBuilder(n)
+	to := []stoatpaddle.Backend{{Service: "app", Weight: 1}}
+	version := stoatpaddle.Version(n + 2)
+	b.ApplyDeclaration(stoatpaddle.Declaration{Version: version, Routes: []stoatpaddle.Route{
+		{Listen: idempotentAddr, Backends: to, Idempotent: true, Priority: 2},
+		{Listen: nonIdempotentAddr, Backends: to, Priority: 1},
+	}}, version)
+	return b.Table()
+}
+
 // BenchmarkRetain has the engine retain a table in which one of 43,000 upstreams of 4,000 services has changed.
 // It took 16.7 ms when the health of every upstream was checked, and 0.08 ms when only the upstreams in changed
 // shards were.
