--- a/stoatadmission/failures_test.go
+++ b/stoatadmission/failures_test.go
@@ -1,6 +1,7 @@
 package stoatadmission_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -57,6 +58,53 @@
 	})
 }
 
+// mostDisagreement returns by how much one of so many entries may differ from the others in its admitted share. What it
+// admits in excess is rejected by upstreams, and at most 2 in 100 urgent requests may have all three tries rejected; a
+// quarter of the requests is rejected anyway.
+func mostDisagreement(entries int) float64 {
+	const failed, rejected = 0.02, 0.25
+	return float64(entries) * (math.Pow(failed, 1.0/simTries) - rejected)
+}
+
+// An entry that restarts in a burst would admit another share of the less urgent openings than the others, so that
+// callers are served by chance. From a second after the restart, it agrees with them.
+func TestRestartedEntryAgrees(t *testing.T) {
+	const restart = 2 * time.Second
+	cfg := fleet(stream{priority: 1, load: steady(0.6)}, stream{priority: 2, load: steady(1.4)})
+	bothSources(t, cfg, func(t *testing.T, cfg simConfig) {
+		var first, others []float64
+		cfg.during = func(s *sim, at time.Duration) {
+			if at == restart {
+				s.limiters[0] = s.newLimiter(0)
+			}
+			if at < restart+time.Second {
+				return
+			}
+			for i, l := range s.limiters {
+				share := l.State(s.time()).Levels[1].Share
+				if i == 0 {
+					first = append(first, share)
+				} else {
+					others = append(others, share)
+				}
+			}
+		}
+		runSim(cfg)
+		a, b, most := average(first), average(others), mostDisagreement(cfg.entries)
+		if math.Abs(a-b) > most {
+			t.Errorf("the restarted entry admits %.3f of the less urgent openings, the others %.3f: they differ by more than %.3f", a, b, most)
+		}
+	})
+}
+
+func average(list []float64) float64 {
+	sum := 0.0
+	for _, x := range list {
+		sum += x
+	}
+	return sum / float64(len(list))
+}
+
 // A configuration changes the priorities under load: the stream that was urgent becomes the less urgent one. The former
 // levels, which have no traffic any more, must not limit the new ones.
 func TestLevelsChange(t *testing.T) {
--- a/stoatadmission/patterns_test.go
+++ b/stoatadmission/patterns_test.go
@@ -203,3 +203,32 @@
 		t.Errorf("served: urgent %.3f, others %.3f", a, b)
 	}
 }
+
+// An opening from another data centre would take the room of the data centre's own callers: while any level is limited,
+// it is refused at each priority, and admitted otherwise.
+func TestOpeningsFromElsewhere(t *testing.T) {
+	l, now := stoatadmission.New(stoatadmission.Config{}), simStart
+	decide := func(priority int, away bool) stoatadmission.Decision {
+		return l.Decide(now, stoatadmission.Opening{Priority: priority, Route: simRoute(priority), Away: away})
+	}
+	for _, priority := range []int{1, 2} {
+		if d := decide(priority, true); !d.Admitted {
+			t.Errorf("without rejections: %+v", d)
+		}
+	}
+	for range 400 {
+		now = now.Add(2 * ms)
+		l.Rejected(now)
+		decide(2, false)
+		d, own := decide(1, true), decide(1, false)
+		if d.Admitted == d.Limiting || d.Limiting && d.Reason != stoatadmission.RefusedAway {
+			t.Fatalf("%+v", d)
+		}
+		if !own.Admitted {
+			t.Fatalf("own: %+v", own)
+		}
+	}
+	if s := l.State(now); !s.Limiting || s.Levels[0].Counts[stoatadmission.RefusedAway] == 0 {
+		t.Errorf("%+v", s)
+	}
+}
