--- a/stoatecho/one_level_test.go
+++ b/stoatecho/one_level_test.go
@@ -16,7 +16,7 @@
 
 // oneLevelDigest is the digest of the actions of oneLevelSession by the engine without priority levels, which refused
 // nothing for rejections where routes have one priority.
-const oneLevelDigest = "ba11c57bf213ee7f"
+const oneLevelDigest = "b500b25344ddd9fa"
 
 // Where all routes of a service have one priority, each decision must be what it was without priority levels, although
 // the upstreams reject half of the requests.
@@ -47,7 +47,7 @@
 	h := fnv.New64a()
 	var open []*caller
 	sentAt := map[*caller]time.Time{} // of pending requests
-	for step := range 40000 {
+	for step := range 120000 {
 		w.after(time.Duration(rnd.IntN(4000)) * time.Microsecond)
 		switch n := rnd.IntN(10); {
 		case n < 2:
