stoatecho: forbidden data centres start no spill, deciders end with their service, and tests of the spillover

Evacuated and excluded data centres counted as having room, so that a spill was reported in which nothing could be sent. A retransmitted opening could go to the silent upstream again. Openings that no upstream took were counted as spilled and used up room; Decider.Withdraw takes them back. Deciders of services without upstreams stayed for good.

--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -34,7 +34,7 @@
 	a.InProgress, a.ExpectedAnswer, a.AnswerBound = h.pendingRequests+h.pendingOpenings, expectedAnswer(now, h), admitBound(h, r)
 	a.Priority, a.Admission = r.Priority, e.decideByLevel(now, r, h.group, p, admitted)
 	h.group.noteAdmission(a.Admission.Admitted)
-	if other := e.spill(now, t, r, u, p, !a.Admission.Admitted); other != nil {
+	if other := e.spill(now, t, r, u, p, except, !a.Admission.Admitted); other != nil {
 		a.Upstream, a.Spilled, h = other, true, e.healthOf(other)
 	} else if !a.Admission.Admitted {
 		return e.refuse(a, refusals[a.Admission.Reason])
--- a/stoatecho/spill.go
+++ b/stoatecho/spill.go
@@ -88,6 +88,10 @@
 // spillEvidence collects what decides about a service.
 func (e *Engine) spillEvidence(now time.Time, t *stoatroute.Table, s stoatpaddle.ServiceID, g *group) stoatspill.Evidence {
 	capacity := func(dc stoatpaddle.DataCentreID) stoatspill.Capacity {
+		// Where no opening may go, room would start a spill that helps nobody.
+		if dc != e.cfg.DataCentre && e.isForbidden(t, dc) {
+			return stoatspill.Capacity{}
+		}
 		return stoatspill.Capacity{Slots: e.slotsOf(t, groupKey{service: s, centre: dc}), RoundTrip: e.handshake.mean}
 	}
 	x := stoatspill.Evidence{
@@ -99,13 +103,27 @@
 		x.Own = *shared
 	}
 	for k, other := range e.groups {
-		if k.service == s && other != g {
+		if k.service == s && other != g && !e.isForbidden(t, k.centre) {
 			x.Seen = append(x.Seen, e.loadOf(now, other))
 		}
 	}
 	return x
 }
 
+// isForbidden reports whether no opening may go to a data centre, whatever the route.
+func (e *Engine) isForbidden(t *stoatroute.Table, dc stoatpaddle.DataCentreID) bool {
+	return slices.Contains(e.spillover.cfg.Excluded, dc) || t.Evacuated(dc)
+}
+
+// dropDeciders drops the deciders of services without known upstreams here.
+func (e *Engine) dropDeciders() {
+	for s := range e.spillover.deciders {
+		if e.groups[groupKey{service: s, centre: e.cfg.DataCentre}] == nil {
+			delete(e.spillover.deciders, s)
+		}
+	}
+}
+
 // slotsOf returns the slots of a group's upstreams that accept flows.
 func (e *Engine) slotsOf(t *stoatroute.Table, k groupKey) int {
 	if e.spillover.table != t {
@@ -123,8 +141,8 @@
 }
 
 // spill returns the upstream in another data centre that an opening goes to, or nil if the decision at home stands.
-// home is the upstream chosen here.
-func (e *Engine) spill(now time.Time, t *stoatroute.Table, r *stoatroute.Route, home *stoatroute.Upstream, p *stoatpacket.Packet, refused bool) *stoatroute.Upstream {
+// home is the upstream chosen here; the upstream except did not answer the opening before.
+func (e *Engine) spill(now time.Time, t *stoatroute.Table, r *stoatroute.Route, home *stoatroute.Upstream, p *stoatpacket.Packet, except stoatpaddle.UpstreamKey, refused bool) *stoatroute.Upstream {
 	d := e.spillover.deciders[home.Service]
 	if d == nil || home.DataCentre != e.cfg.DataCentre {
 		return nil
@@ -135,13 +153,12 @@
 	if !spills {
 		return nil
 	}
-	u := e.chooseIn(now, t, r, home.Service, dc)
-	if u == nil {
-		return nil
-	}
+	c := placement{now: now, route: r, patience: e.handshake.patience(), except: except, retried: p.Retransmits > 0}
+	u := e.chooseIn(t, &c, home.Service, dc)
 	// Where the other data centre limits levels itself, as this entry sees it, its own callers need the room.
 	away := stoatadmission.Opening{Priority: r.Priority, Route: r.Listen, Caller: p.Tuple.Src.Addr(), Away: true}
-	if !e.groupOf(u).limiter.Decide(now, away).Admitted {
+	if u == nil || !e.groupOf(u).limiter.Decide(now, away).Admitted {
+		d.Withdraw(dc)
 		return nil
 	}
 	e.groupOf(home).spilled.Add(now, spilledDecay)
@@ -160,11 +177,10 @@
 }
 
 // chooseIn returns the best upstream of the service in another data centre that would answer in time, or nil.
-func (e *Engine) chooseIn(now time.Time, t *stoatroute.Table, r *stoatroute.Route, s stoatpaddle.ServiceID, dc stoatpaddle.DataCentreID) *stoatroute.Upstream {
+func (e *Engine) chooseIn(t *stoatroute.Table, c *placement, s stoatpaddle.ServiceID, dc stoatpaddle.DataCentreID) *stoatroute.Upstream {
 	var o bestPicks
 	var excluded Excluded
-	c := placement{now: now, route: r, patience: e.handshake.patience()}
-	e.sample(t.CandidatesIn(s, dc), maxCandidates, func(u *stoatroute.Upstream) { e.consider(t, &c, u, &o, &excluded) })
+	e.sample(t.CandidatesIn(s, dc), maxCandidates, func(u *stoatroute.Upstream) { e.consider(t, c, u, &o, &excluded) })
 	return o.other.up
 }
 
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -288,6 +288,7 @@
 			delete(e.limited, k)
 		}
 	}
+	e.dropDeciders()
 }
 
 // forgetRestarted forgets the flows that were remembered at upstreams which restarted.
--- a/stoatspill/decider_test.go
+++ b/stoatspill/decider_test.go
@@ -158,6 +158,22 @@
 	}
 }
 
+// An opening that no upstream takes must use up no room and count nowhere: else the counts for operators would show
+// openings that were never sent.
+func TestWithdraw(t *testing.T) {
+	d, now := overloaded(Config{}, Evidence{Own: refusing(1000, 400), Rooms: []Room{{DataCentre: "b", PerSecond: 20, At: epoch}}})
+	for range 1000 {
+		if to, spills := d.Decide(now, Opening{Refused: true}); !spills || to != "b" {
+			t.Fatal("a withdrawn opening used up the room")
+		}
+		d.Withdraw("b")
+		d.Withdraw("unknown")
+	}
+	if s := d.State(now); s.Targets[0].Spilled != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
 // Between two updates a room becomes stale too: an entry that hears nothing more must stop.
 func TestRoomAgesBetweenUpdates(t *testing.T) {
 	d, now := overloaded(Config{}, Evidence{Own: refusing(1000, 400), Rooms: []Room{{DataCentre: "b", PerSecond: 500, At: epoch}}})
--- a/stoatspill/doc.go
+++ b/stoatspill/doc.go
@@ -12,7 +12,8 @@
 //     the others itself. The result says whether to log an event, and State what to show to operators.
 //   - For each opening, after the admission decision at home, it calls Decide and says whether home refuses the
 //     opening. If Decide names a data centre, the opening goes to the best upstream there instead; otherwise the
-//     decision at home stands. A flow stays where its opening was placed.
+//     decision at home stands. A flow stays where its opening was placed. Where no upstream there takes the opening, it
+//     calls Withdraw.
 //   - In the load of the home group, an opening counts as arrived and, if admission at home lets it in, as admitted,
 //     even if it is then sent elsewhere. In the load of the group that receives it, it counts as well; from this
 //     Away tells that a data centre spills.
--- a/stoatspill/target.go
+++ b/stoatspill/target.go
@@ -168,6 +168,13 @@
 	return best[min(len(best)-1, int(o.X*float64(len(best))))].Group.DataCentre, true
 }
 
+// Withdraw takes back the latest decision for a data centre, where no upstream took the opening.
+func (d *Decider) Withdraw(dc stoatpaddle.DataCentreID) {
+	if b := d.budgets[dc]; b != nil && b.spilled > 0 {
+		b.tokens, b.spilled = b.tokens+1, b.spilled-1
+	}
+}
+
 // budget is this entry's part of a room: a token bucket.
 type budget struct {
 	tokens  float64
