--- a/stoatcommand/command_test.go
+++ b/stoatcommand/command_test.go
@@ -32,6 +32,8 @@
 		{"run -c testdata/bad-settings.ini", exitUsage, "[instance] centre"},
 		{"run -c testdata/bad-settings.ini", exitUsage, "[fabric] kind"},
 		{"run -c testdata/bad-settings.ini", exitUsage, "[platform] colour"},
+		{"check testdata/bad-settings.ini", exitFailure, `[spill] rule`},
+		{"check testdata/bad-settings.ini", exitFailure, `[spill] exclude`},
 		{"check ../deploy/testdata/rendered.ini", exitOK, "no faults"},
 		{"", exitUsage, "Usage"},
 		{"contract", exitUsage, "Usage"},
--- a/stoatedge/reload.go
+++ b/stoatedge/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 
 	"github.com/stoatpaddle/stoatpaddle/stoatevent"
@@ -57,6 +58,8 @@
 	apply("platform.evacuate", follows && old.MaxEvacuateDelay != next.MaxEvacuateDelay, func() { out.MaxEvacuateDelay = next.MaxEvacuateDelay })
 	keep("platform.evacuate", !follows && old.MaxEvacuateDelay != next.MaxEvacuateDelay)
 	apply("regions", !maps.Equal(old.Regions, next.Regions), func() { out.Regions = next.Regions })
+	apply("spill.rule", old.SpillRule != next.SpillRule, func() { out.SpillRule = next.SpillRule })
+	apply("spill.exclude", !slices.Equal(old.SpillExcluded, next.SpillExcluded), func() { out.SpillExcluded = next.SpillExcluded })
 	apply("platform.return", old.GracePeriod != next.GracePeriod, func() { out.GracePeriod = next.GracePeriod })
 	apply("flow.life", old.FlowLifetime != next.FlowLifetime, func() { out.FlowLifetime = next.FlowLifetime })
 	apply("stop.deadline", old.StopDeadline != next.StopDeadline, func() { out.StopDeadline = next.StopDeadline })
