--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -31,11 +31,12 @@
 		return e.refuse(a, stoatpacket.DropNoUpstream)
 	}
 	h := e.healthOf(u)
-	a.InProgress, a.ExpectedAnswer, a.AnswerBound = h.pendingRequests+h.pendingOpenings, expectedAnswer(now, h), admitBound(h, r)
+	a.noteLoad(now, r, h)
 	a.Priority, a.Admission = r.Priority, e.decideByLevel(now, r, h.group, p, admitted)
 	h.group.noteAdmission(a.Admission.Admitted)
 	if other := e.spill(now, t, r, u, p, except, !a.Admission.Admitted); other != nil {
 		a.Upstream, a.Spilled, h = other, true, e.healthOf(other)
+		a.noteLoad(now, r, h)
 	} else if !a.Admission.Admitted {
 		return e.refuse(a, refusals[a.Admission.Reason])
 	}
@@ -59,6 +60,11 @@
 	return a
 }
 
+// noteLoad records what is known of the upstream of an opening.
+func (a *Action) noteLoad(now time.Time, r *stoatroute.Route, h *health) {
+	a.InProgress, a.ExpectedAnswer, a.AnswerBound = h.pendingRequests+h.pendingOpenings, expectedAnswer(now, h), admitBound(h, r)
+}
+
 // refuse turns the action for an opening into a refusal. The other fields of a, such as Ejected, are kept.
 func (e *Engine) refuse(a Action, reason stoatpacket.DropReason) Action {
 	e.stats.Refused++
--- a/stoatecho/spill_test.go
+++ b/stoatecho/spill_test.go
@@ -110,6 +110,29 @@
 	t.Error("no opening was spilled")
 }
 
+// The log line of a spilled opening must show the load of the upstream that it went to, not that of the one at home.
+func TestSpilledOpeningShowsLoadThere(t *testing.T) {
+	w := newSpillWorld(t, stoatecho.SpillConfig{})
+	w.playSpill(40, overloadedHere, roomThere)
+	for range 40 {
+		w.after(500 * ms) // openings that nobody answered no longer count
+		w.e.SetSharedLoads(w.now, overloadedHere(w.now), true, roomThere(w.now))
+		w.e.UpdateSpill(w.now, w.builder.Table())
+		for range 3 {
+			f := w.caller(idempotentAddr)
+			f.cookie = stoatroute.KeyOf(7)
+			f.sendRequest()
+		}
+		if a := w.caller(idempotentAddr).syn(0); a.Spilled {
+			if a.InProgress != 0 {
+				t.Errorf("%d in progress", a.InProgress)
+			}
+			return
+		}
+	}
+	t.Error("no opening was spilled")
+}
+
 // Where no data centre may take openings, the decision at home must stand: otherwise spilled openings would overload
 // others, or go where operators forbid it.
 func TestNothingSpillsWithoutTarget(t *testing.T) {
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -97,7 +97,7 @@
 	EventFlowPlaced = stoatevent.Register(stoatevent.Definition{
 		Number: 1413, Severity: stoatevent.Info, Since: "0.2",
 		Title: "flow placed",
-		Text:  "The opening packet was sent to the upstream. Copies is the number of opening packets before it; moved says that the previous one was sent to another upstream and got no answer. Busy is the number of requests that this entry had in progress at the upstream, and mean the mean answer time that it observed; both decided the choice.",
+		Text:  "The opening packet was sent to the upstream. Copies is the number of opening packets before it; moved says that the previous one was sent to another upstream and got no answer; spilled, that it went to another data centre since this one is overloaded (SP1442). Busy is the number of requests that this entry had in progress at the upstream, and mean the mean answer time that it observed; both decided the choice.",
 	})
 	EventSettingsReloaded = stoatevent.Register(stoatevent.Definition{
 		Number: 1414, Severity: stoatevent.Info, Since: "0.2",
