stoatecho: cold upstreams of other data centres are no room

They get no openings from here, so that a spill to them was reported and sent nothing, and openings that another data centre could take stood at home.

--- a/stoatecho/spill.go
+++ b/stoatecho/spill.go
@@ -26,10 +26,16 @@
 	deciders map[stoatpaddle.ServiceID]*stoatspill.Decider // of services that were overloaded
 	own      stoatload.CentreLoad                          // of the data centre; empty: no fresh sum is known
 	others   []stoatload.CentreLoad
-	slots    map[groupKey]int  // of the upstreams that accept flows, as of table
+	slots    map[groupKey]slotCount
 	table    *stoatroute.Table // that slots belong to
 }
 
+// slotCount counts the slots of a group's upstreams that may get openings.
+type slotCount struct {
+	n     int
+	until time.Time // when the next cold upstream counts; zero: there is none
+}
+
 // SpillChange reports that openings of a service began or ceased to go to other data centres.
 type SpillChange struct {
 	Service stoatpaddle.ServiceID
@@ -92,7 +98,7 @@
 		if dc != e.cfg.DataCentre && e.isForbidden(t, dc) {
 			return stoatspill.Capacity{}
 		}
-		return stoatspill.Capacity{Slots: e.slotsOf(t, groupKey{service: s, centre: dc}), RoundTrip: e.handshake.mean}
+		return stoatspill.Capacity{Slots: e.slotsOf(now, t, groupKey{service: s, centre: dc}), RoundTrip: e.handshake.mean}
 	}
 	x := stoatspill.Evidence{
 		Entry: e.loadOf(now, g), Entries: e.filter.EntryRank.Entries, Home: capacity(e.cfg.DataCentre),
@@ -124,20 +130,31 @@
 	}
 }
 
-// slotsOf returns the slots of a group's upstreams that accept flows.
-func (e *Engine) slotsOf(t *stoatroute.Table, k groupKey) int {
+// slotsOf returns the slots of a group's upstreams that may get openings.
+func (e *Engine) slotsOf(now time.Time, t *stoatroute.Table, k groupKey) int {
 	if e.spillover.table != t {
-		e.spillover.slots, e.spillover.table = map[groupKey]int{}, t
+		e.spillover.slots, e.spillover.table = map[groupKey]slotCount{}, t
 	}
-	n, known := e.spillover.slots[k]
-	if known {
-		return n
+	c, known := e.spillover.slots[k]
+	if !known || !c.until.IsZero() && !now.Before(c.until) {
+		c = e.countSlots(now, t, k)
+		e.spillover.slots[k] = c
 	}
+	return c.n
+}
+
+// countSlots counts the slots of a group's upstreams that may get openings: those of other data centres do not while
+// they are cold.
+func (e *Engine) countSlots(now time.Time, t *stoatroute.Table, k groupKey) slotCount {
+	var c slotCount
 	for _, u := range t.CandidatesIn(k.service, k.centre) {
-		n += u.Slots
+		if k.centre == e.cfg.DataCentre || u.ColdRate == 0 || !now.Before(u.WarmAt) {
+			c.n += u.Slots
+		} else if c.until.IsZero() || u.WarmAt.Before(c.until) {
+			c.until = u.WarmAt
+		}
 	}
-	e.spillover.slots[k] = n
-	return n
+	return c
 }
 
 // spill returns the upstream in another data centre that an opening goes to, or nil if the decision at home stands.
