--- a/stoatcommand/soak.go
+++ b/stoatcommand/soak.go
@@ -17,6 +17,7 @@
 	Entries  int           `default:"6" help:"number of entry processes"`
 	Plan     string        `placeholder:"FILE" help:"file with the steps to run, as a run prints them, instead of those that the seed determines"`
 	Restores bool          `help:"restore the store from a backup now and then, and inject no other faults"`
+	Crowds   bool          `help:"overload one data centre now and then while entries are replaced, cut it off or kill its root"`
 	Dir      string        `placeholder:"DIR" help:"directory for settings and logs; by default a new one in the system's temporary directory"`
 	JSON     bool          `arg:"--json" help:"print JSON, one line per run"`
 }
@@ -88,7 +89,7 @@
 			return err
 		}
 		result, err := stoatsoak.Run(c.ctx, stoatsoak.Config{
-			Program: program, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Plan: plan, Restores: a.Restores, Progress: progress,
+			Program: program, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Plan: plan, Restores: a.Restores, Crowds: a.Crowds, Progress: progress,
 			Limits: stoatsoak.TimeLimits{ApplyDelay: soakApplyDelay, StableDelay: soakStableDelay, Slack: soakSlack, RecoveryTime: soakRecovery},
 		})
 		if err != nil {
--- a/stoatsoak/checker.go
+++ b/stoatsoak/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,13 +22,15 @@
 	ConfigApplied      Guarantee = "config"   // A configuration is in force after the time limit.
 	AdmitsFlows        Guarantee = "admit"    // A route in force refuses no flow while upstreams have room.
 	ConfigNeverReverts Guarantee = "back"     // An entry process never returns to an older configuration.
+	NotRun             Guarantee = "notrun"   // A request that was refused or rejected as not run does not run.
+	PromptRefusal      Guarantee = "refusal"  // An opening is answered, and a request refused, well before the deadline.
 	Recovers           Guarantee = "recover"  // Requests are served again some time after a disturbance.
 	EntryRuns          Guarantee = "runs"     // An entry process does not exit unless the harness ends it.
 )
 
 // timed reports whether the guarantee depends on timing, so that a machine that is slow enough violates it.
 func (g Guarantee) timed() bool {
-	return g == FlowSurvives || g == NoFlowToEvacuated || g == ColdLimit || g == NoFlowToLeaving || g == ConfigApplied || g == AdmitsFlows || g == Recovers
+	return g == FlowSurvives || g == NoFlowToEvacuated || g == ColdLimit || g == NoFlowToLeaving || g == ConfigApplied || g == AdmitsFlows || g == PromptRefusal || g == Recovers
 }
 
 // Breach is a violation of a guarantee.
@@ -48,6 +51,8 @@
 	// overload marks a disturbance in which upstreams merely answer slowly, so that callers may wait longer or be
 	// refused. An overload suspends AdmitsFlows and Recovers, and no other guarantee.
 	overload bool
+	// cut marks a cut between data centres. It does not excuse what happens to a flow within one of them.
+	cut bool
 }
 
 // checker collects what callers and upstreams observe, and records breaches. All times count from the start of
@@ -57,7 +62,9 @@
 	limits       TimeLimits
 	disturbances []*disturbance
 	lastTick     time.Duration              // the last call of tick; 0 means that stalls are not watched
-	runCounts    map[string]int             // by ID of a request that is not repeatable
+	runCounts    map[string]int             // by ID of a request that is not repeatable, without the attempt
+	ranAttempts  map[string]bool            // by ID of a request with the attempt
+	refused      map[string]bool            // by ID of a request with the attempt
 	maxVersions  map[string]int             // highest version reported to be in force, by entry process
 	coldOpens    map[string][]time.Duration // times of the recent new flows, by cold upstream
 	noRoomAt     time.Duration              // when a probe last found that no upstream had room; 0 means never
@@ -79,12 +86,13 @@
 // Counts are the totals of a run.
 type Counts struct {
 	Requests, ServedInTime, ServedLate, Failed int // numbers of requests
+	Refused, Rejected                          int // openings refused by entries, requests rejected by upstreams
 	FlowsOpened, FlowsReset                    int
 	Stalls                                     int // periods in which the soak's own process did not run
 }
 
 func newChecker(limits TimeLimits) *checker {
-	return &checker{limits: limits, runCounts: map[string]int{}, maxVersions: map[string]int{}, coldOpens: map[string][]time.Duration{}}
+	return &checker{limits: limits, runCounts: map[string]int{}, ranAttempts: map[string]bool{}, refused: map[string]bool{}, maxVersions: map[string]int{}, coldOpens: map[string][]time.Duration{}}
 }
 
 func (c *checker) breach(now time.Duration, g Guarantee, format string, args ...any) {
@@ -107,6 +115,11 @@
 	return c.addDisturbance(&disturbance{from: now, overload: true})
 }
 
+// beginCut records the start of a cut between data centres, and returns the function that records the end.
+func (c *checker) beginCut(now time.Duration) func(now time.Duration) {
+	return c.addDisturbance(&disturbance{from: now, cut: true})
+}
+
 func (c *checker) addDisturbance(d *disturbance) func(now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,11 +134,16 @@
 // undisturbed reports whether no disturbance suspended the guarantees at any time from since until now. A
 // disturbance suspends them until StableDelay after its end. Overloads don't count.
 func (c *checker) undisturbed(since, now time.Duration) bool {
+	return c.undisturbedBut(since, now, func(*disturbance) bool { return false })
+}
+
+// undisturbedBut is like undisturbed, and does not count the disturbances that are exempt.
+func (c *checker) undisturbedBut(since, now time.Duration, exempt func(*disturbance) bool) bool {
 	if c.stalled(now) {
 		return false
 	}
 	for _, d := range c.disturbances {
-		if !d.overload && d.from <= now && (d.to == 0 || d.to+c.limits.StableDelay >= since) {
+		if !d.overload && !exempt(d) && d.from <= now && (d.to == 0 || d.to+c.limits.StableDelay >= since) {
 			return false
 		}
 	}
@@ -140,14 +158,47 @@
 	if service != routeService {
 		c.breach(now, CorrectService, "request %s for %s was run by %s", id, routeService, service)
 	}
+	c.ranAttempts[id] = true
+	if c.refused[id] {
+		c.breach(now, NotRun, "request %s was refused and ran afterwards", id)
+	}
 	if repeatable {
 		return
 	}
-	if c.runCounts[id]++; c.runCounts[id] == 2 {
+	request, _, _ := strings.Cut(id, ".")
+	if c.runCounts[request]++; c.runCounts[request] == 2 {
 		c.breach(now, AtMostOnce, "request %s ran twice", id)
 	}
 }
 
+// requestRefused checks a request, sent at the given time, that an entry refused by a reset of its opening, or that
+// an upstream rejected as not run.
+func (c *checker) requestRefused(now, sent time.Duration, id string, byUpstream bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if byUpstream {
+		c.counts.Rejected++
+	} else {
+		c.counts.Refused++
+	}
+	c.refused[id] = true
+	if c.ranAttempts[id] {
+		c.breach(now, NotRun, "request %s ran and was refused afterwards", id)
+	}
+	if delay := now - sent; delay > firstRetransmitDelay+c.limits.Slack && c.undisturbed(sent, now) {
+		c.breach(now, PromptRefusal, "request %s was refused only after %s", id, delay)
+	}
+}
+
+// openingSilent checks an opening that got no answer.
+func (c *checker) openingSilent(now, sent time.Duration, route string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.undisturbed(sent, now) {
+		c.breach(now, PromptRefusal, "an opening to %s got no answer within %s", route, now-sent)
+	}
+}
+
 // gotAnswer checks that the answer to request id carries that ID; got is the ID that it carries.
 func (c *checker) gotAnswer(now time.Duration, id, got string) {
 	c.mu.Lock()
@@ -157,12 +208,13 @@
 	}
 }
 
-// flowReset counts an open flow that an entry reset although its upstream is alive.
-func (c *checker) flowReset(now time.Duration, flow, upstream string) {
+// flowReset counts an open flow that an entry reset although its upstream is alive. The flow is local if its caller
+// and its upstream are in the same data centre.
+func (c *checker) flowReset(now time.Duration, flow, upstream string, local bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.FlowsReset++
-	if c.undisturbed(now, now) {
+	if c.undisturbedBut(now, now, func(d *disturbance) bool { return local && d.cut }) {
 		c.breach(now, FlowSurvives, "flow %s was reset while %s is alive", flow, upstream)
 	}
 }
--- a/stoatsoak/plan.go
+++ b/stoatsoak/plan.go
@@ -12,7 +12,7 @@
 type StepKind string
 
 // The kinds of steps. The first group is planned work, during which all guarantees hold, except that
-// SlowUpstreams suspends AdmitsFlows and Recovers. The other groups are faults, which suspend several guarantees.
+// SlowUpstreams and CrowdCentre suspend AdmitsFlows and Recovers. The other groups are faults, which suspend several guarantees.
 const (
 	TerminateEntry StepKind = "terminate" // An entry gets SIGTERM and is started again.
 	RollingRestart StepKind = "rolling"   // All entries get SIGTERM, one after the other, and are started again.
@@ -24,6 +24,7 @@
 	ForeignWrite   StepKind = "foreign"   // Another writer overwrites an upstream's registration and adds one, both invalid.
 	EvacuateCentre StepKind = "evacuate"  // A data centre is evacuated, and the evacuation is withdrawn later.
 	SlowUpstreams  StepKind = "queue"     // All upstreams answer slowly, as with a full queue.
+	CrowdCentre    StepKind = "crowd"     // Additional callers send to one data centre more than its upstreams can serve.
 
 	KillEntry          StepKind = "kill"    // An entry gets SIGKILL.
 	KillAllEntries     StepKind = "killall" // All entries get SIGKILL at once.
@@ -39,19 +40,22 @@
 	SilenceConnections StepKind = "silence" // One entry's open connections to the store and seeds carry no data; new ones do.
 	OneWayLoss         StepKind = "oneway"  // One entry receives no data from the store and seeds.
 	PacketLoss         StepKind = "lossy"   // Datagrams are lost or duplicated, and the duplicates come late.
+	CutCentres         StepKind = "cut"     // Data centres receive neither messages nor packets from each other.
+	KillRoot           StepKind = "root"    // A data centre's entry that reads the store, a root of the relay tree, gets SIGKILL.
 
 	StoreRestore StepKind = "restore" // The store is down, then restored from a snapshot some seconds old.
 )
 
 var (
 	plannedKinds     = []StepKind{TerminateEntry, RollingRestart, DrainUpstream, RollingRelease, ChangeRoute, ConfigStorm, ChangeSettings, ForeignWrite}
-	overlappingKinds = []StepKind{EvacuateCentre, SlowUpstreams} // planned work that runs concurrently with the other steps
+	overlappingKinds = []StepKind{EvacuateCentre, SlowUpstreams}     // planned work that runs concurrently with the other steps
+	crowdKinds       = []StepKind{CrowdCentre, CutCentres, KillRoot} // used by crowd plans only, so that the other plans of a seed stay the same
 	faultKinds       = []StepKind{KillEntry, KillAllEntries, FreezeEntry, CrashUpstream, RestartUpstream, StoreDown, StoreSlow, StoreLag, StoreSilentWatch, StoreCompact, RefuseConnections, SilenceConnections, OneWayLoss, PacketLoss}
 )
 
 // Planned reports whether the kind is planned work and not a fault.
 func (k StepKind) Planned() bool {
-	return slices.Contains(plannedKinds, k) || slices.Contains(overlappingKinds, k)
+	return slices.Contains(plannedKinds, k) || slices.Contains(overlappingKinds, k) || k == CrowdCentre
 }
 
 // Step is a step of a plan.
@@ -132,3 +136,37 @@
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
+
+const (
+	// crowdStart leaves time for the startup to cease to count as a disturbance soon after the first crowd begins.
+	crowdStart = warmUp + time.Second
+	// crowdGap is the time from one crowd to the next. It exceeds the longest crowd and the recovery time
+	// together, so that requests of the time between must be served.
+	crowdGap         = 24 * time.Second
+	minCrowdDuration = 6 * time.Second
+	crowdCoolDown    = 20 * time.Second // from the start of the last crowd until the end of the run
+	// crowdFaultDelay is the time from the start of a crowd to its fault, which suspends guarantees.
+	crowdFaultDelay = 4 * time.Second
+)
+
+// NewCrowdPlan returns the steps of a run in which a data centre gets more load than its upstreams can serve, while
+// those of the other one have room. Meanwhile, entries are stopped and replaced. Later in the crowd, the data
+// centres are cut off from each other if the seed is even. If it is odd, a root of the relay tree is killed.
+func NewCrowdPlan(seed uint64, length time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 19))
+	within := func(d time.Duration) time.Duration {
+		return time.Duration(rnd.Int64N(int64(d))).Truncate(time.Millisecond)
+	}
+	fault := []StepKind{CutCentres, KillRoot}[seed%2]
+	var steps []Step
+	for at := crowdStart; at+crowdCoolDown <= length; at += crowdGap {
+		centre := rnd.IntN(dataCentres)
+		steps = append(steps, Step{At: at, Kind: CrowdCentre, Target: centre, For: minCrowdDuration + within(2*time.Second)})
+		for _, kind := range []StepKind{TerminateEntry, TerminateEntry, DrainUpstream, ChangeRoute} {
+			steps = append(steps, Step{At: at + within(crowdFaultDelay), Kind: kind, Target: rnd.IntN(1000), For: time.Second})
+		}
+		steps = append(steps, Step{At: at + crowdFaultDelay, Kind: fault, Target: centre, For: time.Second + within(maxStepDuration/2)})
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
--- a/stoatsoak/planfile.go
+++ b/stoatsoak/planfile.go
@@ -57,6 +57,6 @@
 	}
 	d, err := time.ParseDuration(duration)
 	s.At, s.Kind, s.For = time.Duration(at*float64(time.Second)), StepKind(kind), d
-	known := s.Kind.Planned() || slices.Contains(faultKinds, s.Kind) || s.Kind == StoreRestore
+	known := s.Kind.Planned() || slices.Contains(faultKinds, s.Kind) || slices.Contains(crowdKinds, s.Kind) || s.Kind == StoreRestore
 	return s, err == nil && known && at >= 0 && d >= 0
 }
--- a/stoatsoak/report.go
+++ b/stoatsoak/report.go
@@ -28,8 +28,8 @@
 		return json.NewEncoder(w).Encode(toJSON(r))
 	}
 	c := r.Counts
-	_, err := fmt.Fprintf(w, "seed %d: %d steps, %d requests: %d in time, %d late, %d failed; %d flows opened, %d reset; %d stalls of the run itself; %d breaches\n",
-		r.Seed, len(r.Steps), c.Requests, c.ServedInTime, c.ServedLate, c.Failed, c.FlowsOpened, c.FlowsReset, c.Stalls, len(r.Breaches))
+	_, err := fmt.Fprintf(w, "seed %d: %d steps, %d requests: %d in time, %d late, %d failed; %d refused, %d rejected; %d flows opened, %d reset; %d stalls of the run itself; %d breaches\n",
+		r.Seed, len(r.Steps), c.Requests, c.ServedInTime, c.ServedLate, c.Failed, c.Refused, c.Rejected, c.FlowsOpened, c.FlowsReset, c.Stalls, len(r.Breaches))
 	for _, b := range r.Breaches {
 		_, _ = fmt.Fprintln(w, "BREACH", b)
 		for _, s := range stepsBefore(r.Steps, b) {
--- a/stoatsoak/run_caller.go
+++ b/stoatsoak/run_caller.go
@@ -1,6 +1,7 @@
 package stoatsoak
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -37,6 +38,7 @@
 	errRefused attemptError = "refused"
 	errTimeout attemptError = "silent"
 	errReset   attemptError = "cut"
+	errNotRun  attemptError = "not run"
 )
 
 // caller is a fake caller with one address. Its flows differ in their ports, which exist only in the packets,
@@ -44,6 +46,7 @@
 type caller struct {
 	h        *harness
 	addr     netip.Addr
+	centre   string // empty if its packets go to entries of all data centres
 	conn     *net.UDPConn
 	mu       sync.Mutex
 	flows    map[uint16]*flow
@@ -201,10 +204,13 @@
 			f.checkReset(&s)
 			return false, errReset
 		case len(s.Data) > 0 && s.Ack == endSeq:
-			got, _, _ := strings.Cut(string(s.Data), " ")
+			got, rest, _ := strings.Cut(string(s.Data), " ")
 			f.c.h.check.gotAnswer(f.c.h.now(), id, got)
 			f.seq, f.ack, f.cookie = endSeq, s.Seq+uint32(len(s.Data)), s.Cookie
 			f.send(platform.Segment{Acks: true, Seq: f.seq, Ack: f.ack, Ends: s.Ends})
+			if rest == notRunAnswer {
+				return s.Ends, errNotRun
+			}
 			return s.Ends, nil
 		}
 	}
@@ -217,7 +223,7 @@
 		return
 	}
 	if u := f.c.h.upstreamOf(f); u != nil {
-		f.c.h.check.flowReset(f.c.h.now(), f.tuple[0].String()+">"+f.tuple[1].String(), u.id)
+		f.c.h.check.flowReset(f.c.h.now(), f.tuple[0].String()+">"+f.tuple[1].String(), u.id, u.centre == f.c.centre)
 	}
 }
 
@@ -243,19 +249,22 @@
 	start := c.h.now()
 	id := "r" + strconv.FormatUint(c.h.lastRequestID.Add(1), 10)
 	for attempt := range maxAttempts {
-		f := open
+		f, attemptID := open, id+"."+strconv.Itoa(attempt)
 		open = nil
 		if f == nil {
 			f = c.newFlow(typ.listen, nil)
+			sent := c.h.now()
 			if err := f.open(); err != nil {
 				f.remove()
+				c.reportUnopened(err, typ, attemptID, sent)
 				if c.h.now()-start >= requestDeadline || c.h.ctx.Err() != nil {
 					break
 				}
 				continue // No flow was opened, so a request of any type may be retried.
 			}
 		}
-		ended, err := f.request(typ, id+"."+strconv.Itoa(attempt), start+requestDeadline)
+		sent := c.h.now()
+		ended, err := f.request(typ, attemptID, start+requestDeadline)
 		if err == nil {
 			c.recordResult(typ, start, true)
 			if ended || !typ.reusesFlow {
@@ -267,8 +276,12 @@
 			}
 			return f
 		}
+		if errors.Is(err, errNotRun) {
+			c.h.check.requestRefused(c.h.now(), sent, attemptID, true)
+			f.close()
+		}
 		f.remove()
-		if !typ.repeatable || c.h.now()-start >= requestDeadline {
+		if !typ.repeatable && !errors.Is(err, errNotRun) || c.h.now()-start >= requestDeadline {
 			break
 		}
 	}
@@ -276,6 +289,17 @@
 	return nil
 }
 
+// reportUnopened reports to the checker that a flow did not open.
+func (c *caller) reportUnopened(err error, typ *requestType, id string, sent time.Duration) {
+	switch {
+	case c.h.ctx.Err() != nil:
+	case errors.Is(err, errRefused):
+		c.h.check.requestRefused(c.h.now(), sent, id, false)
+	default:
+		c.h.check.openingSilent(c.h.now(), sent, typ.name)
+	}
+}
+
 func (c *caller) recordResult(typ *requestType, start time.Duration, served bool) {
 	if c.h.ctx.Err() == nil {
 		c.h.check.requestDone(c.h.now(), start, typ.name, served, c.h.now()-start > targetLatency)
--- a/stoatsoak/run_fabric.go
+++ b/stoatsoak/run_fabric.go
@@ -9,7 +9,8 @@
 )
 
 // forward sends a caller's packet to an entry, as the fabric does. It selects the entry by a hash of the flow
-// modulo the number of entries in rotation, so that nearly all flows move when an entry joins or leaves.
+// modulo the number of entries in rotation, so that nearly all flows move when an entry joins or leaves. If the
+// caller is in a data centre, the entries of that one are used as long as there are any.
 func (h *harness) forward(f *flow, packet []byte) {
 	e := f.entry
 	if e == nil {
@@ -32,11 +33,18 @@
 }
 
 func (h *harness) chooseEntry(f *flow) *entry {
-	var candidates []*entry
+	var candidates, local []*entry
 	for _, e := range h.entries {
-		if e.inRotation() {
-			candidates = append(candidates, e)
+		if !e.inRotation() {
+			continue
 		}
+		candidates = append(candidates, e)
+		if e.centre() == f.c.centre {
+			local = append(local, e)
+		}
+	}
+	if len(local) > 0 {
+		candidates = local
 	}
 	if len(candidates) == 0 {
 		return nil
--- a/stoatsoak/run_faults.go
+++ b/stoatsoak/run_faults.go
@@ -21,7 +21,11 @@
 		h.startPlanned(s, e)
 		return
 	}
-	recordEnd := h.check.beginDisturbance(h.now())
+	begin := h.check.beginDisturbance
+	if s.Kind == CutCentres {
+		begin = h.check.beginCut
+	}
+	recordEnd := begin(h.now())
 	h.startFault(s, e)
 	h.after(s.For, func() {
 		h.endFault(s, e)
@@ -56,6 +60,8 @@
 		h.evacuateCentre(s)
 	case SlowUpstreams:
 		h.slowUpstreams(s)
+	case CrowdCentre:
+		h.crowdCentre(s)
 	case ChangeSettings:
 		e.mu.Lock()
 		e.levelChanges++
@@ -174,6 +180,10 @@
 		for _, e := range h.entries {
 			e.signal(syscall.SIGKILL, true)
 		}
+	case KillRoot:
+		h.killRoot(centreOf(s.Target))
+	case CutCentres:
+		h.setCut(true)
 	case FreezeEntry:
 		e.signal(syscall.SIGSTOP, false)
 	case CrashUpstream:
@@ -217,6 +227,8 @@
 // endFault ends a fault. Some faults, like a killed process, need no end.
 func (h *harness) endFault(s Step, e *entry) {
 	switch s.Kind {
+	case CutCentres:
+		h.setCut(false)
 	case FreezeEntry:
 		e.signal(syscall.SIGCONT, false)
 	case StoreRestore:
--- a/stoatsoak/run_proxy.go
+++ b/stoatsoak/run_proxy.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	refuses bool // new connections are closed
 	oneWay  bool // data towards the entry is dropped
+	cut     bool // all data is dropped
 	conns   map[net.Conn]*proxyConn
 }
 
@@ -72,7 +73,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !c.isSilent() && (fromEntry || !p.isOneWay()) {
+		if n > 0 && !c.isSilent() && !p.drops(fromEntry) {
 			_, _ = to.Write(buf[:n])
 		}
 		if err != nil {
@@ -88,10 +89,25 @@
 	return nil
 }
 
-func (p *proxy) isOneWay() bool {
+func (p *proxy) drops(fromEntry bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.oneWay
+	return p.cut || p.oneWay && !fromEntry
+}
+
+// isUsed reports whether the entry has a connection open.
+func (p *proxy) isUsed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) > 0
+}
+
+// setCut starts or stops dropping all data. Connections that lost data carry none afterwards either.
+func (p *proxy) setCut(cut bool) {
+	p.mu.Lock()
+	p.cut = cut
+	p.mu.Unlock()
+	p.silence()
 }
 
 // setOneWay starts or stops dropping the data towards the entry.
--- a/stoatsoak/run_upstream.go
+++ b/stoatsoak/run_upstream.go
@@ -29,6 +29,8 @@
 	flows     map[netip.AddrPort]*upstreamFlow // by the caller's address
 	leftAt    time.Duration                    // when it was marked as leaving; 0 means that it is not leaving
 	coldUntil time.Duration                    // end of its cold phase; 0 means that it is not cold
+	busySlots int
+	waiting   []*job
 	dead      atomic.Bool
 }
 
@@ -153,10 +155,13 @@
 	buf := make([]byte, 2048)
 	var s platform.Segment
 	for {
-		n, err := u.conn.Read(buf)
+		n, from, err := u.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return nil
 		}
+		if u.h.isCutOff(from.Addr(), u.centre) {
+			continue
+		}
 		if n < platform.TargetSize || !platform.DecodeSegment(buf[platform.TargetSize:n], &s) {
 			continue
 		}
@@ -227,24 +232,17 @@
 		return
 	}
 	f.running = true
-	request := *s
-	u.h.check.requestRan(u.h.now(), fields[0], u.service, fields[2], fields[3] == "true")
-	duration := workTime
-	if u.h.slowdowns.Load() > 0 {
-		duration = slowWorkTime
-	}
-	u.h.after(duration, func() { u.finishRequest(f, &request, fields[0], firstSeq, endSeq) })
+	u.enqueue(&job{flow: f, last: *s, id: fields[0], routeService: fields[2], repeatable: fields[3] == "true", firstSeq: firstSeq, endSeq: endSeq})
 }
 
-// finishRequest answers a request after its work time.
-func (u *upstream) finishRequest(f *upstreamFlow, s *platform.Segment, id string, firstSeq, endSeq uint32) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+// finishRequest answers a request.
+func (u *upstream) finishRequest(j *job, size uint32, text string) {
+	f := j.flow
 	f.running, f.parts = false, map[uint32]string{}
-	f.seq += 1000
+	f.seq += size
 	f.closing = u.leftAt > 0
-	f.lastAnswer, f.lastFirstSeq = &platform.Segment{Acks: true, Seq: f.seq, Ack: endSeq, Ends: f.closing, Data: []byte(id + " " + u.id)}, firstSeq
-	u.answer(s, f.lastAnswer)
+	f.lastAnswer, f.lastFirstSeq = &platform.Segment{Acks: true, Seq: f.seq, Ack: j.endSeq, Ends: f.closing, Data: []byte(j.id + " " + text)}, j.firstSeq
+	u.answer(&j.last, f.lastAnswer)
 }
 
 // answer sends a reply to the caller that sent s.
