--- a/stoatsoak/checker_test.go
+++ b/stoatsoak/checker_test.go
@@ -234,6 +234,40 @@
 	}
 }
 
+// A seed always gives the same crowds. Each of them has a cut or the loss of a root in it, depending on the seed, and
+// leaves time to recover before the next one and the end of the run.
+func TestCrowdPlan(t *testing.T) {
+	const length = 50 * second
+	for seed := range uint64(30) {
+		steps := NewCrowdPlan(seed, length)
+		if !slices.Equal(steps, NewCrowdPlan(seed, length)) {
+			t.Error(seed, steps)
+		}
+		var crowd Step
+		crowds, faults := 0, 0
+		for _, s := range steps {
+			switch {
+			case s.Kind == CrowdCentre:
+				if crowds > 0 && s.At < crowd.At+crowd.For+testLimits().RecoveryTime || s.At+s.For+testLimits().RecoveryTime >= length {
+					t.Error(seed, "no time to recover:", s)
+				}
+				crowds, crowd = crowds+1, s
+			case !s.Kind.Planned():
+				faults++
+				if s.Kind != []StepKind{CutCentres, KillRoot}[seed%2] {
+					t.Error(seed, s)
+				}
+			}
+			if s.At < crowd.At || s.At+s.For > crowd.At+crowd.For+second {
+				t.Error(seed, "not in a crowd:", s)
+			}
+		}
+		if crowds != 2 || faults != crowds {
+			t.Error(seed, crowds, faults)
+		}
+	}
+}
+
 // A report shows the steps before a breach, but not those after it.
 func TestReport(t *testing.T) {
 	var b strings.Builder
--- a/stoatsoak/run_breach.go
+++ b/stoatsoak/run_breach.go
@@ -44,6 +44,15 @@
 		return s.Opens && f.entry != nil && h.resetFlow(&s)
 	case ConfigApplied:
 		return s.Opens && f.entry != nil && h.misdeliver(packet, func(u *upstream) bool { return u.service == "app" })
+	case NotRun:
+		if len(s.Data) > 0 {
+			h.claimNotRun(&s)
+		}
+	case PromptRefusal:
+		if s.Opens {
+			h.after(h.cfg.Limits.Slack+firstRetransmitDelay+100*time.Millisecond, func() { h.resetFlow(&s) })
+		}
+		return s.Opens
 	case Recovers:
 		return s.Opens
 	case EntryRuns:
@@ -101,6 +110,13 @@
 	return true
 }
 
+// claimNotRun sends the caller of a request an answer that the request was not run, before the upstream's answer.
+func (h *harness) claimNotRun(s *platform.Segment) {
+	id, _, _ := strings.Cut(string(s.Data), " ")
+	answer := platform.Segment{Src: s.Dst, Dst: s.Src, Acks: true, Seq: s.Ack, Ack: s.Seq + partSize, Data: []byte(id + " " + notRunAnswer)}
+	_, _ = h.entries[0].conn.WriteToUDPAddrPort(platform.AppendSegment(nil, &answer), netip.AddrPortFrom(s.Src.Addr(), h.port))
+}
+
 // duplicateRequest has a second upstream run the request too.
 func (h *harness) duplicateRequest(f *flow, s platform.Segment) {
 	for _, u := range h.listUpstreams() {
--- a/stoatsoak/soak_test.go
+++ b/stoatsoak/soak_test.go
@@ -54,11 +54,30 @@
 	}
 }
 
+// A run in which a data centre gets too much load, and is cut off while entries are replaced, violates none of the
+// guarantees that do not depend on the machine's speed. Upstreams did reject requests in it, so that the check of
+// rejections is not vacuous.
+func TestRunWithCrowd(t *testing.T) {
+	plan := []stoatsoak.Step{
+		{At: 3 * time.Second, For: 7 * time.Second, Kind: stoatsoak.CrowdCentre, Target: 1},
+		{At: 4 * time.Second, Kind: stoatsoak.TerminateEntry, Target: 0},
+		{At: 5 * time.Second, For: 2 * time.Second, Kind: stoatsoak.CutCentres},
+		{At: 8 * time.Second, Kind: stoatsoak.KillRoot, Target: 0},
+	}
+	r := run(t, stoatsoak.Config{Seed: 2, Length: 13 * time.Second, Plan: plan})
+	for _, b := range r.Breaches {
+		t.Error(b)
+	}
+	if r.Counts.Rejected == 0 || r.Counts.ServedInTime+r.Counts.ServedLate == 0 {
+		t.Errorf("nothing was rejected or nothing was served: %+v", r.Counts)
+	}
+}
+
 // The soak detects an entry that violates a guarantee. How soon depends on the machine, as the entries are real
 // processes. So each run lasts until the breach is detected, and the steps that a breach needs repeat, after the
 // start has ceased to count as a disturbance.
 func TestInjectedBreachIsDetected(t *testing.T) {
-	for i, g := range []stoatsoak.Guarantee{stoatsoak.CorrectService, stoatsoak.CorrectAnswer, stoatsoak.AtMostOnce, stoatsoak.FlowSurvives, stoatsoak.NoFlowToLeaving, stoatsoak.ConfigApplied, stoatsoak.Recovers, stoatsoak.EntryRuns, stoatsoak.NoFlowToEvacuated, stoatsoak.ColdLimit, stoatsoak.AdmitsFlows} {
+	for i, g := range []stoatsoak.Guarantee{stoatsoak.CorrectService, stoatsoak.CorrectAnswer, stoatsoak.AtMostOnce, stoatsoak.FlowSurvives, stoatsoak.NoFlowToLeaving, stoatsoak.ConfigApplied, stoatsoak.Recovers, stoatsoak.EntryRuns, stoatsoak.NoFlowToEvacuated, stoatsoak.ColdLimit, stoatsoak.AdmitsFlows, stoatsoak.NotRun, stoatsoak.PromptRefusal} {
 		t.Run(string(g), func(t *testing.T) {
 			plan := []stoatsoak.Step{}
 			if g == stoatsoak.NoFlowToLeaving {
