--- a/stoatsoak/run_crowd.go
+++ b/stoatsoak/run_crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"syscall"
 	"time"
 )
@@ -45,6 +46,18 @@
 	return nil
 }
 
+// connectSeeds makes the proxies between seeds translate the sender's address.
+func (h *harness) connectSeeds() {
+	query := func(a netip.AddrPort) []byte { return []byte(url.Values{"from": {a.String()}}.Encode()) }
+	for n, e := range h.entries[:min(seedCount, len(h.entries))] {
+		for i, p := range e.seedProxies {
+			if p != nil {
+				p.senderHere, p.sender = query(e.at(adminPort)), query(h.entries[i].seedProxies[n].addr)
+			}
+		}
+	}
+}
+
 // setCut starts or ends a cut between data centres.
 func (h *harness) setCut(cut bool) {
 	h.cut.Store(cut)
--- a/stoatsoak/run_harness.go
+++ b/stoatsoak/run_harness.go
@@ -194,6 +194,9 @@
 		}
 		h.entries = append(h.entries, e)
 	}
+	if h.crowds {
+		h.connectSeeds()
+	}
 	// No guarantee applies until all entries serve.
 	recordEnd := h.check.beginDisturbance(0)
 	for _, e := range h.entries {
--- a/stoatsoak/run_proxy.go
+++ b/stoatsoak/run_proxy.go
@@ -1,6 +1,7 @@
 package stoatsoak
 
 import (
+	"bytes"
 	"net"
 	"net/netip"
 	"sync"
@@ -12,6 +13,9 @@
 	ln     net.Listener
 	addr   netip.AddrPort
 	target string
+	// sender replaces senderHere in the exchange of loads: a seed takes loads only from the addresses of other seeds
+	// in its settings, which are those of its own proxies.
+	senderHere, sender []byte
 
 	mu      sync.Mutex
 	refuses bool // new connections are closed
@@ -74,7 +78,7 @@
 	for {
 		n, err := from.Read(buf)
 		if n > 0 && !c.isSilent() && !p.drops(fromEntry) {
-			_, _ = to.Write(buf[:n])
+			_, _ = to.Write(p.translate(buf[:n], fromEntry))
 		}
 		if err != nil {
 			break
@@ -89,6 +93,14 @@
 	return nil
 }
 
+// translate returns the data with the sender's address as the receiver knows it.
+func (p *proxy) translate(data []byte, fromEntry bool) []byte {
+	if !fromEntry || len(p.sender) == 0 || !bytes.HasPrefix(data, []byte("POST /v1/load?centre=")) {
+		return data
+	}
+	return bytes.Replace(data, p.senderHere, p.sender, 1)
+}
+
 func (p *proxy) drops(fromEntry bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
