--- a/stoatsetting/spill_test.go
+++ b/stoatsetting/spill_test.go
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	s, err := stoatsetting.Parse("entry.ini", page)
-	if err != nil || s.SpillRule != stoatsetting.SpillByRoom || len(s.SpillExcluded) == 0 || !strings.Contains(string(page), "[spill]") {
+	if err != nil || s.SpillRule != stoatsetting.SpillByBoth || len(s.SpillExcluded) == 0 || !strings.Contains(string(page), "[spill]") {
 		t.Errorf("%q %v %v", s.SpillRule, s.SpillExcluded, err)
 	}
 }
