--- a/stoatsoak/planfile_test.go
+++ b/stoatsoak/planfile_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// The stored plans, each of which once found a fault, can be read.
+// The stored plans, which once found a fault or show a crowd of each kind, can be read.
 func TestStoredPlans(t *testing.T) {
 	files, err := os.ReadDir("testdata/plans")
 	if err != nil || len(files) == 0 {
