--- a/stoatadmission/evidence.go
+++ b/stoatadmission/evidence.go
@@ -69,8 +69,8 @@
 // excess returns the rejections a second above the target.
 func (o *observation) excess() float64 { return o.rejected - rejectedTarget*o.total() }
 
-// idleShare returns 1 while answers take about as long as without a queue, so that slots may be idle, 0 while they take
-// so long that no slot is, and a value between in between.
+// idleShare returns 1 while answers take about as long as without a queue, so that slots may be idle, queuedGrowth while
+// they take so long that no slot is, and a value between in between.
 func (o *observation) idleShare() float64 {
 	if o.unqueued == 0 {
 		return 1
--- a/stoatload/aggregator.go
+++ b/stoatload/aggregator.go
@@ -166,7 +166,7 @@
 	}
 }
 
-// HandleExchange records what an entry told of its data centre and others. Below says that the entry is below this
+// HandleExchange records the loads of its data centre and others that an entry published. Below says that the entry is below this
 // one in the relay tree.
 func (agg *Aggregator) HandleExchange(now time.Time, x Exchange, below bool) {
 	agg.mu.Lock()
@@ -239,15 +239,15 @@
 	})
 }
 
-// Report returns what the parent has to be told.
+// Report returns the loads to send to the parent.
 func (agg *Aggregator) Report(now time.Time) Report {
 	agg.mu.Lock()
 	defer agg.mu.Unlock()
 	return Report{Groups: agg.needed(now, agg.subtree(now)), Parts: agg.freshParts(now, func(p storedPart) bool { return p.below })}
 }
 
-// Exchange returns what another entry has to be told of this data centre and others. An entry below this one is told
-// everything, others what no other entry tells them.
+// Exchange returns the loads of this data centre and others to send to another entry. An entry below this one gets all of
+// them, others get those that no other entry sends them.
 func (agg *Aggregator) Exchange(now time.Time, to netip.AddrPort, below bool) Exchange {
 	agg.mu.Lock()
 	defer agg.mu.Unlock()
--- a/stoatload/part.go
+++ b/stoatload/part.go
@@ -19,7 +19,7 @@
 	Parts  []Part // of other data centres, from entries that are below this one
 }
 
-// Exchange is what two entries tell each other of their data centres.
+// Exchange is the message in which an entry publishes the loads of its data centre and of others.
 type Exchange struct {
 	DataCentre stoatpaddle.DataCentreID // of the sender
 	Parts      []Part
