--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,7 +25,9 @@
 }
 
 var cases = map[string]func(folder string) verdict{
-	"route": routeCase,
+	"route":      routeCase,
+	"stale":      staleCase,
+	"unreadable": unreadableCase,
 }
 
 func main() {
--- a/review/standins/route.go
+++ b/review/standins/route.go
@@ -34,7 +34,7 @@
 			return verdict{err: err}
 		}
 	}
-	if err := w.startSapporo(); err != nil {
+	if err := w.startSapporo(true); err != nil {
 		return verdict{err: err}
 	}
 	var consumers []*consumer
@@ -100,8 +100,8 @@
 	return verdict{broken: broken, why: fmt.Sprintf("%d resets of open flows by entries in touch; requests: %v; %s", broken, w.ends, first)}
 }
 
-// startSapporo starts the entries of the deployment, and then the spare machine of a zone.
-func (w *world) startSapporo() error {
+// startSapporo starts the entries of the deployment, and then, if asked for, the spare machine of a zone.
+func (w *world) startSapporo(withSpare bool) error {
 	for i, zone := range []string{kita, "sapporo-minami", "otaru", kita, kita, "otaru"} {
 		w.newEntry(fmt.Sprintf("edge-%d", i+1), w.ip(2, byte(i+1)), zone)
 	}
@@ -116,11 +116,13 @@
 		go e.probe()
 	}
 	time.Sleep(5 * time.Second)
-	spare := w.newEntry("edge-7", w.ip(2, 7), kita)
-	if err := spare.run(seeds); err != nil {
-		return err
+	if withSpare {
+		spare := w.newEntry("edge-7", w.ip(2, 7), kita)
+		if err := spare.run(seeds); err != nil {
+			return err
+		}
+		go spare.probe()
 	}
-	go spare.probe()
 	time.Sleep(6 * time.Second)
 	for _, e := range w.entries {
 		if !e.calm(stable) || !e.inRotation {
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -27,6 +27,7 @@
 	datagramPort, readyPort, controlPort uint16
 	store                                *store
 	workTime                             time.Duration
+	bounds                               string
 	record                               *os.File
 	recordMu                             sync.Mutex
 	mu                                   sync.Mutex
@@ -39,7 +40,7 @@
 }
 
 func newWorld(folder string, lag time.Duration) (*world, error) {
-	w := &world{start: time.Now(), opened: map[tuple]*server{}, ends: map[string]int{}, workTime: 22 * time.Millisecond}
+	w := &world{start: time.Now(), opened: map[tuple]*server{}, ends: map[string]int{}, workTime: 22 * time.Millisecond, bounds: boundsSapporo}
 	var err error
 	if w.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
 		return nil, err
@@ -170,8 +171,14 @@
 
 var parentFound = regexp.MustCompile(`"event":"SP1420".*"parent":"([^"]*)"`)
 
-const bounds = `apply   = 3000ms
+// The bounds of the Sapporo installation, and those of the installations on the page demands.
+const (
+	boundsSapporo = `apply   = 3000ms
 leave   = 3000ms`
+	boundsDemands = `apply   = 5000ms
+leave   = 5000ms
+evacuate = 5000ms`
+)
 
 // settings returns the file as deploy/entry.ini renders it.
 func (e *entry) settings(seeds []netip.AddrPort) string {
@@ -210,7 +217,7 @@
 
 [flow]
 life = 60s
-`, e.name, e.zone, e.at(e.w.datagramPort), e.at(e.w.readyPort), e.at(e.w.controlPort), e.ip, strings.Join(list, ","), e.w.store.addr, bounds, e.zone)
+`, e.name, e.zone, e.at(e.w.datagramPort), e.at(e.w.readyPort), e.at(e.w.controlPort), e.ip, strings.Join(list, ","), e.w.store.addr, e.w.bounds, e.zone)
 }
 
 func (e *entry) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(e.ip, port) }
