--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,6 +25,7 @@
 }
 
 var cases = map[string]func(folder string) verdict{
+	"planned":    plannedCase,
 	"route":      routeCase,
 	"stale":      staleCase,
 	"unreadable": unreadableCase,
--- a/review/standins/route.go
+++ b/review/standins/route.go
@@ -105,9 +105,11 @@
 	for i, zone := range []string{kita, "sapporo-minami", "otaru", kita, kita, "otaru"} {
 		w.newEntry(fmt.Sprintf("edge-%d", i+1), w.ip(2, byte(i+1)), zone)
 	}
-	var seeds []netip.AddrPort
+	seeds := w.seeds
 	for _, e := range w.entries[:3] {
-		seeds = append(seeds, e.at(w.controlPort))
+		if len(w.seeds) == 0 {
+			seeds = append(seeds, e.at(w.controlPort))
+		}
 	}
 	for _, e := range w.entries {
 		if err := e.run(seeds); err != nil {
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -185,7 +185,7 @@
 	default:
 		f.next += uint32(len(p.data))
 		id := requestID(p.data)
-		s.w.ran(s, t, id)
+		s.w.ran(s, id)
 		s.send(t, packet{flags: flagACK, echo: f.echo, seq: f.sent, ack: f.next})
 		time.AfterFunc(s.w.workTime, func() { s.respond(t, f, id) })
 	}
--- a/review/standins/unreadable.go
+++ b/review/standins/unreadable.go
@@ -42,7 +42,7 @@
 	var mu sync.Mutex
 	var acked time.Time
 	before, broken, first := 0, 0, ""
-	w.onOpening = func(s *server, t tuple, from netip.AddrPort) {
+	w.onOpening = func(s *server, _ tuple, from netip.AddrPort) {
 		mu.Lock()
 		defer mu.Unlock()
 		if s != leaving {
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -27,6 +27,7 @@
 	datagramPort, readyPort, controlPort uint16
 	store                                *store
 	workTime                             time.Duration
+	seeds                                []netip.AddrPort // of the settings; empty: the first entries of the zones
 	bounds                               string
 	record                               *os.File
 	recordMu                             sync.Mutex
@@ -117,7 +118,7 @@
 	w.note("flow %v>%v is open at server %s", t.src, t.dst, s.id)
 }
 
-func (w *world) ran(s *server, t tuple, id string) { w.note("server %s runs request %s", s.id, id) }
+func (w *world) ran(s *server, id string) { w.note("server %s runs request %s", s.id, id) }
 
 func (w *world) asked(f *consumerFlow, id string) { w.note("%s sends request %s", f.name(), id) }
 
