--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -45,14 +45,14 @@
 	objects    map[string]map[string]object
 	history    []event
 	changed    chan struct{}
-	down       bool // answers nothing
 	listener   net.Listener
+	written    map[string]time.Time // when each entry of servers was last written
 }
 
 const storeDelay = 4 * time.Millisecond
 
 func newStore(addr string, lag time.Duration) (*store, error) {
-	s := &store{addr: addr, replicaLag: lag, rev: 10, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	s := &store{addr: addr, replicaLag: lag, rev: 10, objects: map[string]map[string]object{}, changed: make(chan struct{}), written: map[string]time.Time{}}
 	ln, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
@@ -66,6 +66,9 @@
 func (s *store) put(kind, name string, spec json.RawMessage) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if kind == "servers" {
+		s.written[name] = time.Now()
+	}
 	o, exists := s.objects[kind][name]
 	if exists && sameSpec(o.Spec, spec) {
 		return o.Meta.Revision
@@ -98,6 +101,24 @@
 	return string(p) == string(q)
 }
 
+// expire removes the entries of servers that were not written for three liveness report intervals, until the run ends.
+func (s *store) expire() {
+	for {
+		time.Sleep(heartbeat / 10)
+		s.mu.Lock()
+		var silent []string
+		for name := range s.objects["servers"] {
+			if time.Since(s.written[name]) > 3*heartbeat {
+				silent = append(silent, name)
+			}
+		}
+		s.mu.Unlock()
+		for _, name := range silent {
+			s.remove("servers", name)
+		}
+	}
+}
+
 func (s *store) remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standins/unreadable.go
+++ b/review/standins/unreadable.go
@@ -9,8 +9,9 @@
 	"time"
 )
 
-// The case unreadable: six entries in three zones, with the bounds of the page demands. Another writer puts one entry of the kind servers into the store that
-// is JSON but can't be read as a server: arrays within arrays. Then a server reports that it is draining.
+// The case unreadable: six entries in three zones, with the bounds of the page demands. Another writer keeps one entry of
+// the kind servers in the store that is JSON but can't be read as a server: arrays within arrays. Then a server reports
+// that it is draining.
 const (
 	drainBound  = 5 * time.Second
 	calmDemands = 5 * time.Second // stable_window_ms
@@ -24,6 +25,7 @@
 	}
 	defer w.close()
 	w.bounds = boundsDemands
+	go w.store.expire()
 	listen := netip.AddrPortFrom(w.ip(3, 1), 8443)
 	w.writeConfig(1, []route{{name: "r-0", listen: listen, service: desk, kind: "idempotent"}}, desk)
 	var servers []*server
@@ -86,8 +88,14 @@
 	}
 	time.Sleep(2 * time.Second)
 	if trouble() {
-		rev := w.store.put("servers", "notes", json.RawMessage(strings.Repeat("[", nested)+strings.Repeat("]", nested)))
-		w.note("another writer writes servers/notes, %d bytes, revision %d", 2*nested, rev)
+		// Like a server it writes its entry again at each interval, since the store would remove it otherwise.
+		go func() {
+			for {
+				rev := w.store.put("servers", "notes", json.RawMessage(strings.Repeat("[", nested)+strings.Repeat("]", nested)))
+				w.note("another writer writes servers/notes, %d bytes, revision %d", 2*nested, rev)
+				time.Sleep(heartbeat)
+			}
+		}()
 	}
 	time.Sleep(2 * time.Second)
 	rev := leaving.setState("draining")
