--- a/stoatecho/ended_test.go
+++ b/stoatecho/ended_test.go
@@ -24,6 +24,20 @@
 	return out
 }
 
+// orphanedFlows returns the flows to reset after a read of the platform that begins now.
+func (w *world) orphanedFlows() []stoatecho.OrphanedFlow {
+	w.t.Helper()
+	if list, _ := w.e.TakeOrphanedFlows(w.now, w.builder.Table()); len(list) != 0 {
+		w.t.Errorf("returned before the end of the upstream is verified: %+v", list)
+	}
+	w.confirm()
+	list, lastEnd := w.e.TakeOrphanedFlows(w.now, w.builder.Table())
+	if !lastEnd.IsZero() {
+		w.t.Error("an end is not verified after a read of the platform")
+	}
+	return list
+}
+
 // wantForward fails the test if a packet of an open flow was not forwarded.
 func wantForward(t *testing.T, when string, a stoatecho.Action) {
 	t.Helper()
@@ -119,7 +133,7 @@
 func TestPendingFlowsAreResetAfterEnd(t *testing.T) {
 	w := newWorld(t)
 	waiting, idle, other := w.flowsTo(1, 3), w.flowTo(1), w.flowTo(2)
-	if list := w.e.TakeOrphanedFlows(w.now, w.builder.Table()); len(list) != 0 {
+	if list := w.orphanedFlows(); len(list) != 0 {
 		t.Errorf("nothing has ended: %+v", list)
 	}
 	for _, c := range append(waiting, other) {
@@ -127,7 +141,7 @@
 	}
 	w.after(200 * ms).endRegistration("i-1")
 	taken := map[stoatpacket.Tuple]bool{}
-	for _, x := range w.e.TakeOrphanedFlows(w.now, w.builder.Table()) {
+	for _, x := range w.orphanedFlows() {
 		if x.Upstream.ID != "i-1" || x.Ack != 1 {
 			t.Errorf("%+v", x)
 		}
@@ -136,7 +150,7 @@
 	if len(taken) != 3 || taken[other.tuple] || taken[idle.tuple] {
 		t.Errorf("returned: %v", taken)
 	}
-	if again := w.e.TakeOrphanedFlows(w.now, w.builder.Table()); len(again) != 0 {
+	if again := w.orphanedFlows(); len(again) != 0 {
 		t.Errorf("returned twice: %+v", again)
 	}
 	wantReset(t, idle.sendRequest(), stoatpacket.DropUpstreamGone)
@@ -153,7 +167,7 @@
 	w.after(10 * ms)
 	one.ackAnswer()
 	two.sendRequest()
-	if list := w.e.TakeOrphanedFlows(w.now, w.builder.Table()); len(list) != 0 {
+	if list := w.orphanedFlows(); len(list) != 0 {
 		t.Errorf("returned although the upstream answers: %+v", list)
 	}
 	wantForward(t, "after the end", two.retransmit())
@@ -170,7 +184,7 @@
 		w.after(20 * ms)
 	}
 	w.endRegistration("i-1")
-	if list := w.e.TakeOrphanedFlows(w.now, w.builder.Table()); len(list) != 0 {
+	if list := w.orphanedFlows(); len(list) != 0 {
 		t.Errorf("returned while their upstream works on them: %+v", list)
 	}
 	w.after(10 * ms)
--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -41,14 +41,16 @@
 	Drop    Verdict = iota
 	Forward         // send it to Upstream, with its cookie
 	Reset           // answer the caller with a reset
-	Hold            // hold the packet until there is a table
+	Hold            // hold the packet until there is a table, or until Action.Verify is verified
 )
 
 // Action is the decision about one packet.
 type Action struct {
-	Verdict         Verdict
-	Upstream        *stoatroute.Upstream // set for a flow that is reset too, if its upstream is known
-	Reason          stoatpacket.DropReason
+	Verdict  Verdict
+	Upstream *stoatroute.Upstream // set for a flow that is reset too, if its upstream is known
+	Reason   stoatpacket.DropReason
+	// Verify has the parts of the state that a held packet waits for; 0: it waits for a table.
+	Verify          stoatroute.Parts
 	Opened          bool // a new flow was placed
 	Spilled         bool // it went to another data centre, since this one is overloaded
 	Moved           bool // its opening went to another upstream before and was not answered
@@ -117,13 +119,12 @@
 	// recheck has the upstreams that the next Retain looks at even if the table does not differ there: those
 	// that are new, since the packet may have come with the previous table, and those that are in no table but
 	// still have something in progress.
-	recheck        map[stoatpaddle.UpstreamKey]bool
-	retainedTable  *stoatroute.Table // the table of the last Retain
-	flows          map[stoatpacket.Tuple]*flow
-	unknownCookies map[stoatpaddle.UpstreamKey]time.Time // when each was first seen
-	rnd            *rand.Rand
-	stats          Stats
-	lastSweep      time.Time
+	recheck       map[stoatpaddle.UpstreamKey]bool
+	retainedTable *stoatroute.Table // the table of the last Retain
+	flows         map[stoatpacket.Tuple]*flow
+	rnd           *rand.Rand
+	stats         Stats
+	lastSweep     time.Time
 	// lastOpenings is the latest opening of each caller: a caller that comes back at once was refused.
 	lastOpenings    map[callerKey]stoatpacket.Tuple
 	handshake       handshake
@@ -142,8 +143,9 @@
 	sharedGroups     []*group            // groups with evidence of the data centre
 	spillover        spillover
 	answerSizes      answerSizes
-	endedUpTo        uint64    // the table's change counter at the last TakeOrphanedFlows
-	queueEmptied     time.Time // when this entry had last handled all packets received; zero: it is never behind
+	endedUpTo        uint64                           // the table's change counter at the last TakeOrphanedFlows
+	unverifiedEnds   map[stoatpaddle.UpstreamKey]bool // upstreams with pending requests whose end is not verified
+	queueEmptied     time.Time                        // when this entry had last handled all packets received; zero: it is never behind
 }
 
 // New returns an Engine.
@@ -153,7 +155,7 @@
 	}
 	return &Engine{
 		cfg: cfg, spillover: spillover{cfg: cfg.Spill}, filter: stoatfilter.Filter{DataCentre: cfg.DataCentre, Regions: cfg.Regions}, health: map[stoatpaddle.UpstreamKey]*health{}, recheck: map[stoatpaddle.UpstreamKey]bool{}, groups: map[groupKey]*group{}, limited: map[groupKey]*group{}, answerSizes: answerSizes{}, flows: map[stoatpacket.Tuple]*flow{},
-		unknownCookies: map[stoatpaddle.UpstreamKey]time.Time{}, lastOpenings: map[callerKey]stoatpacket.Tuple{},
+		unverifiedEnds: map[stoatpaddle.UpstreamKey]bool{}, lastOpenings: map[callerKey]stoatpacket.Tuple{},
 		rnd: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)), lastSweep: cfg.Start,
 	}
 }
@@ -206,9 +208,19 @@
 
 // Handle decides what to do with one packet.
 func (e *Engine) Handle(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
+	return e.handle(now, t, p, arrival{at: now})
+}
+
+func (e *Engine) handle(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet, came arrival) Action {
 	e.sweep(now)
 	e.expire(now)
-	a := e.decide(now, t, p)
+	a := e.decide(now, t, p, came)
+	e.count(&a)
+	return a
+}
+
+// count counts a decision.
+func (e *Engine) count(a *Action) {
 	switch a.Verdict {
 	case Forward:
 		e.stats.Forwarded++
@@ -217,10 +229,9 @@
 	case Drop:
 		e.stats.Drops[a.Reason]++
 	}
-	return a
 }
 
-func (e *Engine) decide(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
+func (e *Engine) decide(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet, came arrival) Action {
 	if !t.Ready() {
 		return e.beforeTable(now, p)
 	}
@@ -230,13 +241,16 @@
 		if p.Reset {
 			return Action{Reason: stoatpacket.DropNoRoute}
 		}
+		if !e.verified(t, p, stoatroute.PartRoutes, came) {
+			return hold(Action{}, stoatpacket.DropNoRoute, stoatroute.PartRoutes)
+		}
 		e.forget(p.Tuple)
 		return Action{Verdict: Reset, Reason: stoatpacket.DropNoRoute}
 	}
 	if p.Opens {
-		return e.open(now, t, r, p)
+		return e.open(now, t, r, p, came)
 	}
-	return e.forwardOpen(now, t, r, p)
+	return e.forwardOpen(now, t, r, p, came)
 }
 
 // beforeTable handles a packet that comes before there is a table. Only an opening is refused: whether the
@@ -252,43 +266,41 @@
 }
 
 // forwardOpen forwards a packet of an open flow to the upstream that its cookie names.
-func (e *Engine) forwardOpen(now time.Time, t *stoatroute.Table, r *stoatroute.Route, p *stoatpacket.Packet) Action {
+func (e *Engine) forwardOpen(now time.Time, t *stoatroute.Table, r *stoatroute.Route, p *stoatpacket.Packet, came arrival) Action {
 	u := t.Upstream(p.Cookie)
 	if u == nil {
-		return e.unknownCookie(now, t, p)
+		return e.unknownCookie(t, p, came)
 	}
 	// A caller can forge a cookie; the cookie of another service must not route its packets there.
 	if !r.EverUsed(u.Service) {
+		if !e.verified(t, p, stoatroute.PartRoutes, came) {
+			return hold(Action{}, stoatpacket.DropForged, stoatroute.PartRoutes)
+		}
 		return Action{Reason: stoatpacket.DropForged}
 	}
-	a := e.track(now, r, u, p)
-	if p.Reset {
-		return a
+	endVerified := u.State != stoatroute.Gone || e.verified(t, p, stoatroute.PartUpstreams, came)
+	a := Action{Verdict: Forward, Upstream: u}
+	if !came.tracked {
+		a = e.track(now, r, u, p)
 	}
-	if e.hasEnded(u) {
-		e.forget(p.Tuple)
-		return Action{Verdict: Reset, Upstream: u, Reason: stoatpacket.DropUpstreamGone}
+	switch {
+	case p.Reset || !e.hasEnded(u):
+		return a
+	case !endVerified:
+		return hold(a, stoatpacket.DropUpstreamGone, stoatroute.PartUpstreams)
 	}
-	return a
+	e.forget(p.Tuple)
+	return Action{Verdict: Reset, Upstream: u, Reason: stoatpacket.DropUpstreamGone}
 }
 
 // unknownCookie handles a cookie that is not in the table. Its upstream may have registered after the table was
-// read; only a platform read that began after the packet came confirms that the upstream is gone. Until then the
-// packet is dropped and the caller retransmits it, since a reset would break a live flow.
-func (e *Engine) unknownCookie(now time.Time, t *stoatroute.Table, p *stoatpacket.Packet) Action {
-	since, waits := e.unknownCookies[p.Cookie]
-	if !waits {
-		if len(e.unknownCookies) < maxUnknownCookies {
-			e.unknownCookies[p.Cookie] = now
-		}
-		return Action{Reason: stoatpacket.DropUnverified}
-	}
-	if !t.CompleteAsOf.After(since) || p.Reset {
+// read.
+func (e *Engine) unknownCookie(t *stoatroute.Table, p *stoatpacket.Packet, came arrival) Action {
+	switch {
+	case p.Reset:
 		return Action{Reason: stoatpacket.DropUnverified}
+	case !e.verified(t, p, stoatroute.PartUpstreams, came):
+		return hold(Action{}, stoatpacket.DropUpstreamGone, stoatroute.PartUpstreams)
 	}
 	return Action{Verdict: Reset, Reason: stoatpacket.DropUpstreamGone}
 }
-
-// maxUnknownCookies bounds the unknown cookies that are remembered, so that a flood of forged ones cannot exhaust
-// the memory.
-const maxUnknownCookies = 4096
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -75,6 +75,7 @@
 	cookie stoatpaddle.UpstreamKey
 	seq    uint32
 	ack    uint32
+	sent   stoatecho.HeldPacket // the last packet and when it came
 }
 
 func (w *world) caller(to netip.AddrPort) *caller {
@@ -85,6 +86,7 @@
 
 func (c *caller) send(p stoatpacket.Packet) stoatecho.Action {
 	p.Tuple, p.Cookie = c.tuple, c.cookie
+	c.sent = stoatecho.HeldPacket{Packet: p, Since: c.w.now}
 	return c.w.e.Handle(c.w.now, c.w.builder.Table(), &p)
 }
 
@@ -92,6 +94,25 @@
 	return c.send(stoatpacket.Packet{Opens: true, Retransmits: retransmits})
 }
 
+// afterRead has a read of the platform, which began after the caller's last packet came, confirm the table. It returns
+// the decision about that packet, which must have been held until then: a was the first decision.
+func (c *caller) afterRead(a stoatecho.Action) stoatecho.Action {
+	c.w.t.Helper()
+	if a.Verdict != stoatecho.Hold || a.Verify == 0 {
+		c.w.t.Errorf("%+v, expected to be held until the state is verified", a)
+	}
+	c.w.confirm()
+	c.sent.Action = a
+	return c.w.e.HandleHeld(c.w.now, c.w.builder.Table(), &c.sent)
+}
+
+// confirm has a read of the platform that begins now confirm the table.
+func (w *world) confirm() {
+	w.after(ms)
+	w.builder.MarkCurrent(w.now)
+	w.after(ms)
+}
+
 // open sends a SYN and, 10 ms later, the packet that completes the handshake.
 func (c *caller) open() *stoatroute.Upstream {
 	c.w.t.Helper()
@@ -128,6 +149,13 @@
 	}
 }
 
+func wantHold(t *testing.T, a stoatecho.Action, parts stoatroute.Parts) {
+	t.Helper()
+	if a.Verdict != stoatecho.Hold || a.Verify != parts {
+		t.Errorf("%+v, expected to be held until %s are verified", a, parts)
+	}
+}
+
 func wantReset(t *testing.T, a stoatecho.Action, reason stoatpacket.DropReason) {
 	t.Helper()
 	if a.Verdict != stoatecho.Reset || a.Reason != reason {
@@ -167,7 +195,7 @@
 	w := newWorld(t)
 	c := w.caller(idempotentAddr)
 	c.cookie = stoatroute.KeyOf(9)
-	wantDrop(t, c.sendRequest(), stoatpacket.DropForged)
+	wantDrop(t, c.afterRead(c.sendRequest()), stoatpacket.DropForged)
 }
 
 // A route moves to another service: open flows stay where they are, and new ones go to the new service.
@@ -184,16 +212,19 @@
 	}
 }
 
-// A route is removed: its flows are reset at once, so that callers need not wait until they give up. A reset is
-// not answered with one.
+// A route is removed: its flows are reset, so that callers need not wait until they give up, and those that were open
+// here before the read that confirms it, at once. A reset is not answered with one.
 func TestRouteRemoved(t *testing.T) {
 	w := newWorld(t)
-	c := w.caller(idempotentAddr)
+	c, known := w.caller(idempotentAddr), w.caller(idempotentAddr)
 	c.open()
+	known.open()
 	w.rev++
 	w.builder.ApplyDeclaration(stoatpaddle.Declaration{Version: w.rev}, w.rev)
-	wantReset(t, c.sendRequest(), stoatpacket.DropNoRoute)
-	wantReset(t, w.caller(idempotentAddr).syn(0), stoatpacket.DropNoRoute)
+	wantReset(t, c.afterRead(c.sendRequest()), stoatpacket.DropNoRoute)
+	wantReset(t, known.sendRequest(), stoatpacket.DropNoRoute)
+	opening := w.caller(idempotentAddr)
+	wantReset(t, opening.afterRead(opening.syn(0)), stoatpacket.DropNoRoute)
 	wantDrop(t, c.send(stoatpacket.Packet{Reset: true, Ends: true}), stoatpacket.DropNoRoute)
 }
 
@@ -203,13 +234,11 @@
 	w := newWorld(t)
 	c := w.caller(idempotentAddr)
 	c.cookie = stoatroute.KeyOf(77)
-	wantDrop(t, c.sendRequest(), stoatpacket.DropUnverified)
-	wantDrop(t, c.retransmit(), stoatpacket.DropUnverified)
+	wantHold(t, c.sendRequest(), stoatroute.PartUpstreams)
+	wantHold(t, c.retransmit(), stoatroute.PartUpstreams)
 	w.builder.MarkCurrent(w.now) // the read began when the packet came, perhaps before it
-	wantDrop(t, c.retransmit(), stoatpacket.DropUnverified)
-	w.after(ms)
-	w.builder.MarkCurrent(w.now)
-	wantReset(t, c.retransmit(), stoatpacket.DropUpstreamGone)
+	wantHold(t, c.retransmit(), stoatroute.PartUpstreams)
+	wantReset(t, c.afterRead(c.retransmit()), stoatpacket.DropUpstreamGone)
 }
 
 // Callers of an upstream that has ended are reset at once. An upstream that is leaving keeps its open flows and
@@ -223,7 +252,7 @@
 	}
 	w.rev++
 	w.builder.MarkGone(w.now, "i-1", w.rev)
-	wantReset(t, callers["i-1"].sendRequest(), stoatpacket.DropUpstreamGone)
+	wantReset(t, callers["i-1"].afterRead(callers["i-1"].sendRequest()), stoatpacket.DropUpstreamGone)
 	w.rev++
 	w.builder.Register(w.now, stoatpaddle.Registration{ID: "i-2", Target: 2, Service: "app", DataCentre: "here", Slots: 3, Leaving: true}, w.rev)
 	if a := callers["i-2"].sendRequest(); a.Verdict != stoatecho.Forward || a.Upstream.ID != "i-2" {
@@ -252,7 +281,7 @@
 	w.after(20 * ms)
 	w.rev++
 	w.builder.MarkGone(w.now, "i-1", w.rev)
-	wantReset(t, list[1].sendRequest(), stoatpacket.DropUpstreamGone)
+	wantReset(t, list[1].afterRead(list[1].sendRequest()), stoatpacket.DropUpstreamGone)
 	w.after(20 * ms)
 	if a := list[0].ackAnswer(); a.Verdict != stoatecho.Forward {
 		t.Errorf("%+v", a)
@@ -265,11 +294,13 @@
 	}
 }
 
-// No upstream can take the flow: the caller is refused at once, so that it need not wait until it gives up.
+// No upstream can take the flow: the caller is refused once a read of the platform confirms that, so that it need not
+// wait until it gives up.
 func TestNoUpstreamAvailable(t *testing.T) {
 	w := newWorld(t)
 	w.builder.MarkGone(w.now, "i-9", 99)
-	wantReset(t, w.caller(intakeAddr).syn(0), stoatpacket.DropNoUpstream)
+	c := w.caller(intakeAddr)
+	wantReset(t, c.afterRead(c.syn(0)), stoatpacket.DropNoUpstream)
 }
 
 // Packets that come before an entry has its first table are held. A second after the start, openings are
@@ -682,7 +713,8 @@
 	}
 }
 
-// The cap on the flows of an upstream holds; if all upstreams are full, the caller is refused at once.
+// The cap on the flows of an upstream holds; if all upstreams are full, the caller is refused once a read of the
+// platform shows that there are no others.
 func TestCap(t *testing.T) {
 	w := newWorld(t)
 	w.rev++
@@ -693,7 +725,8 @@
 	for range 6 {
 		w.caller(idempotentAddr).open()
 	}
-	wantReset(t, w.caller(idempotentAddr).syn(0), stoatpacket.DropNoUpstream)
+	c := w.caller(idempotentAddr)
+	wantReset(t, c.afterRead(c.syn(0)), stoatpacket.DropNoUpstream)
 }
 
 // A flood of openings and of forged cookies must not grow the memory without bound.
--- a/stoatecho/filter_test.go
+++ b/stoatecho/filter_test.go
@@ -59,17 +59,19 @@
 }
 
 // All data centres that have a service are evacuated. An evacuated upstream is not used even as a last resort: the
-// caller is refused at once, and the reason is counted.
+// caller is refused, and the reason is counted.
 func TestEvacuatedIsNoLastResort(t *testing.T) {
 	w := newWorld(t)
 	w.evacuate("here", false)
-	a := w.caller(intakeAddr).syn(0)
+	c := w.caller(intakeAddr)
+	a := c.afterRead(c.syn(0))
 	wantReset(t, a, stoatpacket.DropNoUpstream)
 	if a.Excluded[stoatfilter.Evacuated] != 1 {
 		t.Errorf("%v", a.Excluded)
 	}
 	w.evacuate("there", false)
-	a = w.caller(idempotentAddr).syn(0)
+	c = w.caller(idempotentAddr)
+	a = c.afterRead(c.syn(0))
 	wantReset(t, a, stoatpacket.DropNoUpstream)
 	if a.Excluded[stoatfilter.Evacuated] != 3 {
 		t.Errorf("%v", a.Excluded)
@@ -111,7 +113,8 @@
 	}
 	w.e.SetRegions(stoatfilter.Regions{"here": "south"})
 	w.declareRegions("north")
-	a := w.caller(idempotentAddr).syn(0)
+	c := w.caller(idempotentAddr)
+	a := c.afterRead(c.syn(0))
 	wantReset(t, a, stoatpacket.DropNoUpstream)
 	if a.Excluded[stoatfilter.OutsideRegions] != 3 {
 		t.Errorf("%v", a.Excluded)
@@ -139,8 +142,8 @@
 }
 
 // All upstreams of the local data centre are cold and have a rate limit. While this entry may not send them
-// flows, its flows go to the other data centre, which is warm; if that one is evacuated, they are refused at
-// once. Once the upstreams are warm, they get flows again.
+// flows, its flows go to the other data centre, which is warm; if that one is evacuated, they are
+// refused. Once the upstreams are warm, they get flows again.
 func TestColdUpstreamsGetLimitedFlows(t *testing.T) {
 	w := newWorld(t)
 	w.rev++
@@ -160,7 +163,8 @@
 		}
 	}
 	w.evacuate("there", false)
-	a := w.caller(idempotentAddr).syn(0)
+	c := w.caller(idempotentAddr)
+	a := c.afterRead(c.syn(0))
 	wantReset(t, a, stoatpacket.DropNoUpstream)
 	if a.Excluded[stoatfilter.Cold] != 2 || a.Excluded[stoatfilter.Evacuated] != 1 {
 		t.Errorf("%v", a.Excluded)
--- a/stoatecho/hold.go
+++ b/stoatecho/hold.go
@@ -12,9 +12,11 @@
 	Packet stoatpacket.Packet
 	Data   []byte
 	Since  time.Time
+	Action Action // the decision to hold it
 }
 
-// HoldQueue holds packets during the first second after the entry's start.
+// HoldQueue holds packets, a second at most: those that come before the first table, and those whose answer has to
+// be verified.
 //
 // After a power loss all entries start at once, and callers have been retransmitting for seconds. If a packet
 // were dropped in the 40 ms before the first table arrives, its caller's next retransmission would come 1.6 s
@@ -39,21 +41,25 @@
 	holdTimeout = time.Second
 )
 
-// Add holds a copy of the packet, and reports whether there was room.
+// Add holds a copy of a packet that came before the first table, and reports whether there was room.
 func (h *HoldQueue) Add(now time.Time, p *stoatpacket.Packet, data []byte) bool {
+	return h.add(now, p, data, Action{Verdict: Hold, Reason: stoatpacket.DropUnconfigured})
+}
+
+func (h *HoldQueue) add(since time.Time, p *stoatpacket.Packet, data []byte, a Action) bool {
 	if h.index == nil {
 		h.index = map[heldKey]int{}
 	}
 	k := heldKey{tuple: p.Tuple, seq: p.Seq, size: p.Size}
 	if i, known := h.index[k]; known {
-		h.list[i].Packet, h.list[i].Data = *p, append(h.list[i].Data[:0], data...)
+		h.list[i].Packet, h.list[i].Data, h.list[i].Action = *p, append(h.list[i].Data[:0], data...), a
 		return true
 	}
 	if len(h.list) >= maxHeld {
 		return false
 	}
 	h.index[k] = len(h.list)
-	h.list = append(h.list, HeldPacket{Packet: *p, Data: slices.Clone(data), Since: now})
+	h.list = append(h.list, HeldPacket{Packet: *p, Data: slices.Clone(data), Since: since, Action: a})
 	return true
 }
 
@@ -66,18 +72,25 @@
 
 // TakeExpired removes and returns the packets that have been held for too long.
 func (h *HoldQueue) TakeExpired(now time.Time) []HeldPacket {
-	n := 0
-	for n < len(h.list) && now.Sub(h.list[n].Since) >= holdTimeout {
-		n++
+	return h.takeIf(func(x *HeldPacket) bool { return now.Sub(x.Since) >= holdTimeout })
+}
+
+// takeIf removes and returns the packets for which taken returns true, oldest first.
+func (h *HoldQueue) takeIf(taken func(*HeldPacket) bool) []HeldPacket {
+	var out, kept []HeldPacket
+	for i := range h.list {
+		if x := &h.list[i]; taken(x) {
+			out = append(out, *x)
+		} else {
+			kept = append(kept, *x)
+		}
 	}
-	if n == 0 {
+	if len(out) == 0 {
 		return nil
 	}
-	out := h.list[:n:n]
-	h.list = h.list[n:]
-	h.index = make(map[heldKey]int, len(h.list))
-	for i := range h.list {
-		p := &h.list[i].Packet
+	h.list, h.index = kept, make(map[heldKey]int, len(kept))
+	for i := range kept {
+		p := &kept[i].Packet
 		h.index[heldKey{tuple: p.Tuple, seq: p.Seq, size: p.Size}] = i
 	}
 	return out
--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -11,7 +11,7 @@
 )
 
 // open places a new flow, or handles a retransmitted opening.
-func (e *Engine) open(now time.Time, t *stoatroute.Table, r *stoatroute.Route, p *stoatpacket.Packet) Action {
+func (e *Engine) open(now time.Time, t *stoatroute.Table, r *stoatroute.Route, p *stoatpacket.Packet, came arrival) Action {
 	a := Action{Verdict: Forward, Opened: true}
 	var except stoatpaddle.UpstreamKey
 	if f := e.flows[p.Tuple]; f != nil && f.opening && p.Retransmits > 0 {
@@ -28,6 +28,9 @@
 	u, admitted, excluded := e.choose(now, t, r, except, a.Moved)
 	if a.Upstream = u; u == nil {
 		a.Excluded = excluded
+		if parts := partsOfRefusal(&excluded); !e.verified(t, p, parts, came) {
+			return hold(a, stoatpacket.DropNoUpstream, parts)
+		}
 		return e.refuse(a, stoatpacket.DropNoUpstream)
 	}
 	h := e.healthOf(u)
@@ -60,6 +63,15 @@
 	return a
 }
 
+// partsOfRefusal returns the parts of the state that an opening without an upstream depends on.
+func partsOfRefusal(excluded *Excluded) stoatroute.Parts {
+	parts := stoatroute.PartRoutes | stoatroute.PartUpstreams
+	if excluded[stoatfilter.Evacuated] > 0 {
+		parts |= stoatroute.PartEvacuations
+	}
+	return parts
+}
+
 // noteLoad records what is known of the upstream of an opening.
 func (a *Action) noteLoad(now time.Time, r *stoatroute.Route, h *health) {
 	a.InProgress, a.ExpectedAnswer, a.AnswerBound = h.pendingRequests+h.pendingOpenings, expectedAnswer(now, h), admitBound(h, r)
--- a/stoatecho/track.go
+++ b/stoatecho/track.go
@@ -174,8 +174,7 @@
 
 const sweepInterval = time.Second
 
-// sweep forgets flows without recent packets, whose later packets reached other entries, and unknown cookies that
-// nobody sends any more.
+// sweep forgets flows without recent packets, whose later packets reached other entries.
 func (e *Engine) sweep(now time.Time) {
 	if now.Sub(e.lastSweep) < sweepInterval {
 		return
@@ -188,11 +187,6 @@
 	}
 	e.forgetCallers()
 	e.forgetIdle(now)
-	for k, since := range e.unknownCookies {
-		if now.Sub(since) > flowIdleTimeout {
-			delete(e.unknownCookies, k)
-		}
-	}
 }
 
 // healthIdleTimeout is how long an entry remembers an upstream with nothing in progress: longer than any backoff,
--- /dev/null
+++ b/stoatecho/verify.go
@@ -0,0 +1,216 @@
+package stoatecho
+
+import (
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// Final answers from a state that is as recent as any other entry's.
+//
+// Entries learn of changes at different moments. A route, an upstream or a restart that this entry has not heard of
+// may be known to another entry, through which flows are open already. A reset from the older state would break
+// them. Therefore an answer that ends a flow needs a read of the platform that began after the packet came, or
+// after an earlier packet of the flow: until then the packet is held.
+
+// arrival says when a packet came.
+type arrival struct {
+	at      time.Time
+	tracked bool // the flow and its upstream have taken account of the packet
+}
+
+// verified reports whether the table has the parts as of a time after the packet came. A flow that was seen here
+// before the read was open by then, so its end is as certain as if the packet had come before the read.
+func (e *Engine) verified(t *stoatroute.Table, p *stoatpacket.Packet, parts stoatroute.Parts, came arrival) bool {
+	asOf := t.AsOf(parts)
+	return asOf.After(came.at) || !p.Opens && !came.tracked && e.seenBefore(p, asOf)
+}
+
+// seenBefore reports whether a packet of the open flow came before the given time, to the same upstream.
+func (e *Engine) seenBefore(p *stoatpacket.Packet, at time.Time) bool {
+	f := e.flows[p.Tuple]
+	return f != nil && !f.opening && f.key == p.Cookie && f.lastSeen.Before(at)
+}
+
+// hold returns the action for a packet that is answered once the parts of the state are verified. The reason is
+// that of the final answer, unless the verification changes the decision.
+func hold(a Action, reason stoatpacket.DropReason, parts stoatroute.Parts) Action {
+	a.Verdict, a.Reason, a.Verify, a.Opened, a.Moved = Hold, reason, parts, false, false
+	return a
+}
+
+// GiveUp returns the action for a packet whose verification takes too long or cannot begin soon. An opening is
+// refused, which promises the caller only that nothing ran. A packet of an open flow is dropped without an answer,
+// and its sender retransmits it.
+func (e *Engine) GiveUp(p *stoatpacket.Packet, a Action) Action {
+	a.Verify = 0
+	if !p.Opens {
+		a.Verdict, a.Reason = Drop, stoatpacket.DropUnverified
+	} else if a.Verdict = Reset; a.Reason == stoatpacket.DropNoUpstream {
+		e.stats.Refused++
+	}
+	e.count(&a)
+	return a
+}
+
+// HandleHeld decides about a packet that was held until the state was verified, or until there was a table.
+func (e *Engine) HandleHeld(now time.Time, t *stoatroute.Table, h *HeldPacket) Action {
+	return e.handle(now, t, &h.Packet, arrival{at: h.Since, tracked: h.Action.Upstream != nil && !h.Packet.Opens})
+}
+
+const (
+	// verificationBurst and verificationInterval limit the calls that packets cause, for each part of the state:
+	// a flood of packets without a route, or with forged cookies, must not use up the platform's rate limits.
+	verificationBurst    = 4
+	verificationInterval = time.Second
+	// minVerificationGap is the shortest pause between two calls about one part: one call serves all packets that
+	// came before it.
+	minVerificationGap = 100 * time.Millisecond
+	// maxOpeningWait is how soon the next call must be allowed for an opening to be held. Callers of an address
+	// without a route are refused at once while a flood uses up the calls.
+	maxOpeningWait = minVerificationGap
+	// verificationTimeout is how long an opening is held. Its caller can try again elsewhere.
+	verificationTimeout = 500 * time.Millisecond
+)
+
+// callBudget is a token bucket for the calls about one part of the state.
+type callBudget struct {
+	tokens     float64
+	refilledAt time.Time // zero: the bucket is full
+	last       time.Time // when the last call was requested
+}
+
+// tokensAt returns the tokens at a time.
+func (b *callBudget) tokensAt(now time.Time) float64 {
+	if b.refilledAt.IsZero() {
+		return verificationBurst
+	}
+	return min(verificationBurst, b.tokens+now.Sub(b.refilledAt).Seconds()/verificationInterval.Seconds())
+}
+
+// wait returns how long it takes until a call is allowed.
+func (b *callBudget) wait(now time.Time) time.Duration {
+	var wait time.Duration
+	if !b.last.IsZero() {
+		wait = max(0, minVerificationGap-now.Sub(b.last))
+	}
+	if missing := 1 - b.tokensAt(now); missing > 0 {
+		wait = max(wait, time.Duration(missing*float64(verificationInterval)))
+	}
+	return wait
+}
+
+func (b *callBudget) take(now time.Time) {
+	b.tokens, b.refilledAt, b.last = b.tokensAt(now)-1, now, now
+}
+
+// partWaiting is what waits for the verification of one part of the state.
+type partWaiting struct {
+	budget  callBudget
+	packets int       // that are held
+	newest  time.Time // when the last of them came
+}
+
+// Verifier holds packets until the state on which their answer depends is verified, and decides when to ask the
+// platform. It is not safe for concurrent use.
+type Verifier struct {
+	held        HoldQueue
+	parts       [stoatroute.PartCount]partWaiting
+	unavailable bool // the platform does not answer
+	// lastEnd is when the last upstream ended whose end has to be verified for flows that wait for its answers;
+	// zero: there is none.
+	lastEnd time.Time
+}
+
+// SetAvailable sets whether the platform answers.
+func (v *Verifier) SetAvailable(available bool) { v.unavailable = !available }
+
+// SetLastEnd sets when the last of the upstreams ended whose end is not verified; see Engine.TakeOrphanedFlows.
+func (v *Verifier) SetLastEnd(at time.Time) { v.lastEnd = at }
+
+// Add holds a copy of the packet, which came at since, and reports whether it did. A packet of an open flow is held
+// if there is room, and an opening only if its verification can begin soon.
+func (v *Verifier) Add(now, since time.Time, p *stoatpacket.Packet, data []byte, a Action) bool {
+	if p.Opens && (v.unavailable || v.wait(now, a.Verify) > maxOpeningWait) || !v.held.add(since, p, data, a) {
+		return false
+	}
+	v.count(since, a.Verify)
+	return true
+}
+
+// wait returns how long it takes until calls about all the parts are allowed.
+func (v *Verifier) wait(now time.Time, parts stoatroute.Parts) time.Duration {
+	var wait time.Duration
+	for i := range v.parts {
+		if parts.Has(i) {
+			wait = max(wait, v.parts[i].budget.wait(now))
+		}
+	}
+	return wait
+}
+
+// count counts a packet that is held.
+func (v *Verifier) count(since time.Time, parts stoatroute.Parts) {
+	for i := range v.parts {
+		if x := &v.parts[i]; parts.Has(i) {
+			x.packets++
+			if since.After(x.newest) {
+				x.newest = since
+			}
+		}
+	}
+}
+
+// TakeRequests returns the parts of the state about which the platform is to be asked now, and counts the calls. A
+// part that something waits for is asked about again if its last call began before the newest packet came, or has
+// not been answered for verificationInterval.
+func (v *Verifier) TakeRequests(now time.Time) stoatroute.Parts {
+	var out stoatroute.Parts
+	for i := range v.parts {
+		x := &v.parts[i]
+		newest, waits := x.newest, x.packets > 0
+		if part := stoatroute.Parts(1 << i); part == stoatroute.PartUpstreams && !v.lastEnd.IsZero() {
+			waits = true
+			if v.lastEnd.After(newest) {
+				newest = v.lastEnd
+			}
+		}
+		due := waits && (newest.After(x.budget.last) || now.Sub(x.budget.last) >= verificationInterval)
+		if due && x.budget.wait(now) == 0 {
+			x.budget.take(now)
+			out |= 1 << i
+		}
+	}
+	return out
+}
+
+// TakeVerified removes and returns the packets whose answer the table verifies, oldest first.
+func (v *Verifier) TakeVerified(t *stoatroute.Table) []HeldPacket {
+	return v.takeIf(func(h *HeldPacket) bool { return t.AsOf(h.Action.Verify).After(h.Since) })
+}
+
+// TakeExpired removes and returns the packets that have been held for too long.
+func (v *Verifier) TakeExpired(now time.Time) []HeldPacket {
+	return v.takeIf(func(h *HeldPacket) bool {
+		age := now.Sub(h.Since)
+		return age >= holdTimeout || h.Packet.Opens && (age >= verificationTimeout || v.unavailable)
+	})
+}
+
+func (v *Verifier) takeIf(taken func(*HeldPacket) bool) []HeldPacket {
+	out := v.held.takeIf(taken)
+	if len(out) == 0 {
+		return nil
+	}
+	for i := range v.parts {
+		v.parts[i].packets, v.parts[i].newest = 0, time.Time{}
+	}
+	for i := range v.held.list {
+		v.count(v.held.list[i].Since, v.held.list[i].Action.Verify)
+	}
+	return out
+}
+
+// Len returns the number of packets that are held.
+func (v *Verifier) Len() int { return len(v.held.list) }
--- /dev/null
+++ b/stoatecho/verify_test.go
@@ -0,0 +1,212 @@
+package stoatecho_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stoatpaddle/stoatpaddle"
+	"github.com/stoatpaddle/stoatpaddle/stoatecho"
+	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
+)
+
+// newAddr has no route at first.
+var newAddr = netip.MustParseAddrPort("198.18.0.4:8443")
+
+// declareMore adds a route of the service app to the configuration.
+func (w *world) declareMore() {
+	added := stoatpaddle.Route{Listen: newAddr, Backends: []stoatpaddle.Backend{{Service: "app", Weight: 1}}}
+	w.rev++
+	d := w.builder.Declaration()
+	d.Version, d.Routes = w.rev, append(d.Routes[:len(d.Routes):len(d.Routes)], added)
+	w.builder.ApplyDeclaration(d, w.rev)
+}
+
+// Guards against resets of flows that another entry opened on a route which this entry learns of by the read that the
+// packet causes.
+func TestPacketOnANewRoute(t *testing.T) {
+	w := newWorld(t)
+	c := w.caller(newAddr)
+	c.cookie = stoatroute.KeyOf(1)
+	a := c.sendRequest()
+	wantHold(t, a, stoatroute.PartRoutes)
+	w.declareMore()
+	if a = c.afterRead(a); a.Verdict != stoatecho.Forward || a.Upstream.ID != "i-1" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Guards against a reset because of a read that ended before the packet came: a route that was added in between is
+// not in its answer.
+func TestReadBeforeThePacketIsNoVerification(t *testing.T) {
+	w := newWorld(t)
+	c := w.caller(newAddr)
+	w.confirm()
+	wantHold(t, c.sendRequest(), stoatroute.PartRoutes)
+	w.after(ms)
+	w.builder.MarkPartsCurrent(stoatroute.PartUpstreams, w.now)
+	c.sent.Action = stoatecho.Action{Verdict: stoatecho.Hold, Verify: stoatroute.PartRoutes}
+	wantHold(t, w.e.HandleHeld(w.now, w.builder.Table(), &c.sent), stoatroute.PartRoutes)
+}
+
+// Guards against a reset of a flow at an upstream that started again under its id, and that this entry takes for gone.
+// A flow that was open here before the read is reset at once.
+func TestFlowAtAnUpstreamThatReturned(t *testing.T) {
+	w := newWorld(t)
+	old, silent := w.flowTo(1), w.flowTo(1)
+	w.after(ms).endRegistration("i-1")
+	other := w.caller(idempotentAddr)
+	other.cookie = stoatroute.KeyOf(1)
+	a := other.sendRequest()
+	wantHold(t, a, stoatroute.PartUpstreams)
+	w.confirm()
+	wantReset(t, old.sendRequest(), stoatpacket.DropUpstreamGone)
+	w.rev++
+	w.builder.Register(w.now, stoatpaddle.Registration{ID: "i-1", Target: 1, Service: "app", DataCentre: "here", Slots: 3, Incarnation: 2, CreateRevision: w.rev}, w.rev)
+	if got := other.afterRead(a); got.Verdict != stoatecho.Forward || got.Upstream.ID != "i-1" {
+		t.Errorf("%+v", got)
+	}
+	wantForward(t, "the upstream is back", silent.sendRequest())
+}
+
+// Guards against a pending request that is reset because its upstream's registration lapsed, though the upstream has
+// registered again by the time of the read.
+func TestPendingRequestAtAnUpstreamThatReturned(t *testing.T) {
+	w := newWorld(t)
+	c := w.flowTo(1)
+	c.sendRequest()
+	w.after(300 * ms).endRegistration("i-1")
+	if list, lastEnd := w.e.TakeOrphanedFlows(w.now, w.builder.Table()); len(list) != 0 || !lastEnd.Equal(w.now) {
+		t.Fatalf("%+v, last end %s", list, lastEnd)
+	}
+	w.register(1, "app", "here")
+	w.confirm()
+	if list, lastEnd := w.e.TakeOrphanedFlows(w.now, w.builder.Table()); len(list) != 0 || !lastEnd.IsZero() {
+		t.Errorf("%+v, last end %s", list, lastEnd)
+	}
+}
+
+// An opening whose verification takes too long is refused. A packet of an open flow is dropped.
+func TestGiveUp(t *testing.T) {
+	w := newWorld(t)
+	c := w.caller(newAddr)
+	wantReset(t, w.e.GiveUp(&stoatpacket.Packet{Tuple: c.tuple, Opens: true}, c.syn(0)), stoatpacket.DropNoRoute)
+	wantDrop(t, w.e.GiveUp(&stoatpacket.Packet{Tuple: c.tuple}, c.sendRequest()), stoatpacket.DropUnverified)
+	full := w.caller(intakeAddr)
+	w.builder.MarkGone(w.now, "i-9", 99)
+	wantReset(t, w.e.GiveUp(&stoatpacket.Packet{Tuple: full.tuple, Opens: true}, full.syn(0)), stoatpacket.DropNoUpstream)
+	if s := w.e.Stats(); s.Refused != 1 || s.Resets[stoatpacket.DropNoRoute] != 1 || s.Opened != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// flood has packets of open flows and openings without a route come every millisecond, and returns the calls that they
+// cause, the openings that are not held, and the longest time for which one is held.
+func flood(v *stoatecho.Verifier, start time.Time, length time.Duration) (calls, refused int, longest time.Duration) {
+	hold := stoatecho.Action{Verdict: stoatecho.Hold, Reason: stoatpacket.DropNoRoute, Verify: stoatroute.PartRoutes}
+	for at := time.Duration(0); at < length; at += ms {
+		now := start.Add(at)
+		p := stoatpacket.Packet{Opens: at%(2*ms) == 0, Seq: uint32(at / ms)}
+		if !v.Add(now, now, &p, nil, hold) && p.Opens {
+			refused++
+		}
+		if v.TakeRequests(now) != 0 {
+			calls++
+		}
+		if at%(10*ms) != 0 {
+			continue
+		}
+		for _, h := range v.TakeExpired(now) {
+			if h.Packet.Opens {
+				longest = max(longest, now.Sub(h.Since))
+			}
+		}
+	}
+	return calls, refused, longest
+}
+
+// Guards against a flood of packets without a route that uses up the platform's rate limits, and against callers that
+// wait in it: a burst of four calls, then one a second. The platform never answers.
+func TestFloodCausesABoundedNumberOfCalls(t *testing.T) {
+	var v stoatecho.Verifier
+	calls, refused, longest := flood(&v, start, 20*time.Second)
+	if calls < 20 || calls > 4+20 {
+		t.Error(calls, "calls")
+	}
+	if refused < 8000 {
+		t.Error(refused, "of 10,000 openings were refused at once")
+	}
+	if longest > 510*ms { // overdue packets are taken every 10 ms
+		t.Error("an opening was held for", longest)
+	}
+	if n := v.Len(); n > 1000 {
+		t.Error(n, "packets are held")
+	}
+}
+
+// The calls allow for a burst again after a quiet time, and one call serves all packets that came before it.
+func TestVerifierAsksOncePerPacket(t *testing.T) {
+	var v stoatecho.Verifier
+	flood(&v, start, 5*time.Second)
+	now := start.Add(time.Minute)
+	v.TakeExpired(now)
+	hold := stoatecho.Action{Verdict: stoatecho.Hold, Verify: stoatroute.PartRoutes | stoatroute.PartUpstreams}
+	if !v.Add(now, now, &stoatpacket.Packet{Seq: 1}, nil, hold) || !v.Add(now, now, &stoatpacket.Packet{Seq: 2, Opens: true}, nil, hold) {
+		t.Fatal("not held")
+	}
+	if got := v.TakeRequests(now); got != stoatroute.PartRoutes|stoatroute.PartUpstreams {
+		t.Errorf("asks about %q", got)
+	}
+	if got := v.TakeRequests(now.Add(200 * ms)); got != 0 {
+		t.Errorf("asks again about %q", got)
+	}
+	b := stoatroute.NewBuilder(stoatroute.Config{})
+	b.MarkPartsCurrent(stoatroute.PartRoutes, now.Add(ms))
+	if got := v.TakeVerified(b.Table()); len(got) != 0 {
+		t.Errorf("only one of two parts is verified: %+v", got)
+	}
+	b.MarkPartsCurrent(stoatroute.PartUpstreams, now.Add(ms))
+	if got := v.TakeVerified(b.Table()); len(got) != 2 || got[0].Packet.Seq != 1 {
+		t.Errorf("%+v", got)
+	}
+	if v.Len() != 0 {
+		t.Error("still held:", v.Len())
+	}
+}
+
+// A call that got no answer is repeated after a second, as long as packets wait.
+func TestVerifierAsksAgain(t *testing.T) {
+	var v stoatecho.Verifier
+	v.SetLastEnd(start)
+	calls := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 100 * ms {
+		if v.TakeRequests(start.Add(at)) == stoatroute.PartUpstreams {
+			calls++
+		}
+	}
+	if calls != 10 {
+		t.Error(calls, "calls in 10 s")
+	}
+}
+
+// While the platform does not answer, openings are refused at once, and those that are held too.
+func TestOpeningsAreNotHeldDuringAnOutage(t *testing.T) {
+	var v stoatecho.Verifier
+	hold := stoatecho.Action{Verdict: stoatecho.Hold, Verify: stoatroute.PartRoutes}
+	opening, open := stoatpacket.Packet{Opens: true}, stoatpacket.Packet{Seq: 7}
+	if !v.Add(start, start, &opening, nil, hold) {
+		t.Fatal("not held although the platform answers")
+	}
+	v.SetAvailable(false)
+	if got := v.TakeExpired(start); len(got) != 1 {
+		t.Error("still held:", v.Len())
+	}
+	if v.Add(start, start, &opening, nil, hold) || !v.Add(start, start, &open, nil, hold) {
+		t.Error("an opening is held, or a packet of an open flow is not")
+	}
+	v.SetAvailable(true)
+	if !v.Add(start, start, &opening, nil, hold) {
+		t.Error("not held although the platform answers again")
+	}
+}
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -59,6 +59,11 @@
 		Title: "platform answer is older than the known state",
 		Text:  "The answer was ignored, and the platform is asked again. Known and answered are era/revision, where the era is the platform's count of its restores. The event is logged once until an answer is accepted again. An answer of a replica needs no action; if exact is true and the condition persists, the platform's history went back without a new era.",
 	})
+	EventVerification = stoatevent.Register(stoatevent.Definition{
+		Number: 1444, Severity: stoatevent.Info, Since: "0.10",
+		Title: "state is verified before a final answer",
+		Text:  "A packet refers to something that this entry does not know or takes for ended: an address without a route, an unknown cookie, an upstream that is gone. Another entry may know more, so the platform itself is asked about the topics, and the packets (waiting) are held until it answers. There are at most four such calls in a burst, and one a second after that, for each topic. Parent is the entry that sends updates; empty: none.",
+	})
 	EventConfigRejected = stoatevent.Register(stoatevent.Definition{
 		Number: 1436, Severity: stoatevent.Error, Since: "0.7",
 		Title: "later configuration is rejected",
--- a/stoatedge/controller.go
+++ b/stoatedge/controller.go
@@ -50,6 +50,7 @@
 	// registration that ended meanwhile may have lapsed in an outage that this entry did not notice.
 	unwatched       bool
 	platformAnswers bool                // whether the platform answers, as last reported in platformStatus
+	statusKnown     bool                // platformStatus was reported since this entry became ready
 	deferred        [topicCount]bool    // no call is made until a call about the configuration is answered
 	behind          [topicCount]bool    // the last answer was older than what is known
 	restoreGraceEnd time.Time           // a registration that ends before may have lapsed because of a restore
@@ -59,20 +60,22 @@
 	follower        follower
 	maxDelay        time.Duration // how soon a change has to be in force
 	gracePeriod     time.Duration // how long a lapsed registration may take to come back
-	pendingBarrier  *readBarrier  // the read barrier that some topics have not reached yet; nil: none
-	rand            *rand.Rand
-	known           stoatpaddle.Position // up to it all topics are known, once ready
-	startedAt       time.Time            // when the entry started
-	lastAnswer      time.Time            // when the platform last answered; at first the start
-	ready           bool
-	table           *stoatroute.Table
-	announced       announcement // as last emitted
-	lastWake        wakeState
-	pagesRead       [topicCount]int            // pages of the list in progress, read so far
-	pagesHeldUntil  time.Time                  // until when further pages wait for a parent
-	former          []stoatroute.FormerService // as saved at the platform when this entry started
-	changes         []standingChange           // of the present step, to be logged
-	effects         []any                      // of the present step
+	// verifyingSince is when the verification of a topic was last requested that no answer has completed yet.
+	verifyingSince [topicCount]time.Time
+	pendingBarrier *readBarrier // the read barrier that some topics have not reached yet; nil: none
+	rand           *rand.Rand
+	known          stoatpaddle.Position // up to it all topics are known, once ready
+	startedAt      time.Time            // when the entry started
+	lastAnswer     time.Time            // when the platform last answered; at first the start
+	ready          bool
+	table          *stoatroute.Table
+	announced      announcement // as last emitted
+	lastWake       wakeState
+	pagesRead      [topicCount]int            // pages of the list in progress, read so far
+	pagesHeldUntil time.Time                  // until when further pages wait for a parent
+	former         []stoatroute.FormerService // as saved at the platform when this entry started
+	changes        []standingChange           // of the present step, to be logged
+	effects        []any                      // of the present step
 }
 
 type controllerConfig struct {
@@ -130,8 +133,14 @@
 		ctl.handleParentLost(now, x)
 	case resumed:
 		ctl.handleResumed(now, x.gap)
-	case unknownCookie:
-		ctl.verify(now, upstreams)
+	case verificationRequested:
+		ctl.log(EventVerification, stoatevent.F("topics", x.parts.String()), stoatevent.F("waiting", countText(x.waiting)), stoatevent.F("parent", ctl.follower.parent))
+		for _, t := range ctl.topics {
+			if x.parts&t.part() != 0 {
+				ctl.verifyingSince[t] = now
+				ctl.verify(now, t)
+			}
+		}
 	case settingsChanged:
 		ctl.maxDelay, ctl.gracePeriod = x.maxDelay, x.gracePeriod
 		ctl.setSeedRole(now, x.seeds)
@@ -235,6 +244,7 @@
 	if v.OutageEnded {
 		ctl.log(EventPlatformBack, stoatevent.F("topic", x.topic.String()), stoatevent.F("away", now.Sub(failing).String()))
 	}
+	ctl.continueVerification(x, v)
 	if x.result.Outcome == stoatfeed.Failed && x.topic == upstreams {
 		ctl.state.RestartGracePeriod(now)
 	}
@@ -250,6 +260,22 @@
 		}
 	}
 	ctl.callNext(now, x.topic)
+	if !ctl.reading && !ctl.pending[x.topic] && !ctl.verifyingSince[x.topic].IsZero() && x.sent.Before(ctl.verifyingSince[x.topic]) {
+		ctl.startCall(now, x.topic)
+	}
+}
+
+// continueVerification completes the verification of a topic, or requests another exact call if this one was sent
+// before the verification was requested.
+func (ctl *controller) continueVerification(x callEnded, v stoatfeed.Decision) {
+	since := ctl.verifyingSince[x.topic]
+	switch {
+	case since.IsZero():
+	case x.sent.Before(since):
+		ctl.feeds[x.topic].RequestExact()
+	case v.Current:
+		ctl.verifyingSince[x.topic] = time.Time{}
+	}
 }
 
 // noteBehind logs once that answers are older than what is known.
@@ -292,15 +318,15 @@
 
 func (ctl *controller) outage(t topic) bool { return ctl.feeds[t].Unreachable() }
 
-// updateAsOf updates the time as of which the state is known to be current, after an answer. An exact answer
-// about the upstreams shows that directly. An exact answer about the configuration sets a read barrier, which
-// the replicas' answers about the other topics have to reach.
+// updateAsOf updates the times as of which the state is known to be current, after an answer. An exact answer
+// shows that for its own topic. An exact answer about the configuration also sets a read barrier: once the
+// replicas' answers about the other topics have reached it, the whole state is known to be current.
 func (ctl *controller) updateAsOf(now time.Time, x callEnded, v stoatfeed.Decision) {
 	asOf := x.call.AsOf(x.sent, now, x.result)
-	switch {
-	case x.topic == upstreams && v.Current:
-		ctl.state.MarkCurrent(asOf)
-	case x.topic == declarations && v.Current:
+	if v.Current {
+		ctl.state.MarkPartsCurrent(x.topic.part(), asOf)
+	}
+	if x.topic == declarations && v.Current {
 		ctl.setBarrier(readBarrier{asOf: asOf, pos: x.result.AsOf, receivedAt: now})
 	}
 	ctl.checkBarrier()
--- a/stoatedge/controller_test.go
+++ b/stoatedge/controller_test.go
@@ -317,7 +317,7 @@
 			t.Fatalf("%+v %+v", s.calls[upstreams], s.calls[declarations])
 		}
 	}
-	if age := s.now.Sub(s.table.CompleteAsOf); age > 4*time.Second {
+	if age := s.now.Sub(s.table.AsOf(stoatroute.PartUpstreams)); age > 4*time.Second {
 		t.Error("the upstreams were last confirmed to be complete", age, "ago")
 	}
 }
@@ -327,15 +327,15 @@
 func TestUnknownCookie(t *testing.T) {
 	s := newRunningSession(t)
 	s.advance(time.Second)
-	s.step(unknownCookie{})
+	s.step(verificationRequested{parts: stoatroute.PartUpstreams})
 	if c := s.calls[upstreams]; c.AllowStale || c.Wait > ms {
 		t.Fatalf("%+v", c)
 	}
 	at := s.now
 	s.now = s.now.Add(10 * ms)
 	s.answer(upstreams, 11)
-	if !s.table.CompleteAsOf.Equal(at) {
-		t.Error(s.table.CompleteAsOf.Sub(at))
+	if !s.table.AsOf(stoatroute.PartUpstreams).Equal(at) {
+		t.Error(s.table.AsOf(stoatroute.PartUpstreams).Sub(at))
 	}
 }
 
@@ -350,8 +350,8 @@
 	s.step(parentLost{searchID: 1, cause: &stoatpaddle.UnavailableError{Op: "x"}})
 	s.advance(400 * ms)
 	s.receiveUpdate(parentUpdate{parent: "10.0.0.2:1", age: -1, whole: true, known: position(6)}, declared(3, 5), registered("i-1", 1, 6))
-	if !s.table.Ready() || s.table.Declaration.Version != 3 || !s.table.CompleteAsOf.IsZero() {
-		t.Error(s.table.Ready(), s.table.Declaration.Version, s.table.CompleteAsOf)
+	if !s.table.Ready() || s.table.Declaration.Version != 3 || !s.table.AsOf(stoatroute.PartUpstreams).IsZero() {
+		t.Error(s.table.Ready(), s.table.Declaration.Version, s.table.AsOf(stoatroute.PartUpstreams))
 	}
 	asked := len(s.searches)
 	s.fail(declarations)
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -38,8 +38,9 @@
 	log             *eventLog
 	store           *platform.Store
 	engine          *stoatecho.Engine
-	engineMu        sync.Mutex // guards engine and held
-	held            stoatecho.HoldQueue
+	engineMu        sync.Mutex          // guards engine, held and verifier
+	held            stoatecho.HoldQueue // packets that came before the first table
+	verifier        stoatecho.Verifier
 	table           atomic.Pointer[stoatroute.Table]
 	events          *eventQueue
 	cancels         [topicCount]callCancel
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -25,6 +25,11 @@
 
 func (t topic) String() string { return [...]string{"configuration", "upstreams", "evacuations"}[t] }
 
+// part returns the part of the state that the topic's objects make up.
+func (t topic) part() stoatroute.Parts {
+	return [...]stoatroute.Parts{stoatroute.PartRoutes, stoatroute.PartUpstreams, stoatroute.PartEvacuations}[t]
+}
+
 // change is one decoded object of an answer.
 type change struct {
 	revision     stoatpaddle.Version
@@ -75,8 +80,12 @@
 	}
 	// resumed reports that the process did not run for the time in gap.
 	resumed struct{ gap time.Duration }
-	// unknownCookie reports that a packet had a cookie that is not known here.
-	unknownCookie struct{}
+	// verificationRequested asks for an exact read of parts of the state, on which the answers to packets depend.
+	// Waiting is the number of packets that are held until then.
+	verificationRequested struct {
+		parts   stoatroute.Parts
+		waiting int
+	}
 	// formerLoaded carries the former services of routes, as saved at the platform.
 	formerLoaded struct{ former []stoatroute.FormerService }
 	// settingsChanged carries changed settings.
--- a/stoatedge/follow_test.go
+++ b/stoatedge/follow_test.go
@@ -52,7 +52,7 @@
 	if s.events[EventParentFound.Number] != 1 || s.events[EventReadsPlatform.Number] != 0 {
 		t.Error(s.events)
 	}
-	if !s.table.CompleteAsOf.IsZero() {
+	if !s.table.AsOf(stoatroute.PartUpstreams).IsZero() || !s.table.AsOf(stoatroute.PartRoutes).IsZero() {
 		t.Error("the parent's state is taken to confirm that unknown cookies belong to upstreams that are gone")
 	}
 }
@@ -359,13 +359,13 @@
 // which upstreams exist, and no further call is made.
 func TestUnknownCookieAtChild(t *testing.T) {
 	s := newFollowerSession(t)
-	s.step(unknownCookie{})
+	s.step(verificationRequested{parts: stoatroute.PartUpstreams})
 	c := s.calls[upstreams]
 	if c == nil || c.AllowStale || c.Wait > ms || s.calls[declarations] != nil {
 		t.Fatalf("%+v", c)
 	}
 	s.answer(upstreams, 11)
-	if s.table.CompleteAsOf.IsZero() {
+	if s.table.AsOf(stoatroute.PartUpstreams).IsZero() {
 		t.Error("the platform's own answer does not count as complete")
 	}
 	s.wantNoCalls("after the answer")
--- a/stoatedge/metrics.go
+++ b/stoatedge/metrics.go
@@ -19,11 +19,11 @@
 
 // counters holds what the goroutines count outside the engine.
 type counters struct {
-	dropped        [stoatpacket.DropCount]atomic.Int64
-	cookieReported time.Time // when an unknown cookie was last reported; used by the traffic goroutine only
-	set            *metrics.Set
-	stats          atomic.Pointer[stoatecho.Stats] // as of the latest scrape
-	answerTime     *metrics.Histogram              // from a request to its caller's acknowledgement of the answer
+	dropped       [stoatpacket.DropCount]atomic.Int64
+	verifications atomic.Int64 // requests for a verification of the state
+	set           *metrics.Set
+	stats         atomic.Pointer[stoatecho.Stats] // as of the latest scrape
+	answerTime    *metrics.Histogram              // from a request to its caller's acknowledgement of the answer
 }
 
 // countCall counts one call to the platform.
@@ -75,6 +75,12 @@
 		})
 		stat(fmt.Sprintf("stoatpaddle_flow_reset_total{reason=%q}", r), func(s *stoatecho.Stats) int64 { return s.Resets[r] })
 	}
+	set.NewGauge("stoatpaddle_verification_total", func() float64 { return float64(e.counts.verifications.Load()) })
+	set.NewGauge("stoatpaddle_verification_waiting", func() float64 {
+		e.engineMu.Lock()
+		defer e.engineMu.Unlock()
+		return float64(e.verifier.Len())
+	})
 	set.NewGauge("stoatpaddle_config_version", func() float64 { return float64(e.table.Load().Declaration.Version) })
 	set.NewGauge("stoatpaddle_view_age_seconds", func() float64 {
 		if age := e.ViewAge(clock()); age >= 0 {
--- a/stoatedge/restored_test.go
+++ b/stoatedge/restored_test.go
@@ -54,20 +54,21 @@
 // it does not mean that the upstream has ended.
 func TestUnknownUpstreamAfterARestore(t *testing.T) {
 	s := newRunningSessionWithEra(t)
-	before := s.table.CompleteAsOf
+	before := s.table.AsOf(stoatroute.PartUpstreams)
 	s.era = 2
 	for range 3 {
-		s.step(unknownCookie{})
+		s.step(verificationRequested{parts: stoatroute.PartUpstreams})
 		s.answer(upstreams, 24, registered("i-1", 1, 6), registered("i-2", 2, 7))
 		s.advance(300 * ms)
 	}
-	if !s.table.CompleteAsOf.Equal(before) {
-		t.Error("a restored platform's answer counts as complete after", s.table.CompleteAsOf.Sub(before))
+	if !s.table.AsOf(stoatroute.PartUpstreams).Equal(before) {
+		t.Error("a restored platform's answer counts as complete after", s.table.AsOf(stoatroute.PartUpstreams).Sub(before))
 	}
+	s.answer(upstreams, 24) // to a call that was sent while the last verification was requested
 	s.advance(2 * time.Second)
-	s.step(unknownCookie{})
+	s.step(verificationRequested{parts: stoatroute.PartUpstreams})
 	s.answer(upstreams, 24)
-	if s.table.CompleteAsOf.Equal(before) {
+	if s.table.AsOf(stoatroute.PartUpstreams).Equal(before) {
 		t.Error("an upstream that has ended never counts as gone")
 	}
 }
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -78,6 +78,9 @@
 		}
 	case platformStatus:
 		e.platformAnswers.Store(x.answers)
+		e.engineMu.Lock()
+		e.verifier.SetAvailable(x.answers)
+		e.engineMu.Unlock()
 	case logEvent:
 		e.log.emit(clock(), x.definition, x.fields...)
 	}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -73,47 +73,108 @@
 		e.engine.NoteQueueEmpty(bufs.drained)
 	}
 	a := e.engine.Handle(now, t, p)
-	if a.Verdict == stoatecho.Hold && !e.held.Add(now, p, bufs.buf[platform.TargetSize:platform.TargetSize+n]) {
-		a.Verdict = stoatecho.Drop
-		e.counts.dropped[a.Reason].Add(1)
-	}
+	request := e.hold(now, now, p, bufs.buf[platform.TargetSize:platform.TargetSize+n], &a)
 	observed := e.engine.TakeReportChange()
 	e.engineMu.Unlock()
 	if observed {
 		e.notifyObserved()
 	}
+	e.requestVerification(request)
 	e.apply(now, t, a, p, bufs, n)
 }
 
-// applyTable adapts the engine to a new table: it handles the packets that were held until the first table,
-// and resets flows whose upstreams have ended.
+// hold holds the packet, which came at since, if the action says so, and changes the action if the packet cannot be
+// held. It returns the verification to request. The caller locks engineMu.
+func (e *Edge) hold(now, since time.Time, p *stoatpacket.Packet, data []byte, a *stoatecho.Action) verificationRequested {
+	switch {
+	case a.Verdict != stoatecho.Hold:
+		return verificationRequested{}
+	case a.Verify == 0:
+		if !e.held.Add(since, p, data) {
+			a.Verdict = stoatecho.Drop
+			e.counts.dropped[a.Reason].Add(1)
+		}
+		return verificationRequested{}
+	case !e.verifier.Add(now, since, p, data, *a):
+		*a = e.engine.GiveUp(p, *a)
+		return verificationRequested{}
+	}
+	return e.dueVerification(now)
+}
+
+// dueVerification returns the verification to request now. The caller locks engineMu.
+func (e *Edge) dueVerification(now time.Time) verificationRequested {
+	return verificationRequested{parts: e.verifier.TakeRequests(now), waiting: e.verifier.Len()}
+}
+
+// requestVerification asks the controller for a verification, unless it is about nothing.
+func (e *Edge) requestVerification(x verificationRequested) {
+	if x.parts == 0 {
+		return
+	}
+	e.counts.verifications.Add(1)
+	e.post(x)
+}
+
+// applyTable adapts the engine to a new table: it handles the packets that were held until the first table or
+// until the state was verified, and resets flows whose upstreams have ended.
 func (e *Edge) applyTable(now time.Time) {
 	e.engineMu.Lock()
-	held := e.held.Take()
 	t := e.table.Load()
+	held := append(e.held.Take(), e.verifier.TakeVerified(t)...)
 	e.engine.Retain(now, t)
-	ended := e.engine.TakeOrphanedFlows(now, t)
+	ended, lastEnd := e.engine.TakeOrphanedFlows(now, t)
+	e.verifier.SetLastEnd(lastEnd)
+	request := e.dueVerification(now)
 	e.engineMu.Unlock()
+	e.requestVerification(request)
 	e.resetEnded(now, t, ended)
 	e.replay(now, held)
 }
 
-// rejectOverdue refuses packets that have been held for too long.
-func (e *Edge) rejectOverdue(now time.Time) {
+// handleOverdue handles packets that have been held for too long, and requests the verifications that are due.
+func (e *Edge) handleOverdue(now time.Time) {
 	e.engineMu.Lock()
-	held := e.held.TakeExpired(now)
+	held, unverified := e.held.TakeExpired(now), e.verifier.TakeExpired(now)
+	request := e.dueVerification(now)
 	e.engineMu.Unlock()
+	e.requestVerification(request)
 	e.replay(now, held)
+	e.giveUp(now, unverified)
 }
 
+// replay handles packets that were held.
 func (e *Edge) replay(now time.Time, held []stoatecho.HeldPacket) {
+	e.forEachHeld(held, func(bufs *packetBuffers, n int, h *stoatecho.HeldPacket) {
+		e.engineMu.Lock()
+		t := e.table.Load()
+		a := e.engine.HandleHeld(now, t, h)
+		// The end of a flow's upstream may have to be verified once its route is.
+		request := e.hold(now, h.Since, &h.Packet, h.Data, &a)
+		e.engineMu.Unlock()
+		e.requestVerification(request)
+		e.apply(now, t, a, &h.Packet, bufs, n)
+	})
+}
+
+// giveUp handles packets whose verification took too long.
+func (e *Edge) giveUp(now time.Time, held []stoatecho.HeldPacket) {
+	e.forEachHeld(held, func(bufs *packetBuffers, n int, h *stoatecho.HeldPacket) {
+		e.engineMu.Lock()
+		t := e.table.Load()
+		a := e.engine.GiveUp(&h.Packet, h.Action)
+		e.engineMu.Unlock()
+		e.apply(now, t, a, &h.Packet, bufs, n)
+	})
+}
+
+func (e *Edge) forEachHeld(held []stoatecho.HeldPacket, do func(bufs *packetBuffers, n int, h *stoatecho.HeldPacket)) {
 	if len(held) == 0 {
 		return
 	}
 	bufs := newPacketBuffers()
 	for i := range held {
-		n := copy(bufs.buf[platform.TargetSize:], held[i].Data)
-		e.handle(now, bufs, n, &held[i].Packet)
+		do(bufs, copy(bufs.buf[platform.TargetSize:], held[i].Data), &held[i])
 	}
 }
 
@@ -146,9 +207,6 @@
 		e.logFlow(now, EventFlowReset, t, a, p, fields...)
 	case stoatecho.Drop:
 		e.logDrop(now, p, a.Reason)
-		if a.Reason == stoatpacket.DropUnverified {
-			e.reportUnknownCookie(now)
-		}
 	}
 	if a.AnswerTime > 0 {
 		e.counts.answerTime.Update(a.AnswerTime.Seconds())
@@ -237,18 +295,6 @@
 		stoatevent.F("flow", p.Tuple.Src.String()+">"+p.Tuple.Dst.String()), stoatevent.F("cookie", strconv.FormatUint(uint64(p.Cookie), 16)))
 }
 
-// unknownCookieInterval limits how often unknown cookies make an entry call the platform: a flood of forged
-// cookies must not use up the platform's rate limits.
-const unknownCookieInterval = 500 * time.Millisecond
-
-func (e *Edge) reportUnknownCookie(now time.Time) {
-	if now.Sub(e.counts.cookieReported) < unknownCookieInterval {
-		return
-	}
-	e.counts.cookieReported = now
-	e.post(unknownCookie{})
-}
-
 // tick drives what happens without packets: the controller's ticks, the refusal of packets held for too long,
 // the log of priority levels and of omitted lines, the tuning of the garbage collector, and the planned stop.
 func (e *Edge) tick() error {
@@ -266,7 +312,7 @@
 			e.log.emit(now, EventProcessPaused, stoatevent.F("gap", gap.String()))
 		}
 		e.post(ticked{})
-		e.rejectOverdue(now)
+		e.handleOverdue(now)
 		e.logLevelChanges(now)
 		if e.log.reportOmitted(now) {
 			tuneGC(e.settings().MemoryBytes())
--- a/stoatedge/wake.go
+++ b/stoatedge/wake.go
@@ -33,8 +33,8 @@
 // announce emits which state children may rely on, if it changed, after that state is published.
 func (ctl *controller) announce() {
 	reads := ctl.reading && ctl.ready && ctl.failingSince().IsZero()
-	if answers := ctl.ready && (reads || !ctl.reading); answers != ctl.platformAnswers {
-		ctl.platformAnswers = answers
+	if answers := ctl.ready && (reads || !ctl.reading && ctl.failingSince().IsZero()); ctl.ready && !ctl.statusKnown || answers != ctl.platformAnswers {
+		ctl.platformAnswers, ctl.statusKnown = answers, ctl.ready
 		ctl.emit(platformStatus{answers: answers})
 	}
 	if ctl.ready {
--- a/stoatroute/builder.go
+++ b/stoatroute/builder.go
@@ -87,7 +87,7 @@
 	records          map[stoatpaddle.UpstreamID]*record
 	ending           map[stoatpaddle.UpstreamID]*record // the records that are missing or gone
 	currentAsOf      time.Time                          // see CurrentAsOf
-	completeAsOf     time.Time                          // an upstream that is not in records did not exist then
+	partsAsOf        partTimes                          // see Table.AsOf
 	declared         bool
 	listed           bool
 	mirroring        bool   // another entry reports whether missing registrations ended
@@ -97,7 +97,7 @@
 	interner     interner
 	recordShards recordShards
 	table        *Table
-	dirty        bool // more than completeAsOf has changed since table was built
+	dirty        bool // more than partsAsOf has changed since table was built
 }
 
 // NewBuilder returns an empty builder.
@@ -295,15 +295,20 @@
 	b.recordChange(rec)
 }
 
-// MarkCurrent records that the upstreams were current when a call was sent at the given time. Soon after
-// a restore this does not imply that an unknown upstream has ended: its registration may have been lost in the
-// restore, and taking it for ended would reset its open flows.
+// MarkCurrent records that the whole state was current when a call was sent at the given time.
 func (b *Builder) MarkCurrent(sent time.Time) {
 	if sent.After(b.currentAsOf) {
 		b.currentAsOf = sent
 	}
-	if sent.After(b.completeAsOf) && !sent.Before(b.restoreGraceEnd) {
-		b.completeAsOf = sent
+	b.MarkPartsCurrent(AllParts, sent)
+}
+
+// MarkPartsCurrent records that parts of the state were current when a call was sent at the given time. Soon after
+// a restore this does not imply that something unknown has ended: the restore may have lost a registration or a
+// configuration, and taking it for ended would reset open flows.
+func (b *Builder) MarkPartsCurrent(parts Parts, sent time.Time) {
+	if !sent.Before(b.restoreGraceEnd) {
+		b.partsAsOf.advance(parts, sent)
 	}
 }
 
@@ -329,7 +334,7 @@
 // Declaration returns the declaration in force.
 func (b *Builder) Declaration() stoatpaddle.Declaration { return b.decl }
 
-// CurrentAsOf returns the time at which the latest call was sent whose answer showed that the upstreams were
+// CurrentAsOf returns the time at which the latest call was sent whose answer showed that the whole state was
 // current.
 func (b *Builder) CurrentAsOf() time.Time { return b.currentAsOf }
 
@@ -364,15 +369,15 @@
 	return *rec.up, true
 }
 
-// Table returns the current snapshot. If only CompleteAsOf has changed, the snapshot shares everything else
+// Table returns the current snapshot. If only AsOf has changed, the snapshot shares everything else
 // with the last one, because that happens every few seconds however many upstreams there are.
 func (b *Builder) Table() *Table {
 	switch {
 	case b.dirty:
 		b.table, b.dirty = b.buildTable(), false
-	case b.table.CompleteAsOf != b.completeAsOf:
+	case b.table.partsAsOf != b.partsAsOf:
 		t := *b.table
-		t.CompleteAsOf = b.completeAsOf
+		t.partsAsOf = b.partsAsOf
 		b.table = &t
 	}
 	return b.table
@@ -381,7 +386,7 @@
 // buildTable builds a new snapshot that shares unchanged shards with the last one.
 func (b *Builder) buildTable() *Table {
 	t := &Table{
-		Declaration: b.decl, Revision: b.revision, Era: b.era, CompleteAsOf: b.completeAsOf, Declared: b.declared, Listed: b.listed,
+		Declaration: b.decl, Revision: b.revision, Era: b.era, partsAsOf: b.partsAsOf, Declared: b.declared, Listed: b.listed,
 		ChangeSeq: b.changeSeq, DeclarationSeq: b.declarationSeq, evacuations: b.evacuations.clone(b.cfg.RequireEvacuations),
 		routes: b.routes, removed: b.removed, removedForgotten: b.removedForgotten,
 	}
--- a/stoatroute/builder_test.go
+++ b/stoatroute/builder_test.go
@@ -174,8 +174,8 @@
 	}
 	b.ApplyDeclaration(declaration(1, "app"), 1)
 	b.Mirror(start, stoatroute.RemoteUpdate{Upstreams: []stoatroute.RemoteUpstream{{Registration: registration(1, "i-1"), Revision: 2}}, Complete: true, UpToDate: true})
-	if table := b.Table(); !table.Ready() || !table.CompleteAsOf.IsZero() {
-		t.Error(table.Ready(), table.CompleteAsOf)
+	if table := b.Table(); !table.Ready() || !table.AsOf(stoatroute.PartUpstreams).IsZero() || !table.AsOf(stoatroute.PartRoutes).IsZero() {
+		t.Error(table.Ready(), table.AsOf(stoatroute.PartUpstreams), table.AsOf(stoatroute.PartRoutes))
 	}
 	if table := b.Table(); len(table.Upstreams()) != 1 || !table.Declared || table.Revision != 1 {
 		t.Errorf("%+v", table)
--- a/stoatroute/table.go
+++ b/stoatroute/table.go
@@ -95,9 +95,6 @@
 	Declaration stoatpaddle.Declaration
 	Revision    stoatpaddle.Version // of the declaration; 0: it belongs to an earlier era
 	Era         stoatpaddle.Era     // of all revisions in the table; 0: unknown
-	// CompleteAsOf is the time at which the latest call was sent whose answer showed that the upstreams were
-	// current. An upstream that is not in the table did not exist then.
-	CompleteAsOf time.Time
 	// ChangeSeq is the builder's change sequence number, and DeclarationSeq is its value when the declaration
 	// was adopted or last extended by former services. Both start again with each start of the process.
 	ChangeSeq, DeclarationSeq uint64
@@ -106,6 +103,7 @@
 	Listed   bool // the upstreams were listed at least once
 
 	evacuations
+	partsAsOf        partTimes
 	routes           map[netip.AddrPort]*Route
 	removed          map[netip.AddrPort]uint64 // removed routes, and the change sequence number of the removal
 	removedForgotten uint64                    // removals up to this change sequence number are forgotten
