--- a/stoatecho/hold.go
+++ b/stoatecho/hold.go
@@ -34,6 +34,8 @@
 	size  int
 }
 
+func keyOf(p *stoatpacket.Packet) heldKey { return heldKey{tuple: p.Tuple, seq: p.Seq, size: p.Size} }
+
 const (
 	// maxHeld bounds the memory, at 1.3 kB a packet; it covers two seconds of the busiest entry's traffic.
 	maxHeld = 2048
@@ -50,7 +52,7 @@
 	if h.index == nil {
 		h.index = map[heldKey]int{}
 	}
-	k := heldKey{tuple: p.Tuple, seq: p.Seq, size: p.Size}
+	k := keyOf(p)
 	if i, known := h.index[k]; known {
 		h.list[i].Packet, h.list[i].Data, h.list[i].Action = *p, append(h.list[i].Data[:0], data...), a
 		return true
@@ -63,6 +65,12 @@
 	return true
 }
 
+// has reports whether a copy of the packet is held.
+func (h *HoldQueue) has(p *stoatpacket.Packet) bool {
+	_, held := h.index[keyOf(p)]
+	return held
+}
+
 // Take removes and returns all held packets, oldest first.
 func (h *HoldQueue) Take() []HeldPacket {
 	list := h.list
@@ -90,8 +98,7 @@
 	}
 	h.list, h.index = kept, make(map[heldKey]int, len(kept))
 	for i := range kept {
-		p := &kept[i].Packet
-		h.index[heldKey{tuple: p.Tuple, seq: p.Seq, size: p.Size}] = i
+		h.index[keyOf(&kept[i].Packet)] = i
 	}
 	return out
 }
--- a/stoatecho/verify.go
+++ b/stoatecho/verify.go
@@ -64,65 +64,81 @@
 	// a flood of packets without a route, or with forged cookies, must not use up the platform's rate limits.
 	verificationBurst    = 4
 	verificationInterval = time.Second
+	// openingBurst and openingInterval limit the openings that cause calls. Scanners open flows to addresses without
+	// a route all the time, and each call is charged. A refusal ends no flow, and the usual updates bring a new route
+	// within the bound of the configuration; a reset of an open flow could not be made up for.
+	openingBurst    = 2
+	openingInterval = 10 * time.Second
 	// minVerificationGap is the shortest pause between two calls about one part: one call serves all packets that
 	// came before it.
 	minVerificationGap = 100 * time.Millisecond
-	// maxOpeningWait is how soon the next call must be allowed for an opening to be held. Callers of an address
-	// without a route are refused at once while a flood uses up the calls.
+	// maxOpeningWait is how soon the next call must be allowed for an opening to be held. Its caller is refused at once
+	// while a flood uses up the calls.
 	maxOpeningWait = minVerificationGap
 	// verificationTimeout is how long an opening is held. Its caller can try again elsewhere.
 	verificationTimeout = 500 * time.Millisecond
 )
 
-// callBudget is a token bucket for the calls about one part of the state.
-type callBudget struct {
-	tokens     float64
-	refilledAt time.Time // zero: the bucket is full
-	last       time.Time // when the last call was requested
+// tokenBucket limits how often something happens: burst times at once, and then once in each interval.
+type tokenBucket struct {
+	burst    float64
+	interval time.Duration
+	tokens   float64
+	last     time.Time // when tokens was computed, by the last take; zero: the bucket is full
 }
 
 // tokensAt returns the tokens at a time.
-func (b *callBudget) tokensAt(now time.Time) float64 {
-	if b.refilledAt.IsZero() {
-		return verificationBurst
+func (b *tokenBucket) tokensAt(now time.Time) float64 {
+	if b.last.IsZero() {
+		return b.burst
 	}
-	return min(verificationBurst, b.tokens+now.Sub(b.refilledAt).Seconds()/verificationInterval.Seconds())
+	return min(b.burst, b.tokens+now.Sub(b.last).Seconds()/b.interval.Seconds())
 }
 
-// wait returns how long it takes until a call is allowed.
-func (b *callBudget) wait(now time.Time) time.Duration {
-	var wait time.Duration
-	if !b.last.IsZero() {
-		wait = max(0, minVerificationGap-now.Sub(b.last))
-	}
-	if missing := 1 - b.tokensAt(now); missing > 0 {
-		wait = max(wait, time.Duration(missing*float64(verificationInterval)))
-	}
-	return wait
+// wait returns how long it takes until there is a token.
+func (b *tokenBucket) wait(now time.Time) time.Duration {
+	return max(0, time.Duration((1-b.tokensAt(now))*float64(b.interval)))
 }
 
-func (b *callBudget) take(now time.Time) {
-	b.tokens, b.refilledAt, b.last = b.tokensAt(now)-1, now, now
-}
+func (b *tokenBucket) take(now time.Time) { b.tokens, b.last = b.tokensAt(now)-1, now }
 
 // partWaiting is what waits for the verification of one part of the state.
 type partWaiting struct {
-	budget  callBudget
+	calls   tokenBucket
 	packets int       // that are held
 	newest  time.Time // when the last of them came
 }
 
+// wait returns how long it takes until a call is allowed.
+func (x *partWaiting) wait(now time.Time) time.Duration {
+	wait := x.calls.wait(now)
+	if !x.calls.last.IsZero() {
+		wait = max(wait, minVerificationGap-now.Sub(x.calls.last))
+	}
+	return wait
+}
+
 // Verifier holds packets until the state on which their answer depends is verified, and decides when to ask the
 // platform. It is not safe for concurrent use.
 type Verifier struct {
 	held        HoldQueue
 	parts       [stoatroute.PartCount]partWaiting
-	unavailable bool // the platform does not answer
+	openings    tokenBucket // openings that are held
+	unavailable bool        // the platform does not answer
 	// lastEnd is when the last upstream ended whose end has to be verified for flows that wait for its answers;
 	// zero: there is none.
 	lastEnd time.Time
 }
 
+// NewVerifier returns a Verifier that takes the platform for available.
+func NewVerifier() *Verifier {
+	v := &Verifier{openings: tokenBucket{burst: openingBurst, interval: openingInterval}}
+	for i := range v.parts {
+		v.parts[i].calls = tokenBucket{burst: verificationBurst, interval: verificationInterval}
+	}
+	return v
+}
+
 // SetAvailable sets whether the platform answers.
 func (v *Verifier) SetAvailable(available bool) { v.unavailable = !available }
 
@@ -130,11 +146,15 @@
 func (v *Verifier) SetLastEnd(at time.Time) { v.lastEnd = at }
 
 // Add holds a copy of the packet, which came at since, and reports whether it did. A packet of an open flow is held
-// if there is room, and an opening only if its verification can begin soon.
+// if there is room, and an opening only if its verification can begin soon and openings may cause a call.
 func (v *Verifier) Add(now, since time.Time, p *stoatpacket.Packet, data []byte, a Action) bool {
-	if p.Opens && (v.unavailable || v.wait(now, a.Verify) > maxOpeningWait) || !v.held.add(since, p, data, a) {
+	first := p.Opens && !v.held.has(p)
+	if first && (v.unavailable || v.openings.wait(now) > 0 || v.wait(now, a.Verify) > maxOpeningWait) || !v.held.add(since, p, data, a) {
 		return false
 	}
+	if first {
+		v.openings.take(now)
+	}
 	v.count(since, a.Verify)
 	return true
 }
@@ -144,7 +164,7 @@
 	var wait time.Duration
 	for i := range v.parts {
 		if parts.Has(i) {
-			wait = max(wait, v.parts[i].budget.wait(now))
+			wait = max(wait, v.parts[i].wait(now))
 		}
 	}
 	return wait
@@ -176,9 +196,9 @@
 				newest = v.lastEnd
 			}
 		}
-		due := waits && (newest.After(x.budget.last) || now.Sub(x.budget.last) >= verificationInterval)
-		if due && x.budget.wait(now) == 0 {
-			x.budget.take(now)
+		due := waits && (newest.After(x.calls.last) || now.Sub(x.calls.last) >= verificationInterval)
+		if due && x.wait(now) <= 0 {
+			x.calls.take(now)
 			out |= 1 << i
 		}
 	}
--- a/stoatecho/verify_test.go
+++ b/stoatecho/verify_test.go
@@ -129,8 +129,8 @@
 // Guards against a flood of packets without a route that uses up the platform's rate limits, and against callers that
 // wait in it: a burst of four calls, then one a second. The platform never answers.
 func TestFloodCausesABoundedNumberOfCalls(t *testing.T) {
-	var v stoatecho.Verifier
-	calls, refused, longest := flood(&v, start, 20*time.Second)
+	v := stoatecho.NewVerifier()
+	calls, refused, longest := flood(v, start, 20*time.Second)
 	if calls < 20 || calls > 4+20 {
 		t.Error(calls, "calls")
 	}
@@ -145,10 +145,32 @@
 	}
 }
 
+// Guards against scanners that use up the calls: openings to addresses without a route, one a second for a minute.
+func TestOpeningsCauseFewCalls(t *testing.T) {
+	v := stoatecho.NewVerifier()
+	hold := stoatecho.Action{Verdict: stoatecho.Hold, Verify: stoatroute.PartRoutes}
+	calls := 0
+	for at := time.Duration(0); at < time.Minute; at += time.Second {
+		now := start.Add(at)
+		p := stoatpacket.Packet{Opens: true, Seq: uint32(at)}
+		held := v.Add(now, now, &p, nil, hold)
+		if again := v.Add(now.Add(200*ms), now.Add(200*ms), &p, nil, hold); again != held {
+			t.Errorf("%s: held %t, its copy %t", at, held, again)
+		}
+		if v.TakeRequests(now) != 0 {
+			calls++
+		}
+		v.TakeExpired(now.Add(900 * ms))
+	}
+	if calls < 6 || calls > 8 {
+		t.Error(calls, "calls in a minute")
+	}
+}
+
 // The calls allow for a burst again after a quiet time, and one call serves all packets that came before it.
 func TestVerifierAsksOncePerPacket(t *testing.T) {
-	var v stoatecho.Verifier
-	flood(&v, start, 5*time.Second)
+	v := stoatecho.NewVerifier()
+	flood(v, start, 5*time.Second)
 	now := start.Add(time.Minute)
 	v.TakeExpired(now)
 	hold := stoatecho.Action{Verdict: stoatecho.Hold, Verify: stoatroute.PartRoutes | stoatroute.PartUpstreams}
@@ -177,7 +199,7 @@
 
 // A call that got no answer is repeated after a second, as long as packets wait.
 func TestVerifierAsksAgain(t *testing.T) {
-	var v stoatecho.Verifier
+	v := stoatecho.NewVerifier()
 	v.SetLastEnd(start)
 	calls := 0
 	for at := time.Duration(0); at < 10*time.Second; at += 100 * ms {
@@ -192,7 +214,7 @@
 
 // While the platform does not answer, openings are refused at once, and those that are held too.
 func TestOpeningsAreNotHeldDuringAnOutage(t *testing.T) {
-	var v stoatecho.Verifier
+	v := stoatecho.NewVerifier()
 	hold := stoatecho.Action{Verdict: stoatecho.Hold, Verify: stoatroute.PartRoutes}
 	opening, open := stoatpacket.Packet{Opens: true}, stoatpacket.Packet{Seq: 7}
 	if !v.Add(start, start, &opening, nil, hold) {
--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -40,7 +40,7 @@
 	engine          *stoatecho.Engine
 	engineMu        sync.Mutex          // guards engine, held and verifier
 	held            stoatecho.HoldQueue // packets that came before the first table
-	verifier        stoatecho.Verifier
+	verifier        *stoatecho.Verifier
 	table           atomic.Pointer[stoatroute.Table]
 	events          *eventQueue
 	cancels         [topicCount]callCancel
@@ -84,6 +84,7 @@
 		callerPort: cfg.Settings.TunnelAddr.Port(),
 		ownAddr:    cfg.Settings.TunnelAddr.Addr(),
 		events:     newEventQueue(),
+		verifier:   stoatecho.NewVerifier(),
 		tableReady: make(chan struct{}),
 		observed:   make(chan struct{}, 1),
 		reports:    make(chan pendingReport, 1),
