--- a/platform.go
+++ b/platform.go
@@ -41,6 +41,8 @@
 type Listing struct {
 	Revision Version
 	Objects  []Object
+	// Foreign has the reasons why other objects of the same kind on the platform are none of the system's.
+	Foreign []error
 }
 
 // Platform is the provider's object API.
--- a/stoatedge/run_former.go
+++ b/stoatedge/run_former.go
@@ -52,21 +52,39 @@
 	return json.Marshal(w)
 }
 
-// decodeFormer decodes the object's value, or returns *stoatpaddle.DecodeError.
+// decodeFormer decodes the object's value. It returns *stoatpaddle.DecodeError if a part of it cannot be decoded,
+// together with everything else.
 func decodeFormer(value []byte) (saveFormer, error) {
-	var w wireFormer
+	var w struct {
+		Version uint64            `json:"version"`
+		Routes  []json.RawMessage `json:"routes"`
+	}
+	fault := func(err error) error { return &stoatpaddle.DecodeError{What: formerRef.String(), Cause: err} }
 	if err := json.Unmarshal(value, &w); err != nil {
-		return saveFormer{}, &stoatpaddle.DecodeError{What: formerRef.String(), Cause: err}
+		return saveFormer{}, fault(err)
 	}
 	x := saveFormer{version: stoatpaddle.Version(w.Version)}
-	for _, r := range w.Routes {
-		listen, err := netip.ParseAddrPort(r.Listen)
+	var first error
+	for _, raw := range w.Routes {
+		f, err := decodeFormerService(raw)
 		if err != nil {
-			return saveFormer{}, &stoatpaddle.DecodeError{What: formerRef.String(), Cause: err}
+			if first == nil {
+				first = fault(err)
+			}
+			continue
 		}
-		x.former = append(x.former, stoatroute.FormerService{Listen: listen, Service: stoatpaddle.ServiceID(r.Service), Until: time.UnixMilli(r.UntilMS)})
+		x.former = append(x.former, f)
+	}
+	return x, first
+}
+
+func decodeFormerService(raw []byte) (stoatroute.FormerService, error) {
+	var w wireService
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return stoatroute.FormerService{}, err
 	}
-	return x, nil
+	listen, err := netip.ParseAddrPort(w.Listen)
+	return stoatroute.FormerService{Listen: listen, Service: stoatpaddle.ServiceID(w.Service), Until: time.UnixMilli(w.UntilMS)}, err
 }
 
 // loadFormer loads the former services. A replica is enough: what it lacks was saved some seconds ago, and the
@@ -77,27 +95,35 @@
 	x, err := e.readFormer(ctx)
 	if err != nil {
 		e.log.emit(clock(), EventFormerLoadFailed, stoatevent.F("cause", err.Error()))
-		return
 	}
 	if len(x.former) > 0 {
 		e.post(formerLoaded{former: x.former})
 	}
 }
 
-// readFormer returns what a replica has; the zero value if there is no such object.
+// readFormer returns what a replica has; the zero value if there is no such object. Other objects of the kind may fill
+// pages before it.
 func (e *Edge) readFormer(ctx context.Context) (saveFormer, error) {
-	answer, err := e.store.Read(ctx, platform.Query{Kind: stoatplatform.StoreKind, AllowStale: true})
-	if err != nil {
-		return saveFormer{}, err
-	}
-	for _, item := range answer.Items {
-		o, err := stoatplatform.FromStoreObject(item, answer.Era)
-		if err != nil || o.Ref != formerRef {
-			continue
+	q := platform.Query{Kind: stoatplatform.StoreKind, AllowStale: true}
+	for {
+		answer, err := e.store.Read(ctx, q)
+		if err != nil {
+			return saveFormer{}, err
+		}
+		after := q.After
+		for _, item := range answer.Items {
+			// An object with another name is none of this entry's.
+			if o, err := stoatplatform.FromStoreObject(item, answer.Era); err == nil && o.Ref == formerRef {
+				return decodeFormer(o.Value)
+			}
+			if item.Meta.Name != "" {
+				q.After = item.Meta.Name
+			}
+		}
+		if !answer.More || q.After == after {
+			return saveFormer{}, nil
 		}
-		return decodeFormer(o.Value)
 	}
-	return saveFormer{}, nil
 }
 
 // saveFormer saves the former services, unless another entry has saved those of the same or a later version.
--- a/stoatnode/platform.go
+++ b/stoatnode/platform.go
@@ -48,6 +48,9 @@
 
 func (n *Node) platformAnswered(l stoatpaddle.Listing) {
 	n.platform.readPending = false
+	for _, err := range l.Foreign {
+		n.log(EventObjectInvalid, stoatevent.F("cause", err.Error()))
+	}
 	if n.platform.failures > 0 {
 		n.platform.failures = 0
 		n.log(EventPlatformBack)
--- a/stoatplatform/client.go
+++ b/stoatplatform/client.go
@@ -70,20 +70,35 @@
 			// The platform was restored between two pages, so the pages do not belong together.
 			return stoatpaddle.Listing{}, &stoatpaddle.UnavailableError{Op: StoreKind, Cause: &platform.HistoryError{From: a.AsOf, Era: a.Era}}
 		}
+		after := q.After
 		for _, item := range a.Items {
-			o, err := FromStoreObject(item, a.Era)
-			if err != nil {
-				return stoatpaddle.Listing{}, err
+			add(&l, item, a.Era, false)
+			if item.Meta.Name != "" {
+				q.After = item.Meta.Name
 			}
-			l.Objects = append(l.Objects, o)
-			q.After = item.Meta.Name
 		}
-		if !a.More || len(a.Items) == 0 {
+		switch {
+		case !a.More || len(a.Items) == 0:
 			return l, nil
+		case q.After == after:
+			// No name in the page can be read: the next call would return the same page, forever.
+			return stoatpaddle.Listing{}, &stoatpaddle.UnavailableError{Op: StoreKind, Cause: a.Items[0].DecodeErr}
 		}
 	}
 }
 
+// add adds an object of the platform to the listing.
+func add(l *stoatpaddle.Listing, p platform.Object, era uint64, deleted bool) {
+	o, err := FromStoreObject(p, era)
+	if err != nil {
+		l.Foreign = append(l.Foreign, err)
+		return
+	}
+	// The system itself only writes tombstones, but an operator may delete an object by hand.
+	o.Deleted = o.Deleted || deleted
+	l.Objects = append(l.Objects, o)
+}
+
 // Watch implements stoatpaddle.Platform. If the platform no longer has the changes after from, the error
 // wraps *platform.HistoryError, and the caller has to list again.
 func (c *Client) Watch(ctx context.Context, from stoatpaddle.Version, wait time.Duration) (stoatpaddle.Listing, error) {
@@ -100,13 +115,7 @@
 	}
 	l := stoatpaddle.Listing{Revision: versionAsOf(&a)}
 	for _, ev := range a.Events {
-		o, err := FromStoreObject(ev.Object, a.Era)
-		if err != nil {
-			return stoatpaddle.Listing{}, err
-		}
-		// The system itself only writes tombstones, but an operator may delete an object by hand.
-		o.Deleted = o.Deleted || ev.Deleted
-		l.Objects = append(l.Objects, o)
+		add(&l, ev.Object, a.Era, ev.Deleted)
 	}
 	return l, nil
 }
@@ -213,9 +222,9 @@
 	default:
 		return stoatpaddle.Object{}, platform.UnexpectedStatus(ref.String(), res.Status, res.Body)
 	}
-	var p platform.Object
-	if err := json.Unmarshal(res.Body, &p); err != nil {
-		return stoatpaddle.Object{}, &stoatpaddle.UnavailableError{Op: ref.String(), Cause: err}
+	p := platform.DecodeObject(res.Body)
+	if p.DecodeErr != nil && p.Meta.Name == "" {
+		return stoatpaddle.Object{}, &stoatpaddle.UnavailableError{Op: ref.String(), Cause: p.DecodeErr}
 	}
 	o, err := FromStoreObject(p, res.Era)
 	if err != nil {
--- a/stoatplatform/wire.go
+++ b/stoatplatform/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/stoatpaddle/stoatpaddle"
@@ -39,12 +40,32 @@
 	return platform.Object{Meta: meta, Spec: data}, nil
 }
 
-// FromStoreObject converts an object of the platform, read in the given era, or returns *stoatpaddle.DecodeError.
+// nameError reports an object whose name is not one of the system's.
+type nameError struct{ name string }
+
+// Error names the object.
+func (e *nameError) Error() string {
+	return strconv.Quote(e.name[:min(len(e.name), maxNameText)]) + " is not a kind and a name"
+}
+
+// maxNameText limits the bytes of a name in an error.
+const maxNameText = 80
+
+// FromStoreObject converts an object of the platform, read in the given era, or returns *stoatpaddle.DecodeError if its
+// name is not one of the system's. An object whose content cannot be read has no value: its version is known, and whoever
+// decodes the value reports the fault.
 func FromStoreObject(p platform.Object, era uint64) (stoatpaddle.Object, error) {
 	kind, name, ok := strings.Cut(p.Meta.Name, nameSeparator)
+	if !ok {
+		var cause error = &nameError{name: p.Meta.Name}
+		if p.DecodeErr != nil {
+			cause = p.DecodeErr
+		}
+		return stoatpaddle.Object{}, &stoatpaddle.DecodeError{What: "an object of kind " + StoreKind, Cause: cause}
+	}
 	var s spec
-	if err := json.Unmarshal(p.Spec, &s); err != nil || !ok {
-		return stoatpaddle.Object{}, &stoatpaddle.DecodeError{What: "object " + p.Meta.Name, Cause: err}
+	if p.DecodeErr != nil || json.Unmarshal(p.Spec, &s) != nil {
+		s = spec{}
 	}
 	return stoatpaddle.Object{
 		Ref:     stoatpaddle.ObjectRef{Kind: stoatpaddle.ObjectKind(kind), Name: name},
