--- a/stoatedge/pause.go
+++ b/stoatedge/pause.go
@@ -31,8 +31,8 @@
 // means that the process has used up its share of a core, or that the machine is busy.
 const starvedAfter = 2 * tickInterval
 
-// starved reports whether the process recently did not run for a while: packets may have waited although the
-// socket was empty at the last read.
-func (d *pauseDetector) starved(up time.Duration) bool {
-	return max(up-time.Duration(d.lastTick.Load()), time.Duration(d.lastGap.Load())) > starvedAfter
+// gap returns for how long the process recently did not run: packets may have waited although the socket was empty
+// at the last read.
+func (d *pauseDetector) gap(up time.Duration) time.Duration {
+	return max(up-time.Duration(d.lastTick.Load()), time.Duration(d.lastGap.Load()))
 }
--- a/stoatedge/reader.go
+++ b/stoatedge/reader.go
@@ -17,7 +17,10 @@
 	attempt func(fd uintptr) bool // allocated once: a closure for each datagram would be garbage
 	drained time.Time             // when the socket was last known to be empty
 	empty   bool                  // the socket was empty at the last attempt
-	starved func() bool           // whether the process recently did not run for a while
+	gap     func() time.Duration  // for how long the process recently did not run
+	checked time.Time             // when gap was last called
+	// stale is set from a pause of the process until the socket is empty: what is read may have waited for as long.
+	stale bool
 
 	// State of the read in progress.
 	buf []byte
@@ -25,12 +28,16 @@
 	err error
 }
 
-func newReader(conn *net.UDPConn, starved func() bool) (*reader, error) {
+// staleAfter is the pause of the process after which openings that waited in the socket are not placed. The fabric takes
+// an entry that misses two checks, half a second apart, out of rotation, and sends the copies of its openings to others.
+const staleAfter = time.Second
+
+func newReader(conn *net.UDPConn, gap func() time.Duration) (*reader, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{raw: raw, starved: starved, drained: clock()}
+	r := &reader{raw: raw, gap: gap, drained: clock(), checked: clock()}
 	r.attempt = r.tryRead
 	return r, nil
 }
@@ -46,9 +53,13 @@
 
 // tryRead reads once, and reports whether that completed the read.
 func (r *reader) tryRead(fd uintptr) bool {
-	if r.empty && !r.starved() {
-		// The socket was empty until the event that woke this goroutine.
-		r.drained = clock()
+	if now := clock(); r.empty || now.Sub(r.checked) > starvedAfter {
+		gap := r.gap()
+		if r.empty && gap <= starvedAfter {
+			// The socket was empty until the event that woke this goroutine.
+			r.drained = now
+		}
+		r.checked, r.stale = now, r.stale || gap >= staleAfter
 	}
 	r.empty = false
 	for {
@@ -58,7 +69,7 @@
 		}
 	}
 	if errors.Is(r.err, syscall.EAGAIN) {
-		r.drained, r.empty = clock(), true
+		r.drained, r.empty, r.stale = clock(), true, false
 		return false
 	}
 	return true
--- a/stoatedge/reader_test.go
+++ b/stoatedge/reader_test.go
@@ -25,8 +25,8 @@
 			t.Fatal(err)
 		}
 	}
-	starved := false
-	r, err := newReader(conn, func() bool { return starved })
+	var gap time.Duration
+	r, err := newReader(conn, func() time.Duration { return gap })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,11 +58,30 @@
 	}
 	// The process did not run while the reader waited: the packet may have been there for long.
 	readUntilEmpty()
-	starved, r.drained = true, time.Unix(3000, 0)
+	gap, r.drained = 500*ms, time.Unix(3000, 0)
 	send()
 	if n, err := r.read(buf); n != 1 || err != nil || !r.drained.Equal(time.Unix(3000, 0)) || r.empty {
 		t.Error("a packet that came while the process did not run counts as new:", n, err, r.drained)
 	}
+	if r.stale {
+		t.Error("a short pause makes packets stale")
+	}
+	// The process does not run for a second: what is read is stale until the socket is empty.
+	readUntilEmpty()
+	gap = time.Second
+	send()
+	send()
+	for i := range 2 {
+		if n, err := r.read(buf); n != 1 || err != nil || !r.stale {
+			t.Error(i, "a packet that waited during a pause is not stale:", n, err)
+		}
+		gap = 100 * ms // the next tick came
+	}
+	readUntilEmpty()
+	send()
+	if n, err := r.read(buf); n != 1 || err != nil || r.stale {
+		t.Error("a packet that came after the pause is stale:", n, err)
+	}
 }
 
 // The machine has no time for the process, between two ticks or since the last one. In both cases the process
@@ -84,7 +103,7 @@
 	} {
 		at += c.tick
 		w.tick(at)
-		if got := w.starved(at + c.look); got != c.want {
+		if got := w.gap(at+c.look) > starvedAfter; got != c.want {
 			t.Errorf("%+v: %t", c, got)
 		}
 	}
--- a/stoatedge/run_traffic.go
+++ b/stoatedge/run_traffic.go
@@ -56,6 +56,10 @@
 		if reason == stoatpacket.DropNone && p.Tuple.Src.Addr() == e.ownAddr {
 			reason = stoatpacket.DropOwnSource
 		}
+		// Placed now, the flow could be open twice, and the caller's packets would carry either cookie.
+		if reason == stoatpacket.DropNone && p.Opens && e.reader.stale {
+			reason = stoatpacket.DropStale
+		}
 		if reason != stoatpacket.DropNone {
 			e.counts.dropped[reason].Add(1)
 			e.logDrop(now, &p, reason)
--- a/stoatpacket/packet.go
+++ b/stoatpacket/packet.go
@@ -37,13 +37,14 @@
 	DropLevel           // a more urgent level needs the room at the upstreams
 	DropFairness        // other routes of its level need the room at the upstreams
 	DropAway            // the callers of its upstreams' own data centre leave no room
+	DropStale           // an opening that waited while the process did not run; its flow may be open elsewhere
 	DropCount           // number of reasons
 )
 
 var dropNames = [DropCount]string{
 	"none", "short", "notip", "fragment", "protocol", "service", "limit", "upstream", "hops", "foreign", "elsewhere",
 	"length", "flags", "own", "forged", "unproven", "young", "gone", "route", "overload",
-	"level", "fairness", "away",
+	"level", "fairness", "away", "stale",
 }
 
 // String returns the metric label of the reason.
