--- a/stoatroute/builder_test.go
+++ b/stoatroute/builder_test.go
@@ -248,6 +248,20 @@
 	m.want("a parent that knows more reports that i-2 is serving", stoatroute.Serving, stoatroute.Serving)
 }
 
+// Guards against an upstream that has ended and gets new flows for as long as the entry runs: its registration lapsed,
+// the parent that reported so is lost, and the next one never knew the upstream.
+func TestLapsedRegistrationThatTheNextParentLacks(t *testing.T) {
+	m := newMirror(t)
+	m.receive(false, true, remoteUpstream(2, "i-2", 3, stoatroute.Missing))
+	m.b.SetMirroring(start, false)
+	m.b.SetMirroring(start, true)
+	m.receive(true, true, remoteUpstream(1, "i-1", 2, stoatroute.Serving))
+	m.b.Expire(start.Add(1900 * time.Millisecond))
+	m.want("1.9 s later", stoatroute.Serving, stoatroute.Missing)
+	m.b.Expire(start.Add(2 * time.Second))
+	m.want("2 s later", stoatroute.Serving, stoatroute.Gone)
+}
+
 // A parent that is behind must revert nothing: neither the end of an upstream nor that one is serving. A later
 // registration must be applied whoever reports it.
 func TestMirrorThatIsBehind(t *testing.T) {
--- a/stoatroute/mirror.go
+++ b/stoatroute/mirror.go
@@ -31,7 +31,8 @@
 // An upstream that a complete update lacks is missing, not gone: an entry that started just after the
 // platform recovered never learned of a registration that lapsed, and the upstream is about to register
 // again. An upstream that is reported as missing stays missing until there is another report, because only
-// the entry that reads the platform knows when the platform recovered.
+// the entry that reads the platform knows when the platform recovered. If a complete update lacks it too, the sender
+// will never report it, and it gets its grace period here.
 func (b *Builder) Mirror(now time.Time, update RemoteUpdate) []stoatpaddle.UpstreamID {
 	var changed []stoatpaddle.UpstreamID
 	named := make(map[stoatpaddle.UpstreamID]bool, len(update.Upstreams))
@@ -58,9 +59,13 @@
 		return changed
 	}
 	for id, rec := range b.records {
-		if !named[id] && rec.up.State < Missing {
+		switch {
+		case named[id]:
+		case rec.up.State < Missing:
 			b.setMissing(now, rec)
 			changed = append(changed, id)
+		case rec.up.State == Missing && rec.remoteMissing:
+			b.setMissing(now, rec)
 		}
 	}
 	return changed
