--- a/stoatprocess/main.go
+++ b/stoatprocess/main.go
@@ -33,6 +33,8 @@
 
 // Main runs the program with the arguments in argv and returns its exit code.
 func Main(argv []string, stdout, stderr io.Writer) int {
+	// The settings are read later, so that a hangup signal changes nothing yet.
+	signal.Ignore(syscall.SIGHUP)
 	var parsed args
 	p, err := arg.NewParser(arg.Config{Program: "stoatpaddle-entry", Out: stderr}, &parsed)
 	if err != nil {
--- a/stoatprocess/process.go
+++ b/stoatprocess/process.go
@@ -24,13 +24,14 @@
 // Run serves until ctx ends and the planned stop that follows is complete. Meanwhile it reads the settings file
 // again at each hangup signal and at regular intervals, and applies the settings if the file has changed.
 func Run(ctx context.Context, cfg Config) error {
+	// A hangup signal that nothing handles ends the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	entry, err := stoatedge.Start(context.WithoutCancel(ctx), stoatedge.Config{Settings: cfg.Settings, Log: cfg.Log})
 	if err != nil {
 		return err
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	var g errgroup.Group
 	watcher := &settingsWatcher{file: cfg.File, text: cfg.Text, reload: entry.Reload}
 	watchCtx, stopWatching := context.WithCancel(context.Background())
