--- a/stoatedge/reader_test.go
+++ b/stoatedge/reader_test.go
@@ -6,19 +6,25 @@
 	"time"
 )
 
-// Packets come faster than they are read. While one waits, the socket does not count as empty. The socket
-// counts as empty once all packets are read, and until the next one comes.
-func TestReaderTracksDrainedSocket(t *testing.T) {
+// udpPair returns a socket and one that sends to it.
+func udpPair(t *testing.T) (conn, out *net.UDPConn) {
+	t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
-	out, err := net.DialUDP("udp4", nil, conn.LocalAddr().(*net.UDPAddr))
-	if err != nil {
+	t.Cleanup(func() { _ = conn.Close() })
+	if out, err = net.DialUDP("udp4", nil, conn.LocalAddr().(*net.UDPAddr)); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = out.Close() }()
+	t.Cleanup(func() { _ = out.Close() })
+	return conn, out
+}
+
+// Packets come faster than they are read. While one waits, the socket does not count as empty. The socket
+// counts as empty once all packets are read, and until the next one comes.
+func TestReaderTracksDrainedSocket(t *testing.T) {
+	conn, out := udpPair(t)
 	send := func() {
 		t.Helper()
 		if _, err := out.Write([]byte("x")); err != nil {
--- a/stoatedge/stale_test.go
+++ b/stoatedge/stale_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/hex"
 	"io"
-	"net"
 	"net/netip"
 	"strings"
 	"testing"
@@ -21,16 +20,7 @@
 // Guards against a flow that is open twice (review/2): its opening waited in the socket of an entry that did not run, a
 // copy opened the flow through another entry meanwhile, and the first one is placed when the entry runs again.
 func TestOpeningsThatWaitedAreNotPlaced(t *testing.T) {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	out, err := net.DialUDP("udp4", nil, conn.LocalAddr().(*net.UDPAddr))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = out.Close() }()
+	conn, out := udpPair(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	e := &Edge{
@@ -39,6 +29,7 @@
 	}
 	defer e.log.close()
 	e.table.Store(&stoatroute.Table{})
+	var err error
 	if e.reader, err = newReader(conn, func() time.Duration { return 3500 * ms }); err != nil {
 		t.Fatal(err)
 	}
