--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -241,8 +241,8 @@
 		if p.Reset {
 			return Action{Reason: stoatpacket.DropNoRoute}
 		}
-		if !e.verified(t, p, stoatroute.PartRoutes, came) {
-			return hold(Action{}, stoatpacket.DropNoRoute, stoatroute.PartRoutes)
+		if parts := partsFor(p, stoatroute.PartRoutes); !e.verified(t, p, parts, came) {
+			return hold(Action{}, stoatpacket.DropNoRoute, parts)
 		}
 		e.forget(p.Tuple)
 		return Action{Verdict: Reset, Reason: stoatpacket.DropNoRoute}
--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -63,13 +63,13 @@
 	return a
 }
 
-// partsOfRefusal returns the parts of the state that an opening without an upstream depends on.
+// partsOfRefusal returns the parts of the state on which the refusal of an opening without an upstream depends.
 func partsOfRefusal(excluded *Excluded) stoatroute.Parts {
 	parts := stoatroute.PartRoutes | stoatroute.PartUpstreams
 	if excluded[stoatfilter.Evacuated] > 0 {
 		parts |= stoatroute.PartEvacuations
 	}
-	return parts
+	return parts.OfReplica()
 }
 
 // noteLoad records what is known of the upstream of an opening.
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -62,7 +62,7 @@
 	EventVerification = stoatevent.Register(stoatevent.Definition{
 		Number: 1444, Severity: stoatevent.Info, Since: "0.10",
 		Title: "state is verified before a final answer",
-		Text:  "A packet refers to something that this entry does not know or takes for ended: an address without a route, an unknown cookie, an upstream that is gone. Another entry may know more, so the platform itself is asked about the topics, and the packets (waiting) are held until it answers. There are at most four such calls in a burst, and one a second after that, for each topic; openings alone cause two at once, and one in ten seconds after that. Parent is the entry that sends updates; empty: none.",
+		Text:  "A packet refers to something that this entry does not know or takes for ended: an address without a route, an unknown cookie, an upstream that is gone. Another entry may know more, so the platform itself is asked about the topics, and the packets (waiting) are held until it answers. There are at most four such calls in a burst, and one a second after that, for each topic; for openings a replica is asked, at most twice at once and once in five seconds after that. Parent is the entry that sends updates; empty: none.",
 	})
 	EventConfigRejected = stoatevent.Register(stoatevent.Definition{
 		Number: 1436, Severity: stoatevent.Error, Since: "0.7",
--- a/stoatedge/controller.go
+++ b/stoatedge/controller.go
@@ -49,8 +49,8 @@
 	// unwatched is set from when this entry starts to read again until the first answer about upstreams: a
 	// registration that ended meanwhile may have lapsed in an outage that this entry did not notice.
 	unwatched       bool
-	platformAnswers bool                // whether the platform answers, as last reported in platformStatus
-	statusKnown     bool                // platformStatus was reported since this entry became ready
+	status          platformStatus      // as last reported
+	statusKnown     bool                // status was reported since this entry became ready
 	deferred        [topicCount]bool    // no call is made until a call about the configuration is answered
 	behind          [topicCount]bool    // the last answer was older than what is known
 	restoreGraceEnd time.Time           // a registration that ends before may have lapsed because of a restore
@@ -137,9 +137,12 @@
 	case verificationRequested:
 		ctl.log(EventVerification, stoatevent.F("topics", x.parts.String()), stoatevent.F("waiting", countText(x.waiting)), stoatevent.F("parent", ctl.follower.parent))
 		for _, t := range ctl.topics {
-			if x.parts&t.part() != 0 {
+			switch {
+			case x.parts&t.part() != 0:
 				ctl.verifyingSince[t] = now
 				ctl.verify(now, t)
+			case x.parts&t.part().OfReplica() != 0:
+				ctl.refresh(now, t)
 			}
 		}
 	case settingsChanged:
@@ -191,6 +194,19 @@
 	ctl.interruptWatch(t)
 }
 
+// refresh asks a replica about a topic at once. An entry that reads the platform asks the platform itself: it has had no
+// exact answer yet, or it would not need this one.
+func (ctl *controller) refresh(now time.Time, t topic) {
+	if ctl.reading {
+		ctl.verify(now, t)
+		return
+	}
+	ctl.feeds[t].RequestReplica()
+	if !ctl.pending[t] {
+		ctl.startCall(now, t)
+	}
+}
+
 func (ctl *controller) interruptWatch(t topic) {
 	if ctl.watching[t] {
 		ctl.watching[t] = false
@@ -267,8 +283,12 @@
 }
 
 // continueVerification completes the verification of a topic, or requests another exact call if this one was sent
-// before the verification was requested.
+// before the verification was requested. A replica that is behind what is known shows nothing that could change an
+// answer.
 func (ctl *controller) continueVerification(x callEnded, v stoatfeed.Decision) {
+	if x.call.IsRefresh() && (v.Apply || v.Outdated) {
+		ctl.state.MarkPartsRead(x.topic.part(), x.sent)
+	}
 	since := ctl.verifyingSince[x.topic]
 	switch {
 	case since.IsZero():
--- a/stoatedge/event.go
+++ b/stoatedge/event.go
@@ -82,7 +82,7 @@
 	}
 	// resumed reports that the process did not run for the time in gap.
 	resumed struct{ gap time.Duration }
-	// verificationRequested asks for an exact read of parts of the state, on which the answers to packets depend.
+	// verificationRequested asks for a read of parts of the state, on which the answers to packets depend.
 	// Waiting is the number of packets that are held until then.
 	verificationRequested struct {
 		parts   stoatroute.Parts
@@ -134,8 +134,9 @@
 		version stoatpaddle.Version
 		former  []stoatroute.FormerService
 	}
-	// platformStatus reports whether the platform answers.
-	platformStatus struct{ answers bool }
+	// platformStatus reports whether the platform answers, and whether this entry watches it: it has had an exact answer
+	// about the configuration, and makes further calls.
+	platformStatus struct{ answers, watches bool }
 	// publishTable makes a table the one that traffic uses.
 	publishTable struct{ table *stoatroute.Table }
 	// logEvent logs a numbered event.
--- a/stoatedge/run_calls.go
+++ b/stoatedge/run_calls.go
@@ -79,7 +79,7 @@
 	case platformStatus:
 		e.platformAnswers.Store(x.answers)
 		e.engineMu.Lock()
-		e.verifier.SetAvailable(x.answers)
+		e.verifier.SetPlatform(x.answers, x.watches)
 		e.engineMu.Unlock()
 	case logEvent:
 		e.log.emit(clock(), x.definition, x.fields...)
--- a/stoatedge/wake.go
+++ b/stoatedge/wake.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
 
 // wakeInterval is the shortest time between two wake-ups of children for changes: changes of upstreams come
@@ -33,9 +35,11 @@
 // announce emits which state children may rely on, if it changed, after that state is published.
 func (ctl *controller) announce() {
 	reads := ctl.reading && ctl.ready && ctl.failingSince().IsZero()
-	if answers := ctl.ready && (reads || !ctl.reading && ctl.failingSince().IsZero()); ctl.ready && !ctl.statusKnown || answers != ctl.platformAnswers {
-		ctl.platformAnswers, ctl.statusKnown = answers, ctl.ready
-		ctl.emit(platformStatus{answers: answers})
+	status := platformStatus{answers: ctl.ready && (reads || !ctl.reading && ctl.failingSince().IsZero())}
+	status.watches = reads && !ctl.table.AsOf(stoatroute.PartRoutes).IsZero()
+	if ctl.ready && !ctl.statusKnown || status != ctl.status {
+		ctl.status, ctl.statusKnown = status, ctl.ready
+		ctl.emit(status)
 	}
 	if ctl.ready {
 		ctl.known = ctl.feeds[declarations].Position()
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -69,6 +69,9 @@
 	Pause      time.Duration // how long to wait before the call
 }
 
+// IsRefresh reports whether the call asks a replica for its present state.
+func (c *Call) IsRefresh() bool { return !c.List && c.AllowStale && c.Wait <= time.Millisecond }
+
 // Outcome is how a call ended.
 type Outcome uint8
 
@@ -125,6 +128,7 @@
 	unreachable      bool                 // the platform counts as not answering
 	exact            bool                 // the next call must not be answered by a replica
 	immediate        bool                 // the next call must not wait for a change
+	replicaNow       bool                 // the next call goes to a replica and must not wait for a change
 	gotChanges       bool                 // the last watch returned changes
 	recoveryRelayed  bool                 // another entry reports when the platform is back
 	answerAge        time.Duration        // age of the last exact watch answer when it came
@@ -205,6 +209,9 @@
 	case f.useReplica:
 		// Changes still arrive from the replica until the exact call is made again.
 		c.AllowStale, c.Wait = true, Fraction(f.cfg.MaxDelay, replicaWaitFraction)
+	case f.replicaNow && !f.exact:
+		c.AllowStale, c.Wait = true, time.Millisecond
+		c.Timeout = f.answerWithin(c.Timeout)
 	case f.exact || f.immediate || f.failures > 0:
 		// The answer is needed now, not when something changes.
 		c.Wait = time.Millisecond
@@ -276,6 +283,9 @@
 // Done records the result of a call that was sent at sent, and decides what to do with the answer.
 func (f *Feed) Done(now, sent time.Time, c Call, r Result) Decision {
 	f.useReplica, f.gotChanges = false, r.Outcome == Answered && !c.List && r.Changes > 0
+	if c.IsRefresh() {
+		f.replicaNow = false
+	}
 	if r.AsOf.Era == 0 {
 		r.AsOf.Era = f.era
 	}
@@ -407,6 +417,10 @@
 // another feed has confirmed a later revision than this feed knows.
 func (f *Feed) RequestNow() { f.immediate = true }
 
+// RequestReplica makes the next call return at once and go to a replica, unless it has to be exact. It is called when a
+// replica's state is recent enough, since the call costs a tenth.
+func (f *Feed) RequestReplica() { f.replicaNow = true }
+
 // RequestExact makes the next call return at once and go to the platform itself. It is called when the
 // replica is behind or traffic refers to something unknown to this entry.
 func (f *Feed) RequestExact() { f.exact = true }
--- a/stoatfeed/feed_test.go
+++ b/stoatfeed/feed_test.go
@@ -317,3 +317,29 @@
 		t.Error(c.Timeout)
 	}
 }
+
+// A replica is asked at once, also by a feed whose calls go to the platform itself, and then the feed goes on as before.
+// A pending request for an exact call goes first.
+func TestReplicaOnRequest(t *testing.T) {
+	f := stoatfeed.New(stoatfeed.Config{MaxDelay: 3 * time.Second, Rand: rand.New(rand.NewPCG(1, 1))})
+	now := time.Unix(1000, 0)
+	f.Adopt(stoatpaddle.Position{Revision: 5})
+	f.RequestReplica()
+	c := f.Next()
+	if !c.IsRefresh() || c.List || c.From != 5 || c.Timeout > 450*time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+	f.Done(now, now, c, stoatfeed.Result{AsOf: stoatpaddle.Position{Revision: 6}})
+	if c = f.Next(); c.AllowStale || c.IsRefresh() || c.From != 6 || c.Wait < time.Second {
+		t.Errorf("%+v", c)
+	}
+	f.RequestReplica()
+	f.RequestExact()
+	if c = f.Next(); c.AllowStale || c.Wait > time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+	f.Done(now, now, c, stoatfeed.Result{AsOf: stoatpaddle.Position{Revision: 6}})
+	if c = f.Next(); !c.IsRefresh() {
+		t.Errorf("%+v", c)
+	}
+}
--- a/stoatroute/builder.go
+++ b/stoatroute/builder.go
@@ -300,7 +300,7 @@
 	if sent.After(b.currentAsOf) {
 		b.currentAsOf = sent
 	}
-	b.MarkPartsCurrent(AllParts, sent)
+	b.MarkPartsCurrent(allParts, sent)
 }
 
 // MarkPartsCurrent records that parts of the state were current when a call was sent at the given time. Soon after
@@ -308,7 +308,14 @@
 // configuration, and taking it for ended would reset open flows.
 func (b *Builder) MarkPartsCurrent(parts Parts, sent time.Time) {
 	if !sent.Before(b.restoreGraceEnd) {
-		b.partsAsOf.advance(parts, sent)
+		b.partsAsOf.advance(parts|parts.OfReplica(), sent)
+	}
+}
+
+// MarkPartsRead records that a replica showed parts of the state when a call was sent at the given time.
+func (b *Builder) MarkPartsRead(parts Parts, sent time.Time) {
+	if !sent.Before(b.restoreGraceEnd) {
+		b.partsAsOf.advance(parts.OfReplica(), sent)
 	}
 }
 
