--- a/stoatecho/hold.go
+++ b/stoatecho/hold.go
@@ -54,7 +54,12 @@
 	}
 	k := keyOf(p)
 	if i, known := h.index[k]; known {
-		h.list[i].Packet, h.list[i].Data, h.list[i].Action = *p, append(h.list[i].Data[:0], data...), a
+		x := &h.list[i]
+		x.Packet, x.Data, x.Action = *p, append(x.Data[:0], data...), a
+		if a.Verify != 0 && p.Opens {
+			// The copy can be placed for as long as the first one could.
+			x.Since = since
+		}
 		return true
 	}
 	if len(h.list) >= maxHeld {
--- a/stoatecho/verify.go
+++ b/stoatecho/verify.go
@@ -1,8 +1,10 @@
 package stoatecho
 
 import (
+	"slices"
 	"time"
 
+	"github.com/stoatpaddle/stoatpaddle"
 	"github.com/stoatpaddle/stoatpaddle/stoatpacket"
 	"github.com/stoatpaddle/stoatpaddle/stoatroute"
 )
@@ -63,12 +65,45 @@
 	return a
 }
 
-// HandleHeld decides about a packet that was held until the state was verified, or until there was a table.
+// HandleHeld decides about a packet that was held until the state was verified, or until there was a table. An opening
+// that is late is not placed: a copy of it may have opened the flow, here or through another entry.
 func (e *Engine) HandleHeld(now time.Time, t *stoatroute.Table, h *HeldPacket) Action {
+	if h.Packet.Opens && h.Action.Verify != 0 && h.Resolved(t) && e.isLate(now, h) {
+		a := Action{Reason: stoatpacket.DropStale}
+		e.count(&a)
+		return a
+	}
 	return e.handle(now, t, &h.Packet, arrival{at: h.Since, tracked: h.Action.Upstream != nil && !h.Packet.Opens})
 }
 
+// isLate reports whether callers have sent a copy of a held opening, or are about to.
+func (e *Engine) isLate(now time.Time, h *HeldPacket) bool {
+	f := e.flows[h.Packet.Tuple]
+	return now.Sub(h.Since) >= maxPlacementDelay || f != nil && f.lastSeen.After(h.Since)
+}
+
+// Resolved reports whether the table has what a held packet refers to, so that it need not be verified any more.
+func (h *HeldPacket) Resolved(t *stoatroute.Table) bool {
+	r := t.Route(h.Packet.Tuple.Dst)
+	switch h.Action.Reason {
+	case stoatpacket.DropNoRoute:
+		return r != nil
+	case stoatpacket.DropForged:
+		u := t.Upstream(h.Packet.Cookie)
+		return r != nil && u != nil && r.EverUsed(u.Service)
+	case stoatpacket.DropUpstreamGone:
+		u := t.Upstream(h.Packet.Cookie)
+		return u != nil && u.State != stoatroute.Gone
+	case stoatpacket.DropNoUpstream:
+		return r != nil && slices.ContainsFunc(r.Backends, func(b stoatpaddle.Backend) bool { return len(t.Candidates(b.Service)) > 0 })
+	}
+	return false
+}
+
 const (
+	// maxPlacementDelay is how long after its arrival an opening may be placed: callers send a copy after 0.2 s, which
+	// may come through another entry, and the flow would be open twice.
+	maxPlacementDelay = 150 * time.Millisecond
 	// verificationBurst and verificationInterval limit the calls that packets cause, for each part of the state:
 	// a flood of packets without a route, or with forged cookies, must not use up the platform's rate limits.
 	verificationBurst    = 4
@@ -221,9 +256,9 @@
 	return out
 }
 
-// TakeVerified removes and returns the packets whose answer the table verifies, oldest first.
+// TakeVerified removes and returns the packets whose answer the table verifies, or that it resolves, oldest first.
 func (v *Verifier) TakeVerified(t *stoatroute.Table) []HeldPacket {
-	return v.takeIf(func(h *HeldPacket) bool { return t.AsOf(h.Action.Verify).After(h.Since) })
+	return v.takeIf(func(h *HeldPacket) bool { return h.Resolved(t) || t.AsOf(h.Action.Verify).After(h.Since) })
 }
 
 // TakeExpired removes and returns the packets that have been held for too long.
--- a/stoatecho/verify_test.go
+++ b/stoatecho/verify_test.go
@@ -102,6 +102,70 @@
 	}
 }
 
+// Guards against a flow that is open twice: its opening was held, and a copy of it was placed meanwhile, here or, once the
+// caller has sent one, perhaps through another entry. Where there is still no route, the caller is reset however late.
+func TestHeldOpeningsAreNotPlacedLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		after    time.Duration
+		copied   bool
+		declared bool
+		want     stoatecho.Verdict
+		reason   stoatpacket.DropReason
+	}{
+		"in time":           {after: 100 * ms, declared: true, want: stoatecho.Forward},
+		"a copy may follow": {after: 150 * ms, declared: true, want: stoatecho.Drop, reason: stoatpacket.DropStale},
+		"a copy was placed": {after: 50 * ms, copied: true, declared: true, want: stoatecho.Drop, reason: stoatpacket.DropStale},
+		"no route":          {after: 400 * ms, want: stoatecho.Reset, reason: stoatpacket.DropNoRoute},
+	} {
+		w := newWorld(t)
+		caller := w.caller(newAddr)
+		a := caller.syn(0)
+		held := caller.sent
+		held.Action = a
+		if c.declared {
+			w.declareMore()
+		}
+		w.after(c.after / 2)
+		if c.copied {
+			if got := caller.syn(1); got.Verdict != stoatecho.Forward {
+				t.Errorf("%s: %+v", name, got)
+			}
+		}
+		w.after(c.after / 2)
+		w.builder.MarkCurrent(w.now)
+		if got := w.e.HandleHeld(w.now, w.builder.Table(), &held); got.Verdict != c.want || got.Reason != c.reason {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
+
+// A table that has what a held packet refers to resolves it, before any read of the platform is confirmed.
+func TestResolvedPacketsAreNotHeld(t *testing.T) {
+	w := newWorld(t)
+	v := stoatecho.NewVerifier()
+	route, cookie, gone := w.caller(newAddr), w.caller(idempotentAddr), w.flowTo(2)
+	cookie.cookie = stoatroute.KeyOf(77)
+	w.after(ms).endRegistration("i-2")
+	w.builder.MarkGone(w.now, "i-9", 99)
+	full := w.caller(intakeAddr)
+	for c, a := range map[*caller]stoatecho.Action{route: route.sendRequest(), cookie: cookie.sendRequest(), gone: gone.sendRequest(), full: full.syn(0)} {
+		if a.Verdict != stoatecho.Hold || !v.Add(w.now, w.now, &c.sent.Packet, nil, a) {
+			t.Fatalf("%+v", a)
+		}
+	}
+	if got := v.TakeVerified(w.builder.Table()); len(got) != 0 {
+		t.Errorf("%+v", got)
+	}
+	w.declareMore()
+	w.register(77, "app", "here")
+	w.register(2, "app", "here")
+	w.rev = 100
+	w.register(9, "intake", "here")
+	if got := v.TakeVerified(w.builder.Table()); len(got) != 4 || v.Len() != 0 {
+		t.Errorf("%d resolved, %d still held: %+v", len(got), v.Len(), got)
+	}
+}
+
 // An opening whose verification takes too long is refused. A packet of an open flow is dropped.
 func TestGiveUp(t *testing.T) {
 	w := newWorld(t)
--- a/stoatedge/catalogue.go
+++ b/stoatedge/catalogue.go
@@ -97,7 +97,7 @@
 	EventPacketDropped = stoatevent.Register(stoatevent.Definition{
 		Number: 1412, Severity: stoatevent.Info, Since: "0.2",
 		Title: "packet dropped",
-		Text:  "The packet was not forwarded, and the caller was not told. Reason says why. Forged: the cookie is of a service that the route never had. Unproven: this entry cannot judge the cookie until the platform answers. Young: this entry has no configuration yet. Stale: an opening that waited in the socket while the process did not run for a second or longer; its caller has tried another entry since. The other reasons name what is wrong with the datagram.",
+		Text:  "The packet was not forwarded, and the caller was not told. Reason says why. Forged: the cookie is of a service that the route never had. Unproven: this entry cannot judge the cookie until the platform answers. Young: this entry has no configuration yet. Stale: an opening that waited in the socket while the process did not run for a second or longer, or for a verification while a copy of it came; its flow may be open through another entry. The other reasons name what is wrong with the datagram.",
 	})
 	EventFlowPlaced = stoatevent.Register(stoatevent.Definition{
 		Number: 1413, Severity: stoatevent.Info, Since: "0.2",
--- a/stoatfeed/feed.go
+++ b/stoatfeed/feed.go
@@ -260,7 +260,7 @@
 		// The call is repeated at once after the first such answer. If repeating does not help, calls would
 		// follow each other within milliseconds, and a few entries would use up the platform's rate.
 		return f.backoff(max(f.outdatedInRow, f.historyGoneInRow))
-	case f.failures == 0 && f.gotChanges && !f.exact && !f.immediate:
+	case f.failures == 0 && f.gotChanges && !f.exact && !f.immediate && !f.replicaNow:
 		return Fraction(f.cfg.MaxDelay, batchFraction)
 	case f.failures == 0:
 		return 0
--- a/stoatpacket/packet.go
+++ b/stoatpacket/packet.go
@@ -37,7 +37,7 @@
 	DropLevel           // a more urgent level needs the room at the upstreams
 	DropFairness        // other routes of its level need the room at the upstreams
 	DropAway            // the callers of its upstreams' own data centre leave no room
-	DropStale           // an opening that waited while the process did not run; its flow may be open elsewhere
+	DropStale           // an opening that waited so long that a copy of it may have opened its flow elsewhere
 	DropCount           // number of reasons
 )
 
