--- a/stoatecho/engine.go
+++ b/stoatecho/engine.go
@@ -241,7 +241,8 @@
 		if p.Reset {
 			return Action{Reason: stoatpacket.DropNoRoute}
 		}
-		if parts := partsFor(p, stoatroute.PartRoutes); !e.verified(t, p, parts, came) {
+		// A flow that is known here was open while it had a route, which a configuration has removed since.
+		if parts := partsFor(p, stoatroute.PartRoutes); e.established(p) == nil && !verified(t, parts, came) {
 			return hold(Action{}, stoatpacket.DropNoRoute, parts)
 		}
 		e.forget(p.Tuple)
@@ -273,12 +274,12 @@
 	}
 	// A caller can forge a cookie; the cookie of another service must not route its packets there.
 	if !r.EverUsed(u.Service) {
-		if !e.verified(t, p, stoatroute.PartRoutes, came) {
+		if !verified(t, stoatroute.PartRoutes, came) {
 			return hold(Action{}, stoatpacket.DropForged, stoatroute.PartRoutes)
 		}
 		return Action{Reason: stoatpacket.DropForged}
 	}
-	endVerified := u.State != stoatroute.Gone || e.verified(t, p, stoatroute.PartUpstreams, came)
+	endVerified := e.endVerified(t, u, p, came)
 	a := Action{Verdict: Forward, Upstream: u}
 	if !came.tracked {
 		a = e.track(now, r, u, p)
@@ -299,7 +300,7 @@
 	switch {
 	case p.Reset:
 		return Action{Reason: stoatpacket.DropUnverified}
-	case !e.verified(t, p, stoatroute.PartUpstreams, came):
+	case !verified(t, stoatroute.PartUpstreams, came):
 		return hold(Action{}, stoatpacket.DropUpstreamGone, stoatroute.PartUpstreams)
 	}
 	return Action{Verdict: Reset, Reason: stoatpacket.DropUpstreamGone}
--- a/stoatecho/engine_test.go
+++ b/stoatecho/engine_test.go
@@ -212,17 +212,18 @@
 	}
 }
 
-// A route is removed: its flows are reset, so that callers need not wait until they give up, and those that were open
-// here before the read that confirms it, at once. A reset is not answered with one.
+// A route is removed: its flows are reset at once, so that callers need not wait until they give up, and those that are
+// not known here once a read of the platform confirms it. A reset is not answered with one.
 func TestRouteRemoved(t *testing.T) {
 	w := newWorld(t)
-	c, known := w.caller(idempotentAddr), w.caller(idempotentAddr)
+	c := w.caller(idempotentAddr)
 	c.open()
-	known.open()
 	w.rev++
 	w.builder.ApplyDeclaration(stoatpaddle.Declaration{Version: w.rev}, w.rev)
-	wantReset(t, c.afterRead(c.sendRequest()), stoatpacket.DropNoRoute)
-	wantReset(t, known.sendRequest(), stoatpacket.DropNoRoute)
+	wantReset(t, c.sendRequest(), stoatpacket.DropNoRoute)
+	unknown := w.caller(idempotentAddr)
+	unknown.cookie = stoatroute.KeyOf(1)
+	wantReset(t, unknown.afterRead(unknown.sendRequest()), stoatpacket.DropNoRoute)
 	opening := w.caller(idempotentAddr)
 	wantReset(t, opening.afterRead(opening.syn(0)), stoatpacket.DropNoRoute)
 	wantDrop(t, c.send(stoatpacket.Packet{Reset: true, Ends: true}), stoatpacket.DropNoRoute)
--- a/stoatecho/open.go
+++ b/stoatecho/open.go
@@ -28,7 +28,7 @@
 	u, admitted, excluded := e.choose(now, t, r, except, a.Moved)
 	if a.Upstream = u; u == nil {
 		a.Excluded = excluded
-		if parts := partsOfRefusal(&excluded); !e.verified(t, p, parts, came) {
+		if parts := partsOfRefusal(&excluded); !verified(t, parts, came) {
 			return hold(a, stoatpacket.DropNoUpstream, parts)
 		}
 		return e.refuse(a, stoatpacket.DropNoUpstream)
--- a/stoatecho/verify.go
+++ b/stoatecho/verify.go
@@ -23,17 +23,27 @@
 	tracked bool // the flow and its upstream have taken account of the packet
 }
 
-// verified reports whether the table has the parts as of a time after the packet came. A flow that was seen here
-// before the read was open by then, so its end is as certain as if the packet had come before the read.
-func (e *Engine) verified(t *stoatroute.Table, p *stoatpacket.Packet, parts stoatroute.Parts, came arrival) bool {
-	asOf := t.AsOf(parts)
-	return asOf.After(came.at) || !p.Opens && !came.tracked && e.seenBefore(p, asOf)
+// verified reports whether the table has the parts as of a time after the packet came.
+func verified(t *stoatroute.Table, parts stoatroute.Parts, came arrival) bool {
+	return t.AsOf(parts).After(came.at)
 }
 
-// seenBefore reports whether a packet of the open flow came before the given time, to the same upstream.
-func (e *Engine) seenBefore(p *stoatpacket.Packet, at time.Time) bool {
-	f := e.flows[p.Tuple]
-	return f != nil && !f.opening && f.key == p.Cookie && f.lastSeen.Before(at)
+// established returns the flow of a packet that is known here to be open at the upstream of its cookie, or nil.
+func (e *Engine) established(p *stoatpacket.Packet) *flow {
+	if f := e.flows[p.Tuple]; f != nil && !f.opening && !p.Opens && f.key == p.Cookie {
+		return f
+	}
+	return nil
+}
+
+// endVerified reports whether the platform has confirmed that the upstream of a packet is gone, after the packet came
+// or after an earlier packet of its flow. The flow was open by then.
+func (e *Engine) endVerified(t *stoatroute.Table, u *stoatroute.Upstream, p *stoatpacket.Packet, came arrival) bool {
+	if u.State != stoatroute.Gone || verified(t, stoatroute.PartUpstreams, came) {
+		return true
+	}
+	f, asOf := e.established(p), t.AsOf(stoatroute.PartUpstreams)
+	return f != nil && !came.tracked && f.lastSeen.Before(asOf) && u.EndedAt.Before(asOf)
 }
 
 // partsFor returns the parts as they have to be read for a final answer to the packet.
--- a/stoatecho/verify_test.go
+++ b/stoatecho/verify_test.go
@@ -85,6 +85,18 @@
 	wantForward(t, "the upstream is back", silent.sendRequest())
 }
 
+// Guards against a reset of a flow that was idle since before the last read, which showed its upstream: the end that
+// another entry reported later needs a read of its own.
+func TestIdleFlowAtAnUpstreamThatEndedAfterTheRead(t *testing.T) {
+	w := newWorld(t)
+	idle := w.flowTo(1)
+	w.after(time.Second).confirm()
+	w.endRegistration("i-1")
+	a := idle.sendRequest()
+	wantHold(t, a, stoatroute.PartUpstreams)
+	wantReset(t, idle.afterRead(a), stoatpacket.DropUpstreamGone)
+}
+
 // Guards against a pending request that is reset because its upstream's registration lapsed, though the upstream has
 // registered again by the time of the read.
 func TestPendingRequestAtAnUpstreamThatReturned(t *testing.T) {
