--- a/stoatedge/edge.go
+++ b/stoatedge/edge.go
@@ -158,7 +158,7 @@
 	// The buffer holds half a second of traffic at the busiest entry. The kernel may grant less, and the entry
 	// works with that too.
 	_ = e.conn.SetReadBuffer(receiveBufferBytes)
-	e.reader, err = newReader(e.conn, func() time.Duration { return e.pause.gap(uptime()) })
+	e.reader, err = newReader(e.conn, func() time.Duration { return e.pause.gap(uptime()) }, e.pause.pausedSince)
 	return err
 }
 
--- a/stoatedge/reader.go
+++ b/stoatedge/reader.go
@@ -19,6 +19,8 @@
 	empty   bool                  // the socket was empty at the last attempt
 	gap     func() time.Duration  // for how long the process recently did not run
 	checked time.Time             // when gap was last called
+	// pausedSince reports whether a long pause has ended after a time, and just now.
+	pausedSince func(time.Time) bool
 	// stale is set from a pause of the process until the socket is empty: what is read may have waited for as long.
 	stale bool
 
@@ -32,12 +34,12 @@
 // an entry that misses two checks, half a second apart, out of rotation, and sends the copies of its openings to others.
 const staleAfter = time.Second
 
-func newReader(conn *net.UDPConn, gap func() time.Duration) (*reader, error) {
+func newReader(conn *net.UDPConn, gap func() time.Duration, pausedSince func(time.Time) bool) (*reader, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{raw: raw, gap: gap, drained: clock(), checked: clock()}
+	r := &reader{raw: raw, gap: gap, pausedSince: pausedSince, drained: clock(), checked: clock()}
 	r.attempt = r.tryRead
 	return r, nil
 }
@@ -55,11 +57,12 @@
 func (r *reader) tryRead(fd uintptr) bool {
 	if now := clock(); r.empty || now.Sub(r.checked) > starvedAfter {
 		gap := r.gap()
-		if r.empty && gap <= starvedAfter {
+		paused := gap >= staleAfter || r.pausedSince(r.drained)
+		if r.empty && gap <= starvedAfter && !paused {
 			// The socket was empty until the event that woke this goroutine.
 			r.drained = now
 		}
-		r.checked, r.stale = now, r.stale || gap >= staleAfter
+		r.checked, r.stale = now, r.stale || paused
 	}
 	r.empty = false
 	for {
--- a/stoatedge/reader_test.go
+++ b/stoatedge/reader_test.go
@@ -32,7 +32,8 @@
 		}
 	}
 	var gap time.Duration
-	r, err := newReader(conn, func() time.Duration { return gap })
+	var pauseEnd time.Time
+	r, err := newReader(conn, func() time.Duration { return gap }, func(at time.Time) bool { return pauseEnd.After(at) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,6 +89,35 @@
 	if n, err := r.read(buf); n != 1 || err != nil || r.stale {
 		t.Error("a packet that came after the pause is stale:", n, err)
 	}
+	// Two ticks came between the end of a pause and the read, so that the gap no longer shows it.
+	readUntilEmpty()
+	pauseEnd = time.Now()
+	send()
+	if n, err := r.read(buf); n != 1 || err != nil || !r.stale {
+		t.Error("a packet that waited during a pause is not stale after two ticks:", n, err)
+	}
+	readUntilEmpty()
+	send()
+	if n, err := r.read(buf); n != 1 || err != nil || r.stale {
+		t.Error("a packet that came after the socket was empty is stale:", n, err)
+	}
+}
+
+// Guards against a pause that is forgotten before the packets that waited are read: a ticker keeps its phase, so that the
+// second tick may follow the first one after a pause at once.
+func TestPauseIsRememberedOverTicks(t *testing.T) {
+	var d pauseDetector
+	d.tick(time.Hour)
+	before := time.Now()
+	d.tick(time.Hour + 100*ms)
+	if d.pausedSince(before) {
+		t.Error("a tick in time is taken for a pause")
+	}
+	d.tick(time.Hour + 3600*ms)
+	d.tick(time.Hour + 3605*ms)
+	if d.gap(time.Hour+3606*ms) >= staleAfter || !d.pausedSince(before) || d.pausedSince(time.Now()) {
+		t.Error(d.gap(time.Hour+3606*ms), d.pausedSince(before), d.pausedSince(time.Now()))
+	}
 }
 
 // The machine has no time for the process, between two ticks or since the last one. In both cases the process
--- a/stoatedge/stale_test.go
+++ b/stoatedge/stale_test.go
@@ -30,7 +30,7 @@
 	defer e.log.close()
 	e.table.Store(&stoatroute.Table{})
 	var err error
-	if e.reader, err = newReader(conn, func() time.Duration { return 3500 * ms }); err != nil {
+	if e.reader, err = newReader(conn, func() time.Duration { return 3500 * ms }, func(time.Time) bool { return false }); err != nil {
 		t.Fatal(err)
 	}
 	e.reader.empty = true // until the entry stopped running
