--- a/review/standins-2/paged.go
+++ b/review/standins-2/paged.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,12 +31,12 @@
 	// The seeds were replaced long ago: nothing listens there.
 	w.seeds = []string{fmt.Sprintf("127.1.0.90:%d", w.ports.control), fmt.Sprintf("127.2.0.90:%d", w.ports.control)}
 	w.st.put("config", "main", configSpec(7, []route{{host: host, service: "giving-app", kind: "idempotent", port: flowPort}}, "giving-app", "ledger-intake"))
-	var servers []*server
+	all := map[string]*server{}
 	add := func(name, service, zone, ip string) *server {
 		s, err := startServer(w.rec, w.st, name, service, zone, ip, w.ports.datagram)
 		must(err)
 		s.quiet = true
-		servers = append(servers, s)
+		all[s.name] = s
 		return s
 	}
 	zones := []string{"ruwi", "seeb", "qurum"}
@@ -81,55 +79,15 @@
 
 	c, err := newConsumer(w.rec, "127.64.0.7", w.ports.datagram, w.pick)
 	must(err)
-	var flows []*flow
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for range 160 {
-		wg.Go(func() {
-			f := c.newFlow(host, flowPort)
-			if o := f.open(); o != answered {
-				w.rec.printf("flow %v: opening %s", f, o)
-				return
-			}
-			if o := f.request(newRequest("feed"), 2*time.Second); o != answered {
-				w.rec.printf("flow %v: first request %s", f, o)
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			flows = append(flows, f)
-		})
-		time.Sleep(5 * time.Millisecond)
-	}
-	wg.Wait()
-	w.rec.printf("%d flows are open", len(flows))
+	flows := openFlows(w, []*consumer{c}, 160)
 	// A planned stop: the routers move nearly all flows to other entries.
 	w.signal(stopped, syscall.SIGTERM)
 	w.waitOut(stopped, 3*time.Second)
-	var resets atomic.Int64
-	for _, f := range flows {
-		wg.Go(func() {
-			id := newRequest("feed")
-			o := f.request(id, 2*time.Second)
-			if o == answered {
-				return
-			}
-			added.mu.Lock()
-			at := added.flows[f.key] != nil
-			sent := added.resetsSent[f.key]
-			added.mu.Unlock()
-			w.rec.printf("flow %v, open at %s: %t, sent through %s: %s is %s; resets that the server sent: %d", f, added.name, at, f.via, id, o, sent)
-			if at && sent == 0 && o == systemReset {
-				resets.Add(1)
-			}
-		})
-	}
-	wg.Wait()
+	resets := judgeFlows(w, flows, all)
 	for _, e := range []*entry{old, stopped, young} {
 		for _, l := range w.logLines(e, `SP1411`) {
 			w.rec.printf("log of %s: %s", e.name, l)
 		}
 	}
-	w.rec.printf("flows that were reset although their server lives and did not reset them: %d", resets.Load())
-	return resets.Load() == 0
+	return resets == 0
 }
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -28,6 +28,10 @@
 	// refuse returns the status with which a call is refused; 0: it is served.
 	refuse func(via string, r *http.Request) int
 	rec    *record
+	// cuts has a channel for each entry whose waiting watches are to be cut when it is closed.
+	cuts map[string]chan struct{}
+	// watchBegun is called with each watch that begins.
+	watchBegun func(via, kind string, exact bool)
 }
 
 type meta struct {
@@ -58,7 +62,7 @@
 }
 
 func newStore(rec *record, pageSize int) *store {
-	return &store{objects: map[string]object{}, changed: make(chan struct{}), pageSize: pageSize, rec: rec}
+	return &store{objects: map[string]object{}, changed: make(chan struct{}), pageSize: pageSize, rec: rec, cuts: map[string]chan struct{}{}}
 }
 
 // listen serves the store at addr; via names the entry that uses this address.
@@ -72,6 +76,21 @@
 	return nil
 }
 
+// cut cuts the waiting watches of an entry.
+func (s *store) cut(via string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cutOf(via))
+	delete(s.cuts, via)
+}
+
+func (s *store) cutOf(via string) chan struct{} {
+	if s.cuts[via] == nil {
+		s.cuts[via] = make(chan struct{})
+	}
+	return s.cuts[via]
+}
+
 // put creates or replaces an object, as an operator or a server does, and returns the revision.
 func (s *store) put(kind, name string, spec any) uint64 {
 	raw, err := json.Marshal(spec)
@@ -228,6 +247,12 @@
 	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	behind := s.lagOf(via, r)
+	if s.watchBegun != nil {
+		s.watchBegun(via, kind, r.URL.Query().Get("allow_stale") != "1")
+	}
+	s.mu.Lock()
+	cut := s.cutOf(via)
+	s.mu.Unlock()
 	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer end.Stop()
 	for last := false; ; {
@@ -258,6 +283,8 @@
 		case <-poll:
 		case <-end.C:
 			last = true
+		case <-cut:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
