--- a/review/standins-2/behind.go
+++ b/review/standins-2/behind.go
@@ -11,12 +11,12 @@
 
 func init() { scenarios["behind"] = behind }
 
-// behind: the store turns one seed away for half a second, just after servers have registered of which another seed
+// behind: the store turns one seed away for 0.6 s, just after servers have registered of which another seed
 // does not know yet, because the replica that it watches is some seconds behind.
 func behind(w *world) bool {
 	const (
 		lag      = 2500 * time.Millisecond
-		rejected = 450 * time.Millisecond
+		rejected = 600 * time.Millisecond
 	)
 	w.seeds = []string{fmt.Sprintf("127.1.0.10:%d", w.ports.control), fmt.Sprintf("127.2.0.10:%d", w.ports.control)}
 	first := w.addEntry("edge-ruwi-1", "ruwi", "127.1.0.10", "127.200.1.11")
@@ -80,12 +80,12 @@
 	time.Sleep(100 * time.Millisecond)
 	added := map[string]*server{}
 	for i := range 4 {
-		s := start(20+i, zones[i%2])
+		s := start(20+i, "seeb")
 		added[s.name] = s
 		w.rec.printf("server %s registers", s.name)
 	}
 	if w.trouble {
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
 		w.rec.printf("the store turns %s away", first.name)
 		rejecting.Store(true)
 		w.st.cut(first.name)
