--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The store turns one seed away for 0.6 s while another seed, whose replica is behind, does not know new servers yet.
+# The store turns one seed away for 0.35 s while another seed, whose replica is behind, does not know new servers yet.
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
