--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	rec    *record
 	// cuts has a channel for each entry whose waiting watches are to be cut when it is closed.
 	cuts map[string]chan struct{}
+	// delay is how long each answer takes after the store has read what it answers; 0: no longer than usual.
+	delay atomic.Int64
 	// watchBegun is called with each watch that begins.
 	watchBegun func(via, kind string, exact bool)
 }
@@ -218,6 +221,8 @@
 	return s.lag(via, r)
 }
 
+func (s *store) slow() { time.Sleep(time.Duration(s.delay.Load())) }
+
 func (s *store) list(w http.ResponseWriter, r *http.Request, kind, via string) {
 	behind := s.lagOf(via, r)
 	s.mu.Lock()
@@ -239,6 +244,7 @@
 	for _, n := range names {
 		items = append(items, all[n])
 	}
+	s.slow()
 	s.rec.printf("store: list of %s for %s: after %q, stale allowed %t, as of %d, %d items, more %t", kind, via, after, r.URL.Query().Get("allow_stale") == "1", asOf, len(items), more)
 	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": more, "as_of": asOf})
 }
@@ -271,6 +277,7 @@
 		}
 		s.mu.Unlock()
 		if len(events) > 0 || last {
+			s.slow()
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "as_of": asOf})
 			return
 		}
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -216,12 +216,15 @@
 }
 
 // pick selects the entry for a flow: the hash of its addresses and ports modulo the entries in rotation.
-func (w *world) pick(k flowKey) (netip.AddrPort, string) {
+func (w *world) pick(k flowKey) (netip.AddrPort, string) { return w.pickIn("", k) }
+
+// pickIn selects among the entries of a zone; "": of all zones.
+func (w *world) pickIn(zone string, k flowKey) (netip.AddrPort, string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var in []*entry
 	for _, e := range w.entries {
-		if e.inRotation {
+		if e.inRotation && (zone == "" || e.zone == zone) {
 			in = append(in, e)
 		}
 	}
