--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# The store turns one seed away for 0.35 s while another seed, whose replica is behind, does not know new servers yet.
+# An entry starts while a replica answers a later page of its first list that is seconds behind the first page.
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 for program in "$root/target/stoatpaddle-entry" "$root/target/review2/scenario"; do
 	[ -x "$program" ] || { echo "cannot run: $program is not built"; exit 2; }
 done
-exec "$root/target/review2/scenario" behind "$root" "$here/record.txt"
+exec "$root/target/review2/scenario" paged "$root" "$here/record.txt"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# A seed is stopped and started as planned while the store is slow, and servers register meanwhile.
+# An entry starts while a replica answers a later page of its first list that does not have yet that a server drains.
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 for program in "$root/target/stoatpaddle-entry" "$root/target/review2/scenario"; do
 	[ -x "$program" ] || { echo "cannot run: $program is not built"; exit 2; }
 done
-exec "$root/target/review2/scenario" slow "$root" "$here/record.txt"
+exec "$root/target/review2/scenario" draining "$root" "$here/record.txt"
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -29,12 +29,18 @@
 	rec                       *record
 	mu                        sync.Mutex
 	flows                     map[flowKey]*serverFlow
-	openings                  []time.Time // when SYNs of new flows arrived
+	openings                  []opening // the SYNs of new flows that arrived
 	resetsSent                map[flowKey]int
 	runs                      map[string]int
 	quiet                     bool // nothing is recorded about single packets
 }
 
+// opening is the arrival of a SYN of a new flow.
+type opening struct {
+	at   time.Time
+	from string // the address of the entry that sent it on
+}
+
 type serverFlow struct {
 	seq, expected uint32 // own sequence number; next byte expected
 	open, closed  bool
@@ -81,7 +87,7 @@
 func (s *server) read() {
 	buf := make([]byte, 2048)
 	for {
-		n, _, err := s.conn.ReadFromUDP(buf)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return
 		}
@@ -92,7 +98,7 @@
 			continue // not the intended server
 		}
 		if p, ok := parsePacket(buf[8:n]); ok {
-			s.handle(&p)
+			s.handle(&p, from.Addr().Unmap().String())
 		}
 	}
 }
@@ -106,7 +112,7 @@
 	return &packet{flags: flags, echo: in.echo, src: in.dst, sport: in.dport, dst: in.src, dport: in.sport, seq: seq, ack: ack, data: data}
 }
 
-func (s *server) handle(p *packet) {
+func (s *server) handle(p *packet, from string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := p.key()
@@ -120,7 +126,7 @@
 		if f == nil {
 			f = &serverFlow{seq: rand.Uint32(), expected: p.seq + 1}
 			s.flows[k] = f
-			s.openings = append(s.openings, time.Now())
+			s.openings = append(s.openings, opening{at: time.Now(), from: from})
 		}
 		if !f.open {
 			s.send(s.reply(p, flagSYN|flagACK, f.seq, f.expected, nil))
