--- a/review/standins-2/draining.go
+++ b/review/standins-2/draining.go
@@ -29,9 +29,7 @@
 	for i := range 14 {
 		add(serverName(i), "giving-app", zones[i%3], fmt.Sprintf("127.128.0.%d", i+1))
 	}
-	for i := range 500 {
-		add(serverName(100+i), "ledger-intake", zones[i%3], fmt.Sprintf("127.128.%d.%d", 1+i/250, 1+i%250))
-	}
+	registerIdle(w.st, 100, 500)
 	leaving := add("i-f3a1c25d17", "giving-app", "ruwi", "127.128.9.1")
 	old := w.addEntry("edge-ruwi-1", "ruwi", w.addr(1, 10), "127.200.1.11")
 	young := w.addEntry("edge-ruwi-2", "ruwi", w.addr(1, 11), "127.200.1.12")
--- a/review/standins-2/paged.go
+++ b/review/standins-2/paged.go
@@ -43,9 +43,7 @@
 	for i := range 14 {
 		add(serverName(i), "giving-app", zones[i%3], fmt.Sprintf("127.128.0.%d", i+1)).register(0, heartbeat)
 	}
-	for i := range 500 {
-		add(serverName(100+i), "ledger-intake", zones[i%3], fmt.Sprintf("127.128.%d.%d", 1+i/250, 1+i%250)).register(0, heartbeat)
-	}
+	registerIdle(w.st, 100, 500)
 	old := w.addEntry("edge-ruwi-1", "ruwi", w.addr(1, 10), "127.200.1.11")
 	stopped := w.addEntry("edge-ruwi-2", "ruwi", w.addr(1, 11), "127.200.1.12")
 	young := w.addEntry("edge-ruwi-3", "ruwi", w.addr(1, 12), "127.200.1.13")
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -67,6 +67,15 @@
 	return s, nil
 }
 
+// registerIdle registers servers of a service that no route leads to: nobody sends them anything, and they need no sockets.
+func registerIdle(st *store, first, n int) {
+	zones := []string{"ruwi", "seeb", "qurum"}
+	for i := range n {
+		addr := fmt.Sprintf("127.129.%d.%d:8080", i/250, 1+i%250)
+		st.put("servers", serverName(first+i), upstreamSpec("ledger-intake", addr, zones[i%3], "ready", 0, 1))
+	}
+}
+
 // register registers the server, which stays cold for the given time. Its entry changes with each heartbeat while
 // it is cold; later heartbeats change only seq, and so nothing that a watch shows.
 func (s *server) register(cold, heartbeat time.Duration) {
--- a/review/standins-2/slow.go
+++ b/review/standins-2/slow.go
@@ -30,9 +30,7 @@
 	for i := range 9 {
 		start(serverName(i), "giving-app", zones[i%3], fmt.Sprintf("127.128.0.%d", i+1))
 	}
-	for i := range 1600 {
-		start(serverName(100+i), "ledger-intake", zones[i%3], fmt.Sprintf("127.128.%d.%d", 1+i/250, 1+i%250))
-	}
+	registerIdle(w.st, 100, 1600)
 	begun := make(chan struct{}, 1)
 	w.st.watchBegun = func(via, kind string, exact bool) {
 		if via == second.name && kind == "config" && exact {
