--- a/review/standins-2/behind.go
+++ b/review/standins-2/behind.go
@@ -29,7 +29,6 @@
 	start := func(i int, zone string) *server {
 		s, err := startServer(w.rec, w.st, serverName(i), "giving-app", zone, fmt.Sprintf("127.128.0.%d", i+1), w.ports.datagram)
 		must(err)
-		s.quiet = true
 		servers[s.name] = s
 		s.register(0, heartbeat)
 		return s
@@ -139,6 +138,9 @@
 	}
 	wg.Wait()
 	w.rec.printf("%d flows are open", len(flows))
+	if len(flows) == 0 {
+		must(broken{cause: "no flow could be opened"})
+	}
 	return flows
 }
 
--- a/review/standins-2/caller.go
+++ b/review/standins-2/caller.go
@@ -131,6 +131,7 @@
 	copies := []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
 	for i := 0; i+1 < len(copies); i++ {
 		f.send(flagSYN, nil, f.seq, uint32(i))
+		f.c.rec.printf("flow %v: SYN, copy %d, sent through %s", f, i, f.via)
 		for {
 			p, o := f.recv(begun.Add(copies[i+1]))
 			if o == timedOut {
@@ -144,6 +145,7 @@
 				f.ack = p.seq + 1
 				f.opened = true
 				f.send(flagACK, nil, f.seq, f.ack)
+				f.c.rec.printf("flow %v: opened with echo %08x", f, f.echo)
 				return answered
 			}
 		}
@@ -162,6 +164,7 @@
 	after := 200 * time.Millisecond
 	for time.Now().Before(end) {
 		f.send(flagACK, data, f.seq, f.ack)
+		f.c.rec.printf("flow %v: %s sent through %s", f, id, f.via)
 		until := time.Now().Add(after)
 		if until.After(end) {
 			until = end
@@ -180,6 +183,7 @@
 				}
 				f.seq, f.ack = f.seq+uint32(len(data)), f.ack+uint32(len(p.data))
 				f.send(flagACK, nil, f.seq, f.ack)
+				f.c.rec.printf("flow %v: %s is answered", f, id)
 				return answered
 			}
 		}
--- a/review/standins-2/clash.go
+++ b/review/standins-2/clash.go
@@ -27,7 +27,6 @@
 	start := func(name, zone string) *server {
 		s, err := startServer(w.rec, w.st, name, "giving-app", zone, fmt.Sprintf("127.128.0.%d", len(servers)+1), w.ports.datagram)
 		must(err)
-		s.quiet = true
 		servers[s.name] = s
 		s.register(0, heartbeat)
 		return s
--- a/review/standins-2/draining.go
+++ b/review/standins-2/draining.go
@@ -21,7 +21,6 @@
 	add := func(name, service, zone, ip string) *server {
 		s, err := startServer(w.rec, w.st, name, service, zone, ip, w.ports.datagram)
 		must(err)
-		s.quiet = true
 		s.register(0, heartbeat)
 		return s
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -38,6 +40,7 @@
 		if x := recover(); x != nil {
 			b, ok := x.(broken)
 			if !ok {
+				w.end()
 				panic(x)
 			}
 			rec.printf("the case cannot run: %s", b.cause)
@@ -54,6 +57,13 @@
 		w.end()
 		os.Exit(2)
 	})
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.end()
+		os.Exit(2)
+	}()
 	held := play(w)
 	verdict := "the rule held"
 	if !held {
--- a/review/standins-2/paged.go
+++ b/review/standins-2/paged.go
@@ -35,7 +35,6 @@
 	add := func(name, service, zone, ip string) *server {
 		s, err := startServer(w.rec, w.st, name, service, zone, ip, w.ports.datagram)
 		must(err)
-		s.quiet = true
 		all[s.name] = s
 		return s
 	}
@@ -66,7 +65,6 @@
 
 	// A server is added; it is warm after two seconds.
 	added := add("i-f3a1c25d17", "giving-app", "ruwi", "127.128.9.1")
-	added.quiet = false
 	added.register(2*time.Second, heartbeat)
 	w.rec.printf("server %s registers", added.name)
 	time.Sleep(2600 * time.Millisecond)
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -32,7 +32,6 @@
 	openings                  []opening // the SYNs of new flows that arrived
 	resetsSent                map[flowKey]int
 	runs                      map[string]int
-	quiet                     bool // nothing is recorded about single packets
 }
 
 // opening is the arrival of a SYN of a new flow.
@@ -180,9 +179,7 @@
 	f.expected += uint32(len(p.data))
 	id := string(p.data)
 	s.runs[id]++
-	if !s.quiet {
-		s.rec.printf("server %s runs %s", s.name, id)
-	}
+	s.rec.printf("server %s runs %s", s.name, id)
 	in := *p
 	time.AfterFunc(s.work, func() {
 		s.mu.Lock()
--- a/review/standins-2/slow.go
+++ b/review/standins-2/slow.go
@@ -22,7 +22,6 @@
 	start := func(name, service, zone, ip string) *server {
 		s, err := startServer(w.rec, w.st, name, service, zone, ip, w.ports.datagram)
 		must(err)
-		s.quiet = true
 		servers[s.name] = s
 		s.register(0, heartbeat)
 		return s
